--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demonstration that ``make demo`` runs."""
--- /dev/null
+++ b/packages/hingesill-api/hingesill_api/__init__.py
@@ -0,0 +1,1 @@
+"""The schema of hingesill's remote calls and the code generated from it."""
--- /dev/null
+++ b/packages/hingesill-cli/hingesill_cli/commands.py
@@ -0,0 +1,238 @@
+"""The commands: each prints what it found and returns an exit code."""
+
+import getpass
+import json
+import sys
+import time
+import uuid
+
+import yaml
+
+from hingesill_api.generated import hingesill_pb2 as pb
+from hingesill_cli.client import CallFailed, Client
+from hingesill_core.configuration.files import load_declarations
+
+__all__ = ["Commands"]
+
+EXIT_OK = 0
+EXIT_INVALID = 2
+EXIT_NO_ANSWER = 3
+EXIT_CONFLICT = 4
+EXIT_UNKNOWN = 5
+EXIT_DENIED = 6
+EXIT_LAGGING = 7
+POLL_SECONDS = 0.2
+
+EXITS = {
+    pb.ACCEPTED: EXIT_OK,
+    pb.UNCHANGED: EXIT_OK,
+    pb.CONFLICT: EXIT_CONFLICT,
+    pb.INVALID: EXIT_INVALID,
+    pb.UNKNOWN: EXIT_UNKNOWN,
+    pb.UNAVAILABLE: EXIT_NO_ANSWER,
+    pb.DENIED: EXIT_DENIED,
+}
+
+
+def complain(text):
+    """Print a line for the operator on the standard error."""
+    print(f"hingesill: {text}", file=sys.stderr)
+
+
+def report_findings(findings):
+    """Print every finding; return the exit code."""
+    for finding in findings:
+        complain(finding)
+    return EXIT_INVALID
+
+
+class Commands:
+    """Operate hingesill.
+
+    Parameters
+    ----------
+    node, token, ca, certificate, key : str
+        See `hingesill_cli.client.Client`.
+    """
+
+    def __init__(self, node="", token="", ca="", certificate="", key=""):
+        self._connection = (node, token, ca, certificate, key)
+
+    def _call(self, name, request):
+        return Client(*self._connection).call(name, request)
+
+    def validate(self, f):
+        """Check declarations without any node.
+
+        Parameters
+        ----------
+        f : str
+            A file or a folder.
+        """
+        declarations, findings = load_declarations(f)
+        if findings:
+            return report_findings(findings)
+        for declaration in declarations:
+            print(f"{declaration.service}: valid")
+        return EXIT_OK
+
+    def apply(self, f, dry_run=False, operation="", author="", remove=""):
+        """Put declarations in force.
+
+        Parameters
+        ----------
+        f : str
+            A file or a folder.
+        dry_run : bool
+            Only say what would change.
+        operation : str
+            The id of this operation; repeat it after an unknown outcome.
+        author : str
+            Who asks; the user's name if empty.
+        remove : str
+            Services to remove, by commas.
+        """
+        declarations, findings = load_declarations(f)
+        if findings:
+            return report_findings(findings)
+        changes = [
+            pb.Change(service=d.service, document=d.model_dump_json().encode())
+            for d in declarations
+        ]
+        names = [name for name in str(remove).split(",") if name]
+        changes += [pb.Change(service=name) for name in names]
+        return self._apply(changes, dry_run, operation, author)
+
+    def remove(self, service, operation="", author=""):
+        """Remove a service; its tombstone keeps it from coming back."""
+        return self._apply([pb.Change(service=service)], False, operation, author)
+
+    def _apply(self, changes, dry_run, operation, author):
+        held = self._call("Get", pb.GetRequest())
+        if isinstance(held, CallFailed):
+            complain(held.reason)
+            return EXIT_NO_ANSWER
+        versions = {document.service: document.version for document in held.documents}
+        for change in changes:
+            change.expected_version = versions.get(change.service, 0)
+        operation = operation or uuid.uuid4().hex
+        request = pb.ApplyRequest(
+            operation_id=operation,
+            author=author or getpass.getuser(),
+            changes=changes,
+            dry_run=dry_run,
+        )
+        reply = self._call("Apply", request)
+        if isinstance(reply, CallFailed):
+            complain(f"{reply.reason}; ask for operation {operation}")
+            return EXIT_UNKNOWN
+        return self._report_apply(reply, operation, dry_run)
+
+    def _report_apply(self, reply, operation, dry_run):
+        outcome = pb.ApplyOutcome.Name(reply.outcome).lower()
+        heading = "would be " if dry_run else ""
+        print(f"{heading}{outcome} at revision {reply.revision} ({operation})")
+        for result in reply.results:
+            by = f" by {result.changed_by}" if result.changed_by else ""
+            version = f"version {result.current_version}{by}"
+            print(f"  {result.service}: {result.summary} ({version})")
+        for finding in reply.findings:
+            complain(f"{finding.place}: {finding.message}")
+        if reply.reason:
+            print(f"  {reply.reason}")
+        return EXITS.get(reply.outcome, EXIT_NO_ANSWER)
+
+    def get(self, *services):
+        """Print declarations as they are in force, as YAML."""
+        reply = self._call("Get", pb.GetRequest(services=[str(s) for s in services]))
+        if isinstance(reply, CallFailed):
+            complain(reply.reason)
+            return EXIT_NO_ANSWER
+        print(f"# revision {reply.revision}")
+        for item in reply.documents:
+            print(f"--- # {item.service} version {item.version} by {item.author}")
+            content = json.loads(item.document) if item.document else None
+            print(yaml.safe_dump(content, sort_keys=False).rstrip())
+        return EXIT_OK
+
+    def operation(self, id):
+        """Say what became of an operation, by its id."""
+        reply = self._call("GetOperation", pb.GetOperationRequest(operation_id=str(id)))
+        if isinstance(reply, CallFailed):
+            complain(reply.reason)
+            return EXIT_NO_ANSWER
+        return self._report_apply(reply, str(id), False)
+
+    def status(self, wait=0.0, revision=0):
+        """Print what is in force on each node.
+
+        Parameters
+        ----------
+        wait : float
+            Seconds to wait until every node heard from has the revision.
+        revision : int
+            The revision to wait for; the asked node's own if 0.
+        """
+        deadline = time.monotonic() + float(wait)
+        while True:
+            reply = self._call("Status", pb.StatusRequest(fleet=True))
+            if isinstance(reply, CallFailed):
+                complain(reply.reason)
+                return EXIT_NO_ANSWER
+            wanted = revision or max(node.revision for node in reply.nodes)
+            lagging = [n for n in reply.nodes if n.unreachable or n.revision < wanted]
+            if not lagging or time.monotonic() >= deadline:
+                break
+            time.sleep(POLL_SECONDS)
+        for node in sorted(reply.nodes, key=lambda n: (n.data_centre, n.node)):
+            print(describe_node(node, wanted))
+        print(f"{len(reply.nodes) - len(lagging)} of {len(reply.nodes)} at {wanted}")
+        return EXIT_LAGGING if lagging and wait else EXIT_OK
+
+    def drain(self, service, endpoint, cancel=False):
+        """Have all nodes give an endpoint no new work, or take that back."""
+        request = pb.DrainRequest(service=service, endpoint=endpoint, cancel=cancel)
+        reply = self._call("Drain", request)
+        if isinstance(reply, CallFailed):
+            complain(reply.reason)
+            return EXIT_NO_ANSWER
+        if reply.reason:
+            complain(reply.reason)
+            return EXIT_INVALID
+        print(f"told to this node and {reply.nodes_told} relays")
+        return EXIT_OK
+
+    def explain(self, method, path):
+        """Say how the node would route a request now, and why."""
+        request = pb.ExplainRequest(method=method.upper(), path=path)
+        reply = self._call("Explain", request)
+        if isinstance(reply, CallFailed):
+            complain(reply.reason)
+            return EXIT_NO_ANSWER
+        if reply.reason:
+            complain(reply.reason)
+            return EXIT_INVALID
+        print(f"{reply.service}, route {reply.route}, policy {reply.policy}")
+        for item in reply.candidates:
+            state = "eligible" if item.eligible else item.reason
+            print(
+                f"  {item.endpoint}: {item.score_ms:.2f} ms expected, "
+                f"{item.in_flight} in flight, {item.reported_load:.1f} of others, "
+                f"{state}"
+            )
+        return EXIT_OK
+
+
+def describe_node(node, wanted):
+    """Return one line on a node."""
+    if node.unreachable:
+        return f"{node.data_centre} {node.node}: not heard from ({node.unreachable})"
+    state = "ready" if node.ready else "not ready"
+    source = "relay" if node.relay else f"from {node.parent or 'nobody'}"
+    lag = "" if node.revision >= wanted else f", {wanted - node.revision} behind"
+    age = node.confirmed_age_ms / 1000
+    confirmed = f"confirmed {age:.1f} s ago" if age < 1e9 else "never confirmed"
+    return (
+        f"{node.data_centre} {node.node}: revision {node.revision}{lag}, "
+        f"{confirmed}, {state}, {source}"
+    )
--- /dev/null
+++ b/packages/hingesill-cli/hingesill_cli/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the command line."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/configuration/routes.py
@@ -0,0 +1,47 @@
+"""Routes that two services claim: checked against everything that is held."""
+
+import json
+
+from hingesill_core.findings import Findings
+
+__all__ = ["find_route_conflicts"]
+
+
+def list_claims(document):
+    """Yield the (method, path) pairs that a declaration claims."""
+    for route in json.loads(document)["routes"]:
+        yield route["method"], route["path"].rstrip("/") or "/"
+
+
+def find_route_conflicts(replica, changes):
+    """Return a finding for each route that another service has already.
+
+    Parameters
+    ----------
+    replica : Replica
+        The state before the changes.
+    changes : tuple of ServiceChange
+        Checked declarations.
+
+    Returns
+    -------
+    Findings
+    """
+    findings = Findings()
+    changed = {change.service for change in changes}
+    owners = {}
+    for name, held in replica.services.items():
+        if name not in changed and held.document is not None:
+            for claim in list_claims(held.document):
+                owners[claim] = name
+    for change in changes:
+        if change.document is None:
+            continue
+        for claim in list_claims(change.document):
+            owner = owners.setdefault(claim, change.service)
+            if owner != change.service:
+                method, path = claim
+                findings.add(
+                    f"{change.service}.routes", f"{method} {path} belongs to {owner}"
+                )
+    return findings
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/configuration/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the configuration sub-package."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/findings.py
@@ -0,0 +1,44 @@
+"""Findings: everything wrong with an input, each with its place."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["Finding", "Findings"]
+
+
+@dataclass(frozen=True)
+class Finding:
+    """One thing that is wrong.
+
+    Parameters
+    ----------
+    place : str
+        A file with its line, a path within a declaration, or a setting's name.
+    message : str
+        What is wrong there.
+    """
+
+    place: str
+    message: str
+
+    def __str__(self):
+        return f"{self.place}: {self.message}"
+
+
+@dataclass
+class Findings:
+    """A collection that is reported as a whole, never at the first finding."""
+
+    items: list[Finding] = field(default_factory=list)
+
+    def add(self, place, message):
+        """Add one finding."""
+        self.items.append(Finding(place, message))
+
+    def __bool__(self):
+        return bool(self.items)
+
+    def __iter__(self):
+        return iter(self.items)
+
+    def __len__(self):
+        return len(self.items)
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/limits/admission.py
@@ -0,0 +1,50 @@
+"""Whether a request can still make its deadline, and when to come back."""
+
+from dataclasses import dataclass
+
+__all__ = ["Pace"]
+
+PACE_WEIGHT = 0.05
+INITIAL_PACE = 0.005
+SHORTEST_RETRY_AFTER = 0.05
+LONGEST_RETRY_AFTER = 5.0
+
+
+@dataclass(slots=True)
+class Pace:
+    """How long a service's answers take at this node, in seconds.
+
+    Notes
+    -----
+    ``typical`` is a running mean. ``quick`` follows the lower tenth, so that a
+    request is refused only if even a quick answer would be too late.
+    """
+
+    typical: float = INITIAL_PACE
+    quick: float = INITIAL_PACE / 2
+
+    def note(self, seconds):
+        """Take the time of an answer."""
+        self.typical += PACE_WEIGHT * (seconds - self.typical)
+        step = PACE_WEIGHT * self.typical
+        self.quick += step * (0.1 if seconds > self.quick else -0.9)
+        self.quick = max(self.quick, 0.0)
+
+    def estimate_queue_time(self, ahead, places):
+        """Return how long a new ticket would wait.
+
+        Parameters
+        ----------
+        ahead : int
+            Tickets served before it.
+        places : int
+            Sends that may be in flight at once.
+        """
+        if places <= 0:
+            return LONGEST_RETRY_AFTER
+        return (ahead + 1) * self.typical / places
+
+    def suggest_return(self, wait, rng):
+        """Return the seconds after which to come back, spread at random."""
+        base = min(LONGEST_RETRY_AFTER, max(SHORTEST_RETRY_AFTER, wait))
+        return base * (1 + rng.random())
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/limits/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the limits sub-package."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who else is there, and who does what without any agreement."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/membership/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the membership sub-package."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/probing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the probing sub-package."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -0,0 +1,55 @@
+"""Why a request was refused, sent again or ended: the enumerations.
+
+Each member is a value of the counters and of the ``Hingesill-Reason`` header.
+``docs/REASONS.md`` describes each; CI compares the two.
+"""
+
+from enum import Enum
+
+__all__ = ["Outcome", "RefusalReason", "RetryReason"]
+
+
+class Outcome(str, Enum):
+    """What a caller can rely on; the ``Hingesill-Outcome`` header."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(str, Enum):
+    """Why a request got no answer from an endpoint."""
+
+    NO_ROUTE = "no-route"
+    NO_CONFIGURATION = "no-configuration"
+    NO_ENDPOINT = "no-endpoint"
+    BAD_FRAMING = "bad-framing"
+    BAD_HEADER = "bad-header"
+    BODY_TOO_LARGE = "body-too-large"
+    CALLER_GONE = "caller-gone"
+    QUEUE_FULL = "queue-full"
+    DISPLACED = "displaced"
+    DEADLINE_UNREACHABLE = "deadline-unreachable"
+    DEADLINE_PASSED = "deadline-passed"
+    CONNECT_FAILED = "connect-failed"
+    ENDPOINT_REFUSED = "endpoint-refused"
+    ANSWER_LOST = "answer-lost"
+    ANSWER_LATE = "answer-late"
+    ANSWER_SHORT = "answer-short"
+    SHUTTING_DOWN = "shutting-down"
+    INTERNAL = "internal"
+
+
+class RetryReason(str, Enum):
+    """Why a request was sent once more, or why it was not."""
+
+    CONNECT_FAILED = "connect-failed"
+    ENDPOINT_REFUSED = "endpoint-refused"
+    ANSWER_LOST = "answer-lost"
+    ENDPOINT_FAULT = "endpoint-fault"
+    HEDGE = "hedge"
+    DENIED_BUDGET = "denied-budget"
+    DENIED_LAYER = "denied-layer"
+    DENIED_NOT_REPEATABLE = "denied-not-repeatable"
+    DENIED_NO_ENDPOINT = "denied-no-endpoint"
+    DENIED_TIME = "denied-time"
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/registry.py
@@ -0,0 +1,42 @@
+"""Registries that decorators fill, in place of chains of conditions."""
+
+__all__ = ["Registry"]
+
+
+class Registry:
+    """Named implementations of one kind of behaviour.
+
+    Parameters
+    ----------
+    kind : str
+        What the registry holds, for messages.
+    """
+
+    def __init__(self, kind):
+        self.kind = kind
+        self._entries = {}
+
+    def register(self, name):
+        """Return a decorator that enters a class or function under a name.
+
+        Raises
+        ------
+        ValueError
+            If the name is taken.
+        """
+        if name in self._entries:
+            raise ValueError(f"the {self.kind} {name!r} is registered twice")
+
+        def enter(implementation):
+            self._entries[name] = implementation
+            return implementation
+
+        return enter
+
+    def get(self, name):
+        """Return the implementation, or None if there is none of that name."""
+        return self._entries.get(name)
+
+    def list_names(self):
+        """Return all names, sorted."""
+        return sorted(self._entries)
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Whether and when a request is sent once more."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/retries/budget.py
@@ -0,0 +1,38 @@
+"""Budgets of extra sends: tokens that first sends earn."""
+
+from dataclasses import dataclass
+
+__all__ = ["TokenBudget"]
+
+BURST = 10.0
+
+
+@dataclass(slots=True)
+class TokenBudget:
+    """Extra sends as a share of first sends.
+
+    Parameters
+    ----------
+    share : float
+        Tokens that each first send earns.
+    tokens : float
+        What has been saved up; a new process starts with none.
+    """
+
+    share: float
+    tokens: float = 0.0
+
+    def earn(self):
+        """Take note of a first send."""
+        self.tokens = min(BURST, self.tokens + self.share)
+
+    def spend(self):
+        """Take one token; return whether there was one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+    def give_back(self):
+        """Return a token whose send did not come about."""
+        self.tokens = min(BURST, self.tokens + 1.0)
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/retries/decision.py
@@ -0,0 +1,81 @@
+"""What follows the end of a send: another send or the final answer."""
+
+from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
+from hingesill_core.routing.messages import Denied, Refusal, SendEnd
+
+__all__ = ["classify_refusal", "judge_retry", "mark_exposure"]
+
+MAX_SENDS = 3
+
+RETRY_REASONS = {
+    SendEnd.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+    SendEnd.REFUSED: RetryReason.ENDPOINT_REFUSED,
+    SendEnd.LOST: RetryReason.ANSWER_LOST,
+    SendEnd.LATE: RetryReason.ANSWER_LOST,
+    SendEnd.FAULT: RetryReason.ENDPOINT_FAULT,
+}
+
+REFUSAL_REASONS = {
+    SendEnd.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
+    SendEnd.REFUSED: RefusalReason.ENDPOINT_REFUSED,
+    SendEnd.LOST: RefusalReason.ANSWER_LOST,
+    SendEnd.LATE: RefusalReason.ANSWER_LATE,
+    SendEnd.FAULT: RefusalReason.ANSWER_LOST,
+    SendEnd.CANCELLED: RefusalReason.CALLER_GONE,
+}
+
+CERTAINLY_NOT_RUN = frozenset({SendEnd.CONNECT_FAILED, SendEnd.REFUSED})
+
+
+def mark_exposure(ticket, end):
+    """Note on the ticket whether an endpoint may have run it."""
+    if end not in CERTAINLY_NOT_RUN:
+        ticket.exposed = True
+
+
+def judge_retry(ticket, end, budget, now, quick):
+    """Decide whether a request may be sent once more.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        The request; its exposure has been marked.
+    end : SendEnd
+        How its last send ended.
+    budget : TokenBudget
+        The service's budget of retries.
+    now, quick : float
+        The time, and how long a quick answer takes, in seconds.
+
+    Returns
+    -------
+    RetryReason or Denied
+        Why it is sent again, or why it is not.
+    """
+    denial = find_denial(ticket, end, now, quick)
+    if denial is not None:
+        return Denied(denial)
+    if not budget.spend():
+        return Denied(RetryReason.DENIED_BUDGET)
+    return RETRY_REASONS[end]
+
+
+def find_denial(ticket, end, now, quick):
+    """Return the rule that forbids another send, or None."""
+    if ticket.exposed and not ticket.route.repeatable:
+        return RetryReason.DENIED_NOT_REPEATABLE
+    if not ticket.replayable:
+        return RetryReason.DENIED_NOT_REPEATABLE
+    if not ticket.may_retry and end is not SendEnd.CONNECT_FAILED:
+        return RetryReason.DENIED_LAYER
+    if ticket.sends >= MAX_SENDS:
+        return RetryReason.DENIED_BUDGET
+    if now + quick > ticket.deadline:
+        return RetryReason.DENIED_TIME
+    return None
+
+
+def classify_refusal(ticket, end, retry_after):
+    """Return the final answer after a send that is not repeated."""
+    outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
+    return Refusal(REFUSAL_REASONS[end], outcome, retry_after)
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which endpoint a request goes to."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -0,0 +1,303 @@
+"""One service at one node: from a request to an endpoint, and what it learns."""
+
+from dataclasses import dataclass
+
+from hingesill_core.limits.admission import Pace
+from hingesill_core.limits.queue import RequestQueue
+from hingesill_core.limits.shares import compute_send_limit
+from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
+from hingesill_core.retries.budget import TokenBudget
+from hingesill_core.retries.decision import (
+    classify_refusal,
+    judge_retry,
+    mark_exposure,
+)
+from hingesill_core.retries.hedging import HedgeDelay
+from hingesill_core.routing.endpoint_state import EndpointState
+from hingesill_core.routing.messages import (
+    Denied,
+    Hold,
+    Refusal,
+    Send,
+    SendEnd,
+)
+from hingesill_core.routing.policies import POLICIES
+
+__all__ = ["Dispatcher", "FleetView"]
+
+OTHER_DATA_CENTRE = 0.003
+
+
+@dataclass(frozen=True, slots=True)
+class FleetView:
+    """What a dispatcher has to know of the node and its fleet.
+
+    Parameters
+    ----------
+    data_centre : str
+        The node's own.
+    nodes : int
+        Node processes that are alive, as far as this node knows.
+    fleet_limit : int
+        The largest number of them at once, as the operator declared it.
+    """
+
+    data_centre: str
+    nodes: int
+    fleet_limit: int
+
+
+class Dispatcher:
+    """The decisions for one service. Not safe for use by several threads.
+
+    Parameters
+    ----------
+    service : Service
+        The declaration in force.
+    fleet : FleetView
+        The node and its fleet.
+    rng : random.Random
+        Source of all random choices.
+    """
+
+    def __init__(self, service, fleet, rng):
+        self.rng = rng
+        self.states = {}
+        self.queue = RequestQueue(service.queue_limit)
+        self.pace = Pace()
+        self.hedge_delay = HedgeDelay()
+        self.hedges = TokenBudget(service.sends.hedge_share)
+        self.retries = TokenBudget(service.sends.retry_share)
+        self.configure(service, fleet)
+
+    def configure(self, service, fleet):
+        """Put a declaration and a view of the fleet in force.
+
+        Notes
+        -----
+        What was learnt of an endpoint that stays is kept. One that is gone gets
+        no new work from here on; sends in flight there settle as usual.
+        """
+        self.service = service
+        self.fleet = fleet
+        self.choose = POLICIES.get(service.policy)
+        self.queue.limit = service.queue_limit
+        self.hedges.share = service.sends.hedge_share
+        self.retries.share = service.sends.retry_share
+        self.states = {
+            endpoint.address: self._build_state(endpoint)
+            for endpoint in service.endpoints
+        }
+        self.places = sum(state.send_limit for state in self.states.values())
+
+    def _build_state(self, endpoint):
+        state = self.states.get(endpoint.address)
+        if state is None:
+            state = EndpointState(endpoint.address)
+        near = endpoint.data_centre == self.fleet.data_centre
+        state.slots = endpoint.slots
+        state.distance = 0.0 if near else OTHER_DATA_CENTRE
+        state.send_limit = compute_send_limit(
+            endpoint.slots,
+            endpoint.connections,
+            self.fleet.nodes,
+            self.fleet.fleet_limit,
+        )
+        return state
+
+    def submit(self, ticket, now):
+        """Take a new request.
+
+        Returns
+        -------
+        Send, Hold or Refusal
+            Where to send it, or to hold it, or its final answer.
+        """
+        self.hedges.earn()
+        self.retries.earn()
+        if ticket.route.live or not self.queue.get_first(live=True):
+            send = self._assign(ticket, now)
+            if send is not None:
+                return send
+        return self._hold_or_refuse(ticket, now)
+
+    def _hold_or_refuse(self, ticket, now):
+        if not self._list_takers(now):
+            return self._refuse(ticket, RefusalReason.NO_ENDPOINT, now)
+        ahead = self.queue.count_ahead(ticket)
+        wait = self.pace.estimate_queue_time(ahead, self.places)
+        if now + wait + self.pace.quick > ticket.deadline:
+            return self._refuse(ticket, RefusalReason.DEADLINE_UNREACHABLE, now)
+        if len(self.queue) >= self.queue.limit and not ticket.route.live:
+            return self._refuse(ticket, RefusalReason.QUEUE_FULL, now)
+        if len(self.queue) >= self.queue.limit and not self.queue.has_deferrable():
+            return self._refuse(ticket, RefusalReason.QUEUE_FULL, now)
+        self.queue.add(ticket)
+        return Hold()
+
+    def _refuse(self, ticket, reason, now):
+        outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
+        wait = self.pace.estimate_queue_time(len(self.queue), self.places)
+        return Refusal(reason, outcome, self.pace.suggest_return(wait, self.rng))
+
+    def _list_takers(self, now):
+        """Return the endpoints that take new work, busy or not."""
+        return [
+            state
+            for state in self.states.values()
+            if not state.is_draining(now) and not state.health.is_ejected(now)
+        ]
+
+    def _assign(self, ticket, now):
+        """Send a ticket to an endpoint with a free place, if there is one."""
+        free = [state for state in self.states.values() if state.has_place(ticket, now)]
+        if ticket.tried:
+            fresh = [s for s in free if s.address not in ticket.tried]
+            free = fresh or free
+        if not free:
+            return None
+        return self._start(ticket, self.choose(free, now, self.rng), now)
+
+    def _start(self, ticket, state, now, hedge=False):
+        send = Send(ticket, state.address, now, hedge)
+        state.begin(send, now)
+        ticket.sends += 1
+        ticket.tried.append(state.address)
+        return send
+
+    def pump(self, now):
+        """Yield a Send for each held request that can go now."""
+        for live in (True, False):
+            while True:
+                ticket = self.queue.get_first(live)
+                send = self._assign(ticket, now) if ticket is not None else None
+                if send is None:
+                    break
+                self.queue.remove(ticket)
+                yield send
+            if self.queue.get_first(live) is not None:
+                return
+
+    def expire(self, now):
+        """Yield (ticket, Refusal) for each held request that is given up on.
+
+        Notes
+        -----
+        A request goes as soon as not even a quick answer would be in time, and
+        deferrable ones go when the queue is over its limit.
+        """
+        latest = now + self.pace.quick
+        takers = bool(self._list_takers(now))
+        for ticket in list(self.queue):
+            if latest > ticket.deadline or not takers:
+                self.queue.remove(ticket)
+                late = RefusalReason.DEADLINE_UNREACHABLE
+                reason = late if takers else RefusalReason.NO_ENDPOINT
+                yield ticket, self._refuse(ticket, reason, now)
+        while len(self.queue) > self.queue.limit:
+            ticket = self.queue.displace()
+            if ticket is None:
+                return
+            yield ticket, self._refuse(ticket, RefusalReason.DISPLACED, now)
+
+    def abandon(self, ticket):
+        """Forget a held request whose caller is gone."""
+        self.queue.remove(ticket)
+
+    def start_hedge(self, ticket, now):
+        """Send a request a second time while its first send has no answer.
+
+        Returns
+        -------
+        Send or Denied
+            Denied with the rule that forbids it.
+        """
+        denial = self._find_hedge_denial(ticket, now)
+        if denial is not None:
+            return Denied(denial)
+        free = [
+            state
+            for state in self.states.values()
+            if state.address not in ticket.tried and state.has_place(ticket, now)
+        ]
+        if not free:
+            return Denied(RetryReason.DENIED_NO_ENDPOINT)
+        if not self.hedges.spend():
+            return Denied(RetryReason.DENIED_BUDGET)
+        state = self.choose(free, now, self.rng)
+        return self._start(ticket, state, now, hedge=True)
+
+    def _find_hedge_denial(self, ticket, now):
+        if not ticket.route.repeatable or not ticket.replayable:
+            return RetryReason.DENIED_NOT_REPEATABLE
+        if not ticket.may_retry:
+            return RetryReason.DENIED_LAYER
+        if now + self.pace.quick > ticket.deadline:
+            return RetryReason.DENIED_TIME
+        return None
+
+    def settle(self, send, result, now):
+        """Take the end of a send and learn from it.
+
+        Parameters
+        ----------
+        send : Send
+            As it was given out.
+        result : SendResult
+            What became of it.
+        now : float
+            The time.
+        """
+        mark_exposure(send.ticket, result.end)
+        state = self.states.get(send.endpoint)
+        if state is None:
+            return
+        state.finish(send)
+        seconds = now - send.started
+        self._learn_pace(send, result, seconds)
+        state.learn(result, seconds, now, self.service.drain_seconds)
+        came_back = state.health.note(result.end, now, self._may_eject(now))
+        if came_back or result.cold:
+            state.cold_since = now
+
+    def _learn_pace(self, send, result, seconds):
+        if result.end is SendEnd.ANSWERED:
+            self.pace.note(seconds)
+            if not send.hedge:
+                self.hedge_delay.note(seconds)
+
+    def _may_eject(self, now):
+        ejected = sum(not s.health.is_open(now) for s in self.states.values())
+        return (ejected + 1) * 2 <= len(self.states)
+
+    def retry(self, ticket, end, now):
+        """Decide what follows a send that brought no answer.
+
+        Returns
+        -------
+        tuple
+            The Send, Hold or Refusal to act on, and the RetryReason that is
+            counted, which is a ``DENIED`` one with a Refusal.
+        """
+        verdict = judge_retry(ticket, end, self.retries, now, self.pace.quick)
+        if isinstance(verdict, Denied):
+            return self._give_up(ticket, end), verdict.reason
+        send = self._assign(ticket, now)
+        if send is not None:
+            return send, verdict
+        decision = self._hold_or_refuse(ticket, now)
+        if isinstance(decision, Refusal):
+            self.retries.give_back()
+            return self._give_up(ticket, end), RetryReason.DENIED_NO_ENDPOINT
+        return decision, verdict
+
+    def _give_up(self, ticket, end):
+        wait = self.pace.estimate_queue_time(len(self.queue), self.places)
+        back = self.pace.suggest_return(wait, self.rng)
+        return classify_refusal(ticket, end, back)
+
+    def mark_draining(self, endpoint, until):
+        """Give an endpoint no new work until a time."""
+        state = self.states.get(endpoint)
+        if state is not None:
+            state.draining_until = until
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/load_report.py
@@ -0,0 +1,25 @@
+"""An endpoint's own word on its load, as it comes with an answer."""
+
+from dataclasses import dataclass
+
+__all__ = ["LoadReport"]
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """One report.
+
+    Parameters
+    ----------
+    running : int
+        Requests that occupy a slot or wait for one.
+    received_at : float
+        When it reached this node, in seconds of the node's clock.
+    own_in_flight : int
+        How many of this node's requests were in flight there, without the one
+        that brought the report.
+    """
+
+    running: int
+    received_at: float
+    own_in_flight: int
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -0,0 +1,125 @@
+"""What goes into a dispatcher and what comes out of it."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from hingesill_core.configuration.declaration import Route
+from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
+from hingesill_core.routing.load_report import LoadReport
+
+__all__ = [
+    "Denied",
+    "Hold",
+    "Refusal",
+    "Send",
+    "SendEnd",
+    "SendResult",
+    "Ticket",
+]
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """One request of a caller on its way through the node.
+
+    Parameters
+    ----------
+    route : Route
+        What the operator declared for it.
+    arrived : float
+        Seconds of the node's clock.
+    deadline : float
+        When its answer is of no use any more, on the same clock.
+    may_retry : bool
+        False if a layer nearer to the caller sends again.
+    replayable : bool
+        False once its body cannot be sent a second time.
+    """
+
+    route: Route
+    arrived: float
+    deadline: float
+    may_retry: bool = True
+    replayable: bool = True
+    tried: list[str] = field(default_factory=list)
+    sends: int = 0
+    exposed: bool = False
+    waiting: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Send:
+    """Send the request to this endpoint now."""
+
+    ticket: Ticket
+    endpoint: str
+    started: float
+    hedge: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Hold the request: a later ``pump`` or ``expire`` names it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The final answer of a request that gets none from an endpoint.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        Why.
+    outcome : Outcome
+        NOT_RUN only if it is certain that no endpoint ran it.
+    retry_after : float or None
+        Seconds after which to come back; None if that would not help.
+    """
+
+    reason: RefusalReason
+    outcome: Outcome
+    retry_after: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """A request is not sent again, with the reason."""
+
+    reason: RetryReason
+
+
+class SendEnd(str, Enum):
+    """How a send ended."""
+
+    ANSWERED = "answered"
+    FAULT = "fault"
+    REFUSED = "refused"
+    CONNECT_FAILED = "connect-failed"
+    LOST = "lost"
+    LATE = "late"
+    CANCELLED = "cancelled"
+
+
+@dataclass(frozen=True, slots=True)
+class SendResult:
+    """What became of a send.
+
+    Parameters
+    ----------
+    end : SendEnd
+        How it ended.
+    report : LoadReport or None
+        The endpoint's word on its load, if one came.
+    draining : bool
+        The endpoint said that it is leaving.
+    cold : bool
+        The endpoint said that it has just started.
+    retry_after : float
+        How long a refusing endpoint wants to be left alone, in seconds.
+    """
+
+    end: SendEnd
+    report: LoadReport | None = None
+    draining: bool = False
+    cold: bool = False
+    retry_after: float = 0.0
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/policies.py
@@ -0,0 +1,50 @@
+"""The policies that choose an endpoint; a declaration names one of them.
+
+A policy is a function of the eligible endpoints, the time and a random source.
+It is given at least one endpoint.
+"""
+
+from hingesill_core.registry import Registry
+
+__all__ = ["POLICIES"]
+
+POLICIES = Registry("routing policy")
+TIE = 0.05
+
+
+@POLICIES.register("random")
+def choose_random(states, now, rng):
+    """Choose any endpoint; a baseline."""
+    return rng.choice(states)
+
+
+@POLICIES.register("round_robin")
+def choose_next(states, now, rng):
+    """Choose the endpoint that was sent the fewest requests so far; a baseline."""
+    return min(states, key=lambda state: state.sends)
+
+
+@POLICIES.register("least_in_flight_of_two")
+def choose_less_busy_of_two(states, now, rng):
+    """Choose the one of two random endpoints with fewer own sends; a baseline."""
+    if len(states) == 1:
+        return states[0]
+    first, second = rng.sample(states, 2)
+    return first if first.in_flight <= second.in_flight else second
+
+
+@POLICIES.register("expected_wait")
+def choose_expected_wait(states, now, rng):
+    """Choose the endpoint that should answer first.
+
+    Notes
+    -----
+    All endpoints are scored: a service has a handful. Scores within a
+    twentieth of the best count as equal and one of them is drawn, so that
+    nodes which saw the same reports do not all send to one endpoint.
+    """
+    scored = [(state.estimate_wait(now), state) for state in states]
+    best = min(scored, key=lambda pair: pair[0])[0]
+    limit = best * (1 + TIE)
+    equal = [state for score, state in scored if score <= limit]
+    return equal[0] if len(equal) == 1 else rng.choice(equal)
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the routing sub-package."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/control/peers.py
@@ -0,0 +1,82 @@
+"""The calls that other nodes make on this one."""
+
+from hingesill_api.generated import hingesill_pb2 as pb
+from hingesill_api.generated.hingesill_pb2_grpc import PeersServicer
+from hingesill_core.configuration.state import encode_difference
+from hingesill_node.control.messages import (
+    build_node_status,
+    read_signs,
+    write_signs,
+)
+from hingesill_node.control.spreader import HEARTBEAT_SECONDS
+
+__all__ = ["Peers"]
+
+
+class Peers(PeersServicer):
+    """Serves subscriptions, drain signs and status to other nodes.
+
+    Parameters
+    ----------
+    state : ControlState
+        Read, and written by drain signs.
+    is_ready : callable
+        Tells whether the node is ready.
+    """
+
+    def __init__(self, state, is_ready):
+        self.state = state
+        self.is_ready = is_ready
+
+    async def Subscribe(self, request, context):
+        """Send each change as the difference from what the subscriber has."""
+        state = self.state
+        state.membership.note_heard(request.node)
+        held = request.revision
+        names = frozenset(request.services)
+        signs_sent = -1
+        while True:
+            update = self._build_update(held, names, signs_sent)
+            held = max(held, update.revision)
+            signs_sent = state.signs.generation
+            state.counters.add("peer_bytes", "sent", amount=update.ByteSize())
+            yield update
+            await self._wait_news(held, signs_sent)
+
+    async def _wait_news(self, held, signs_sent):
+        """Wait for a change or for the next heartbeat."""
+        state = self.state
+        if state.replica.revision > held or state.signs.generation != signs_sent:
+            return
+        await state.wait_change(HEARTBEAT_SECONDS)
+
+    def _build_update(self, held, names, signs_sent):
+        state = self.state
+        replica = state.replica
+        update = pb.Update(
+            since=held,
+            revision=replica.revision,
+            chain=replica.chain,
+            confirmed_age_ms=state.get_confirmed_age_ms(),
+        )
+        if replica.revision > held:
+            difference = replica.build_difference(held, names)
+            update.difference = encode_difference(difference)
+        if signs_sent != state.signs.generation:
+            signs = state.signs.list_all()
+            update.signs.extend(write_signs(signs, state.clock()))
+        return update
+
+    async def Tell(self, request, context):
+        """Take drain signs from any node; subscribers get them at once."""
+        now = self.state.clock()
+        news = [
+            self.state.signs.take(sign, now) for sign in read_signs(request.signs, now)
+        ]
+        if any(news):
+            self.state.wake()
+        return pb.TellReply()
+
+    async def Inspect(self, request, context):
+        """Return this node's status."""
+        return build_node_status(self.state, self.is_ready(), self.state.counters)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/control/publisher.py
@@ -0,0 +1,83 @@
+"""Bringing what the control thread knows onto the blackboard of the hub."""
+
+from hingesill_core.configuration.declaration import build_service, parse_declaration
+from hingesill_core.configuration.route_table import RouteTable
+from hingesill_core.findings import Findings
+from hingesill_core.routing.dispatcher import FleetView
+from hingesill_node.blackboard import Configuration
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["Publisher"]
+
+
+class Publisher:
+    """Writes configuration, fleet and signs when they have changed.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+        Written on the hub's thread only.
+    bridge : Bridge
+        Leads there.
+    fleet_limit : int
+        For the FleetView.
+    """
+
+    def __init__(self, blackboard, bridge, fleet_limit):
+        self.blackboard = blackboard
+        self.bridge = bridge
+        self.fleet_limit = fleet_limit
+        self.revision = 0
+        self.fleet = None
+        self.generation = 0
+        self._built = {}
+
+    def publish(self, state):
+        """Post what has changed since the last call."""
+        if state.replica.revision != self.revision:
+            self.revision = state.replica.revision
+            configuration = self._build_configuration(state.replica)
+            self.bridge.post(self.blackboard.write, "configuration", configuration)
+            log_event(Event.CONFIGURATION_IN_FORCE, revision=self.revision)
+        fleet = self._build_fleet(state)
+        if fleet != self.fleet:
+            self.fleet = fleet
+            self.bridge.post(self.blackboard.write, "fleet", fleet)
+        if state.signs.generation != self.generation:
+            self.generation = state.signs.generation
+            signs = state.signs.list_until(0.0)
+            self.bridge.post(self.blackboard.write, "signs", signs)
+
+    def _build_fleet(self, state):
+        nodes = len(state.membership.list_usable(state.clock()))
+        return FleetView(state.own.data_centre, nodes, self.fleet_limit)
+
+    def _build_configuration(self, replica):
+        """Return the Configuration of a replica; only new versions are parsed."""
+        built = {}
+        for name, held in replica.services.items():
+            if held.document is None:
+                continue
+            known = self._built.get(name)
+            if known is None or known[0] != held.version:
+                last_good = known[1] if known is not None else None
+                known = (held.version, self._parse(name, held) or last_good)
+            built[name] = known
+        self._built = built
+        services = {
+            name: service for name, (_, service) in built.items() if service is not None
+        }
+        return Configuration(replica.revision, services, RouteTable(services.values()))
+
+    def _parse(self, name, held):
+        findings = Findings()
+        declaration = parse_declaration(held.document, findings)
+        if declaration is None:
+            log_event(
+                Event.DOCUMENT_INVALID,
+                service=name,
+                version=held.version,
+                findings=[str(finding) for finding in findings],
+            )
+            return None
+        return build_service(declaration)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/control/spreader.py
@@ -0,0 +1,225 @@
+"""Getting changes: from the store as a relay, from a parent otherwise."""
+
+import asyncio
+
+import grpc
+
+from hingesill_api.generated import hingesill_pb2 as pb
+from hingesill_api.generated.hingesill_pb2_grpc import PeersStub
+from hingesill_core.configuration.changelog import Tail
+from hingesill_core.configuration.state import Applied, decode_difference
+from hingesill_core.membership.spreading import find_place
+from hingesill_core.store import StoreFailure
+from hingesill_node.control.messages import read_signs
+from hingesill_node.control.state import NEVER_CONFIRMED, copy_replica
+from hingesill_node.control.storecalls import Backoff
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["Spreader"]
+
+WATCH_SECONDS = 5.0
+WATCH_AGE_SECONDS = 0.5
+HEARTBEAT_SECONDS = 1.0
+SILENCE_SECONDS = 3.0
+REVIEW_SECONDS = 1.0
+SNAPSHOT_EVERY = 512
+
+
+class Spreader:
+    """Keeps the replica at the newest state that any path leads to.
+
+    Parameters
+    ----------
+    state : ControlState
+        Read and written.
+    changelog : ChangeLog
+        The log in the store.
+    store_calls : StoreCalls
+        Runs the blocking calls.
+    channels : Channels
+        To other nodes.
+    """
+
+    def __init__(self, state, changelog, store_calls, channels):
+        self.state = state
+        self.changelog = changelog
+        self.store_calls = store_calls
+        self.channels = channels
+        self.tail_version = None
+        self.snapshot_revision = 0
+
+    async def run(self):
+        """Work until cancelled; a place in the tree that changes is followed."""
+        watch = None
+        follow = asyncio.create_task(self._follow())
+        try:
+            while True:
+                relay = self._find_place().relay
+                if relay != self.state.is_relay:
+                    self.state.is_relay = relay
+                    if relay:
+                        log_event(Event.BECAME_RELAY)
+                if relay and watch is None:
+                    watch = asyncio.create_task(self._watch_store())
+                if not relay and watch is not None:
+                    watch.cancel()
+                    watch = None
+                await asyncio.sleep(REVIEW_SECONDS)
+        finally:
+            follow.cancel()
+            if watch is not None:
+                watch.cancel()
+
+    def _find_place(self):
+        usable = self.state.membership.list_usable(self.state.clock())
+        return find_place(self.state.own, usable)
+
+    async def _watch_store(self):
+        """Follow the tail of the change log."""
+        backoff = Backoff()
+        while True:
+            before = self.state.clock()
+            if self.tail_version is None:
+                answer = await self.store_calls.run(self.changelog.read_tail)
+                confirmed = before
+            else:
+                answer = await self.store_calls.run(
+                    self.changelog.watch_tail, self.tail_version, WATCH_SECONDS
+                )
+                confirmed = max(before, self.state.clock() - WATCH_AGE_SECONDS)
+            if isinstance(answer, StoreFailure):
+                self.tail_version = None
+                await asyncio.sleep(backoff.get_pause())
+                continue
+            backoff.reset()
+            await self._take_tail(answer, confirmed, backoff)
+
+    async def _take_tail(self, answer, confirmed, backoff):
+        """Take what a read or a watch brought."""
+        if isinstance(answer, Tail):
+            outcome = await self.bring_up(answer)
+            if isinstance(outcome, StoreFailure):
+                self.tail_version = None
+                await asyncio.sleep(backoff.get_pause())
+                return
+            if outcome in (Applied.OLDER, Applied.FORKED):
+                log_event(Event.STORE_BEHIND, store=answer.revision, why=outcome.value)
+                await asyncio.sleep(backoff.get_pause())
+                return
+            self.tail_version = answer.version
+        self.state.confirm(confirmed)
+        await self._snapshot_now_and_then()
+
+    async def bring_up(self, tail):
+        """Bring the node's replica up to a tail; return what became of it."""
+        copy = copy_replica(self.state.replica)
+        outcome = await self.store_calls.run(self.changelog.bring_up, copy, tail)
+        if outcome is Applied.APPLIED:
+            since = self.state.replica.revision
+            self.state.adopt(copy.build_difference(min(since, copy.revision)), "store")
+        return outcome
+
+    async def _snapshot_now_and_then(self):
+        """Write a snapshot when the log has grown by many entries."""
+        replica = self.state.replica
+        if replica.revision - self.snapshot_revision < SNAPSHOT_EVERY:
+            return
+        self.snapshot_revision = replica.revision
+        copy = copy_replica(replica)
+        await self.store_calls.run(self.changelog.save_snapshot, copy)
+
+    async def _follow(self):
+        """Subscribe to a parent, the next one after each failure."""
+        backoff = Backoff(0.2, 2.0)
+        attempt = 0
+        while True:
+            if self.state.is_relay and self.state.store_answers:
+                self.state.parent = ""
+                await asyncio.sleep(REVIEW_SECONDS)
+                continue
+            parents = self._find_place().parents
+            if not parents:
+                await asyncio.sleep(REVIEW_SECONDS)
+                continue
+            parent = parents[attempt % len(parents)]
+            heard = await self._subscribe(parent)
+            if heard:
+                backoff.reset()
+                attempt = 0
+            else:
+                attempt += 1
+            await asyncio.sleep(backoff.get_pause())
+
+    async def _subscribe(self, parent):
+        """Take changes from a parent until it falls silent; tell if it spoke."""
+        state = self.state
+        stub = PeersStub(self.channels.get(parent.control))
+        call = stub.Subscribe(
+            pb.SubscribeRequest(
+                node=state.own.name,
+                data_centre=state.own.data_centre,
+                revision=state.replica.revision,
+                chain=state.replica.chain,
+                services=sorted(state.interests),
+            )
+        )
+        heard = False
+        try:
+            while not (state.is_relay and state.store_answers):
+                update = await asyncio.wait_for(call.read(), SILENCE_SECONDS)
+                if update is grpc.aio.EOF:
+                    break
+                if not heard:
+                    log_event(Event.PARENT_FOUND, parent=parent.name)
+                    state.parent = parent.name
+                    state.membership.note_heard(parent.name)
+                heard = True
+                if not self._take_update(update, parent.name):
+                    break
+        except (grpc.aio.AioRpcError, TimeoutError) as error:
+            state.membership.note_silent(parent.name, state.clock())
+            log_event(Event.PARENT_LOST, parent=parent.name, error=describe(error))
+        finally:
+            call.cancel()
+            state.parent = ""
+        return heard
+
+    def _take_update(self, update, source):
+        """Take one message of a parent; False if the two belong to other logs."""
+        state = self.state
+        now = state.clock()
+        state.last_peer_at = now
+        state.counters.add("peer_bytes", "received", amount=update.ByteSize())
+        if update.difference:
+            try:
+                difference = decode_difference(update.difference)
+            except ValueError as error:
+                log_event(Event.OLDER_REFUSED, source=source, error=str(error))
+                return False
+            applied = state.adopt(difference, source)
+            if applied in (Applied.FORKED, Applied.GAP):
+                return False
+        if not self._agrees(update, source):
+            return False
+        if update.revision <= state.replica.revision:
+            if update.confirmed_age_ms < NEVER_CONFIRMED:
+                state.confirm(now - update.confirmed_age_ms / 1000)
+        news = [state.signs.take(sign, now) for sign in read_signs(update.signs, now)]
+        if any(news):
+            state.wake()
+        return True
+
+    def _agrees(self, update, source):
+        """Tell whether a parent's change log is this node's."""
+        known = self.state.replica.find_chain(update.revision)
+        if known is None or known == update.chain:
+            return True
+        log_event(Event.FORK_REFUSED, source=source, offered=update.revision)
+        return False
+
+
+def describe(error):
+    """Return a failed call's error in few words."""
+    if isinstance(error, grpc.aio.AioRpcError):
+        return error.code().name
+    return type(error).__name__
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/control/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the control sub-package."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request: accepted, routed, sent, answered."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -0,0 +1,161 @@
+"""Connections to endpoints: urllib3's, on green sockets, pooled an endpoint."""
+
+import socket
+import time
+from collections import deque
+from http.client import HTTPConnection as StandardConnection
+
+from eventlet import hubs
+from eventlet.green import socket as green_socket
+from urllib3.connection import HTTPConnection
+from urllib3.util.wait import wait_for_read
+
+__all__ = ["ConnectFailed", "EndpointConnection", "Pool", "WaitTimeout"]
+
+CONNECT_SECONDS = 0.25
+IDLE_SECONDS = 5.0
+
+
+class ConnectFailed(Exception):
+    """No connection came about, so nothing was sent."""
+
+
+class WaitTimeout(Exception):
+    """No byte of an answer came in time."""
+
+
+class EndpointConnection(HTTPConnection):
+    """A connection whose socket yields to the hub.
+
+    Notes
+    -----
+    Head and small body leave in one call of the socket: ``send`` collects while
+    ``collect`` is set, and ``flush`` sends what was collected.
+    """
+
+    default_socket_options = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
+
+    def __init__(self, address):
+        host, _, port = address.rpartition(":")
+        super().__init__(host.strip("[]"), int(port), timeout=CONNECT_SECONDS)
+        self.address = address
+        self.idle_since = 0.0
+        self.used = False
+        self._collected = None
+
+    def _new_conn(self):
+        try:
+            sock = green_socket.create_connection(
+                (self.host, self.port), timeout=CONNECT_SECONDS
+            )
+        except OSError as error:
+            raise ConnectFailed(f"{self.address}: {error}") from error
+        for option in self.default_socket_options:
+            sock.setsockopt(*option)
+        return sock
+
+    def open(self):
+        """Connect; ConnectFailed if that does not succeed in time."""
+        self.connect()
+
+    def collect(self):
+        """Keep what is sent until ``flush``."""
+        self._collected = []
+
+    def send(self, data):
+        """Send bytes, or keep them while collecting."""
+        if self._collected is not None:
+            self._collected.append(data)
+            return
+        self.sock.sendall(data)
+
+    def flush(self):
+        """Send what was collected in one call."""
+        parts, self._collected = self._collected, None
+        if parts:
+            self.sock.sendall(b"".join(parts))
+
+    def wait_readable(self, seconds):
+        """Wait for the first byte of an answer; WaitTimeout if none comes."""
+        hubs.trampoline(
+            self.sock.fileno(), read=True, timeout=seconds, timeout_exc=WaitTimeout
+        )
+
+    def read_head(self):
+        """Return the response with its head read."""
+        return StandardConnection.getresponse(self)
+
+    def set_time_limit(self, seconds):
+        """Bound each later read and write."""
+        self.sock.settimeout(seconds)
+
+    def is_stale(self):
+        """Tell whether the other side closed it or sent what nobody asked for."""
+        return wait_for_read(self.sock, timeout=0.0)
+
+
+class Pool:
+    """Idle connections to one endpoint.
+
+    Parameters
+    ----------
+    address : str
+        The endpoint's.
+    limit : int
+        Connections this node may hold there, busy ones included.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(self, address, limit, clock=time.monotonic):
+        self.address = address
+        self.limit = limit
+        self._clock = clock
+        self._idle = deque()
+        self.opened = 0
+
+    def take(self):
+        """Return an open connection; ConnectFailed if there can be none.
+
+        Notes
+        -----
+        The last one used comes first. One that was idle for long is closed: the
+        endpoint may be about to close it, and a request that must not be
+        repeated should not run into that.
+        """
+        oldest = self._clock() - IDLE_SECONDS
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.idle_since < oldest or connection.is_stale():
+                self.discard(connection)
+                continue
+            connection.used = True
+            return connection
+        return self._open()
+
+    def _open(self):
+        if self.opened >= self.limit:
+            raise ConnectFailed(f"{self.address}: the node's connections are used up")
+        self.opened += 1
+        connection = EndpointConnection(self.address)
+        try:
+            connection.open()
+        except BaseException:
+            self.opened -= 1
+            raise
+        return connection
+
+    def give_back(self, connection):
+        """Keep a connection whose whole answer was read."""
+        connection.idle_since = self._clock()
+        self._idle.append(connection)
+
+    def discard(self, connection):
+        """Close a connection that is not to be used again."""
+        self.opened -= 1
+        connection.close()
+
+    def close_idle(self):
+        """Close all idle connections, as for an endpoint that is leaving."""
+        while self._idle:
+            self.discard(self._idle.pop())
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -0,0 +1,76 @@
+"""What the parts of the data path hand to each other."""
+
+from dataclasses import dataclass, field
+
+from hingesill_core.routing.messages import Send, Ticket
+
+__all__ = ["Answer", "Body", "CallerRequest", "LiveSend"]
+
+
+@dataclass(slots=True)
+class Body:
+    """A request's body: whole when it is small, else read as it is sent.
+
+    Parameters
+    ----------
+    whole : bytes or None
+        The body if it was read at once.
+    length : int or None
+        Its length, None if the caller sends chunks.
+    source : object
+        Has ``read``; used if ``whole`` is None.
+    """
+
+    whole: bytes | None
+    length: int | None
+    source: object = None
+
+
+@dataclass(slots=True)
+class CallerRequest:
+    """A request as the node passes it on."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: list
+    body: Body
+    ticket: Ticket
+    caller_socket: object = None
+
+
+@dataclass(slots=True)
+class Answer:
+    """An endpoint's answer, its body whole or still to be read.
+
+    Parameters
+    ----------
+    status : int
+        The status code.
+    reason : str
+        The reason phrase.
+    headers : list of tuple
+        As they came.
+    body : bytes or None
+        The whole body, or None if ``live`` is still to be read from.
+    live : LiveSend or None
+        Set while the answer is being read.
+    """
+
+    status: int
+    reason: str
+    headers: list
+    body: bytes | None
+    live: object = None
+
+
+@dataclass(slots=True, eq=False)
+class LiveSend:
+    """A send on its way, with the connection that carries it."""
+
+    send: Send
+    pool: object
+    connection: object = None
+    response: object = None
+    waiter: object = None
+    settled: bool = field(default=False)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -0,0 +1,184 @@
+"""A service at this node: its dispatcher, its connections and held requests."""
+
+import time
+
+import eventlet
+from eventlet.event import Event
+
+from hingesill_core.limits.shares import compute_connection_share
+from hingesill_core.reasons import Outcome, RefusalReason
+from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.messages import Refusal
+from hingesill_node.datapath.callers import is_caller_gone
+from hingesill_node.datapath.connections import Pool
+
+__all__ = ["RunnerTable", "ServiceRunner"]
+
+TICK_SECONDS = 0.002
+CALLER_CHECK_SECONDS = 0.05
+
+
+class ServiceRunner:
+    """Carries a dispatcher's decisions to the requests that wait for them.
+
+    Parameters
+    ----------
+    service : Service
+        The declaration in force.
+    fleet : FleetView
+        The node and its fleet.
+    rng : random.Random
+        For the dispatcher.
+    on_drain : callable
+        Called with an endpoint's address when it says that it is leaving.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(self, service, fleet, rng, on_drain, clock=time.monotonic):
+        self.dispatcher = Dispatcher(service, fleet, rng)
+        self.on_drain = on_drain
+        self.clock = clock
+        self.pools = {}
+        self.held = {}
+        self.keeper = None
+        self._limit_pools(service, fleet)
+
+    def configure(self, service, fleet):
+        """Put a new declaration or view of the fleet in force."""
+        self.dispatcher.configure(service, fleet)
+        self._limit_pools(service, fleet)
+        self.pump()
+
+    def _limit_pools(self, service, fleet):
+        limits = {
+            endpoint.address: compute_connection_share(
+                endpoint.connections, fleet.fleet_limit
+            )
+            for endpoint in service.endpoints
+        }
+        for address in list(self.pools):
+            if address not in limits:
+                self.pools.pop(address).close_idle()
+        for address, limit in limits.items():
+            pool = self.pools.setdefault(address, Pool(address, limit))
+            pool.limit = limit
+
+    def get_pool(self, address):
+        """Return the connections to an endpoint."""
+        return self.pools[address]
+
+    def count_in_flight(self, address):
+        """Return this node's sends in flight at an endpoint."""
+        state = self.dispatcher.states.get(address)
+        return state.in_flight if state is not None else 1
+
+    def settle(self, send, result):
+        """Hand a send's end to the dispatcher and start what can go now."""
+        self.dispatcher.settle(send, result, self.clock())
+        if result.draining:
+            self.on_drain(send.endpoint)
+        if self.held:
+            self.pump()
+
+    def pump(self):
+        """Wake the held requests that can go now."""
+        for send in self.dispatcher.pump(self.clock()):
+            self.held.pop(send.ticket).send(send)
+
+    def wait_held(self, request):
+        """Wait until a held request is sent or refused; return the decision."""
+        ticket = request.ticket
+        event = self.held[ticket] = Event()
+        if self.keeper is None:
+            self.keeper = eventlet.spawn(self._keep)
+        while True:
+            decision = event.wait(timeout=CALLER_CHECK_SECONDS)
+            if decision is not None:
+                return decision
+            if is_caller_gone(request.caller_socket) and not event.ready():
+                self.held.pop(ticket, None)
+                self.dispatcher.abandon(ticket)
+                outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
+                return Refusal(RefusalReason.CALLER_GONE, outcome)
+
+    def _keep(self):
+        """Give up on held requests in time, as long as there are any."""
+        while self.held:
+            for ticket, refusal in self.dispatcher.expire(self.clock()):
+                self.held.pop(ticket).send(refusal)
+            self.pump()
+            eventlet.sleep(TICK_SECONDS)
+        self.keeper = None
+
+    def mark_draining(self, address, until):
+        """Give an endpoint no new work and close idle connections to it."""
+        self.dispatcher.mark_draining(address, until)
+        pool = self.pools.get(address)
+        if pool is not None and until > self.clock():
+            pool.close_idle()
+
+
+class RunnerTable:
+    """The runners of all services that were asked for, made on first use.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+        Configuration, fleet and drain signs in force.
+    rng : random.Random
+        For the dispatchers.
+    on_drain : callable
+        Called with an endpoint's address when it says that it is leaving.
+    """
+
+    def __init__(self, blackboard, rng, on_drain, clock=time.monotonic):
+        self.blackboard = blackboard
+        self.rng = rng
+        self.on_drain = on_drain
+        self.clock = clock
+        self.runners = {}
+        blackboard.watch("configuration", self.refresh)
+        blackboard.watch("fleet", self.refresh)
+        blackboard.watch("signs", self.refresh_signs)
+
+    def get(self, name):
+        """Return the runner of a service that is in force."""
+        runner = self.runners.get(name)
+        if runner is None:
+            board = self.blackboard
+            service = board.configuration.services[name]
+            runner = ServiceRunner(
+                service, board.fleet, self.rng, self.on_drain, self.clock
+            )
+            self.runners[name] = runner
+            self._apply_signs(runner)
+        return runner
+
+    def refresh(self):
+        """Bring all runners to the configuration and fleet in force."""
+        board = self.blackboard
+        for name, runner in list(self.runners.items()):
+            service = board.configuration.services.get(name)
+            if service is None:
+                self.runners.pop(name)
+            elif (service, board.fleet) != (
+                runner.dispatcher.service,
+                runner.dispatcher.fleet,
+            ):
+                runner.configure(service, board.fleet)
+                self._apply_signs(runner)
+
+    def refresh_signs(self):
+        """Bring all runners to the drain signs in force."""
+        for runner in self.runners.values():
+            self._apply_signs(runner)
+
+    def _apply_signs(self, runner):
+        for address, until in self.blackboard.signs.items():
+            if address in runner.dispatcher.states:
+                runner.mark_draining(address, until)
+
+    def count_held(self):
+        """Return the requests held at this node."""
+        return sum(len(runner.held) for runner in self.runners.values())
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -0,0 +1,97 @@
+"""eventlet's WSGI server on the callers' address."""
+
+import socket
+
+import eventlet
+from eventlet import wsgi
+from eventlet.green import socket as green_socket
+
+from hingesill_node.datapath.application import PROTOCOL_KEY
+
+__all__ = ["CallerProtocol", "listen", "split_address", "start_server"]
+
+BACKLOG = 1024
+MOST_CONNECTIONS = 10_000
+IDLE_SECONDS = 60
+SOCKET_SECONDS = 30
+ACCEPT_QUIET_SECONDS = 0.1
+
+
+class CallerProtocol(wsgi.HttpProtocol):
+    """Lets the application end a connection after its answer."""
+
+    def get_environ(self):
+        """Return the environment with this protocol object in it."""
+        environ = super().get_environ()
+        environ[PROTOCOL_KEY] = self
+        return environ
+
+
+class SilentLog:
+    """Takes the server's own lines: events are logged by the application."""
+
+    def info(self, message, *arguments):
+        """Drop a line."""
+
+    debug = info
+    error = info
+
+
+def split_address(address):
+    """Return host and port of ``IP:PORT``."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def listen(address, reuse_port):
+    """Return a listening green socket.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``; port 0 takes a free one.
+    reuse_port : bool
+        Let several nodes of a VM share the port.
+
+    Raises
+    ------
+    OSError
+        If the address cannot be listened on.
+    """
+    host, port = split_address(address)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = green_socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if reuse_port:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    try:
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def start_server(sock, application):
+    """Serve an application on a listening socket in a green thread.
+
+    Returns
+    -------
+    GreenThread
+        Ends when the socket is closed.
+    """
+    pool = eventlet.GreenPool(MOST_CONNECTIONS)
+    return eventlet.spawn(
+        wsgi.server,
+        sock,
+        application,
+        protocol=CallerProtocol,
+        custom_pool=pool,
+        log=SilentLog(),
+        log_output=False,
+        keepalive=IDLE_SECONDS,
+        socket_timeout=SOCKET_SECONDS,
+        debug=False,
+    )
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the datapath sub-package."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -0,0 +1,192 @@
+"""The node's settings: flags first, then environment variables, then defaults."""
+
+import os
+import socket
+import uuid
+from typing import Annotated, Literal
+
+from pydantic import AfterValidator, Field, ValidationError, model_validator
+from pydantic_settings import BaseSettings, SettingsConfigDict
+
+from hingesill_core.configuration.declaration import NAME, check_address
+from hingesill_core.findings import Findings
+from hingesill_node.control.authorisation import AUTHORISERS
+from hingesill_node.control.vmlist import LISTS
+from hingesill_node.store.registry import STORES
+
+__all__ = ["ENVIRONMENT_PREFIX", "Settings", "load_settings"]
+
+ENVIRONMENT_PREFIX = "HINGESILL_"
+Address = Annotated[str, AfterValidator(check_address)]
+
+
+def check_listening(value):
+    """Check an address to listen on; port 0 is a free one."""
+    host, _, port = value.rpartition(":")
+    if port == "0":
+        check_address(f"{host}:1")
+        return value
+    return check_address(value)
+
+
+def check_scheme(registry):
+    """Return a check that a value's scheme is registered."""
+
+    def check(value):
+        scheme = value.partition("://")[0]
+        if value and registry.get(scheme) is None:
+            known = ", ".join(registry.list_names())
+            raise ValueError(f"the scheme is one of {known}")
+        return value
+
+    return check
+
+
+def make_name():
+    """Return a name that no other node ever has."""
+    return f"{socket.gethostname()}-{uuid.uuid4().hex[:8]}"
+
+
+class Settings(BaseSettings):
+    """Everything that a node is told; each field is a flag and a variable."""
+
+    model_config = SettingsConfigDict(
+        env_prefix=ENVIRONMENT_PREFIX, extra="forbid", frozen=True
+    )
+
+    name: str = Field(
+        default_factory=make_name,
+        pattern=r"^[A-Za-z0-9._-]{1,100}$",
+        description="The node's name; no two processes ever share one.",
+    )
+    team: str = Field(
+        default="hingesill",
+        pattern=NAME,
+        description="First part of all keys in the store.",
+    )
+    data_centre: str = Field(
+        default="local", pattern=NAME, description="Where the node runs."
+    )
+    address: Annotated[str, AfterValidator(check_listening)] = Field(
+        default="127.0.0.1:8080", description="Where callers connect, as IP:PORT."
+    )
+    control_address: Annotated[str, AfterValidator(check_listening)] = Field(
+        default="127.0.0.1:8081",
+        description="Where operators and other nodes connect.",
+    )
+    admin_address: Annotated[str, AfterValidator(check_listening)] = Field(
+        default="127.0.0.1:8082", description="Where /ready and /metrics are."
+    )
+    store: Annotated[str, AfterValidator(check_scheme(STORES))] = Field(
+        default="http://127.0.0.1:8500",
+        description="The platform's key-value service.",
+    )
+    vm_list: Annotated[str, AfterValidator(check_scheme(LISTS))] = Field(
+        default="", description="The platform's list of VMs; empty for none."
+    )
+    services: str = Field(
+        default="", description="Hold only these, by commas; empty for all."
+    )
+    fleet_limit: int = Field(
+        default=18,
+        ge=1,
+        le=100_000,
+        description="The most node processes that ever run at once.",
+    )
+    reuse_port: bool = Field(
+        default=False, description="Share the callers' port with other nodes."
+    )
+    max_body_bytes: int = Field(
+        default=64 * 1024 * 1024, ge=0, description="Longest body passed on."
+    )
+    balancer_lag_s: float = Field(
+        default=3.0,
+        ge=0,
+        le=300,
+        description="How long the platform's balancer may still send after /ready "
+        "says no.",
+    )
+    stop_bound_s: float = Field(
+        default=60.0,
+        ge=0,
+        le=3600,
+        description="How long a planned stop waits for requests in flight.",
+    )
+    isolation_s: float = Field(
+        default=30.0,
+        ge=1,
+        le=3600,
+        description="A node that hears neither store nor nodes is not ready after "
+        "this.",
+    )
+    authoriser: Literal[tuple(AUTHORISERS.list_names())] = Field(
+        default="open", description="Who may change what."
+    )
+    authors_file: str = Field(default="", description="For the authoriser tokens.")
+    tls_certificate: str = Field(
+        default="", description="Certificate of the control port, PEM."
+    )
+    tls_key: str = Field(default="", description="Its key, PEM.")
+    tls_ca: str = Field(default="", description="Whose certificates are taken, PEM.")
+    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = Field(
+        default="INFO", description="Lowest level of log events."
+    )
+    switch_interval_s: float = Field(
+        default=0.0005,
+        ge=0.00001,
+        le=0.1,
+        description="How long a thread may keep the interpreter.",
+    )
+    probing: bool = Field(default=True, description="Take part in probing.")
+
+    @model_validator(mode="after")
+    def check_files(self):
+        """Check that the files named can be read."""
+        for name in ("tls_certificate", "tls_key", "tls_ca", "authors_file"):
+            path = getattr(self, name)
+            if path and not os.access(path, os.R_OK):
+                raise ValueError(f"{name}: {path} cannot be read")
+        if bool(self.tls_certificate) != bool(self.tls_key):
+            raise ValueError("tls_certificate and tls_key go together")
+        if self.authoriser == "tokens" and not self.authors_file:
+            raise ValueError("authors_file is needed for the authoriser tokens")
+        return self
+
+
+def load_settings(flags):
+    """Return the settings, or every finding.
+
+    Parameters
+    ----------
+    flags : dict
+        By setting's name; they go before environment variables.
+
+    Returns
+    -------
+    Settings or Findings
+    """
+    findings = Findings()
+    for name in flags:
+        if name not in Settings.model_fields:
+            findings.add(f"--{name}", "there is no such setting")
+    for variable in os.environ:
+        name = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
+        is_ours = variable.startswith(ENVIRONMENT_PREFIX)
+        if is_ours and name not in Settings.model_fields:
+            findings.add(variable, "there is no such setting")
+    if findings:
+        return findings
+    try:
+        return Settings(**{name: str(value) for name, value in flags.items()})
+    except ValidationError as error:
+        for item in error.errors():
+            findings.add(name_place(item["loc"], flags), item["msg"])
+        return findings
+
+
+def name_place(location, flags):
+    """Return the flag or variable that a finding is about."""
+    if not location:
+        return "settings"
+    name = str(location[0])
+    return f"--{name}" if name in flags else f"{ENVIRONMENT_PREFIX}{name.upper()}"
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/store/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform's key-value service, in a registry."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/store/memory.py
@@ -0,0 +1,115 @@
+"""A store within the process, for tests and for a single node without a platform."""
+
+import threading
+import time
+from dataclasses import dataclass
+
+from hingesill_core.store import (
+    Conflicting,
+    Held,
+    LeaseLost,
+    Missing,
+    Unchanged,
+    Value,
+    Written,
+)
+from hingesill_node.store.registry import STORES
+
+__all__ = ["MemoryStore"]
+
+_shared = {}
+_shared_lock = threading.Lock()
+
+
+@dataclass
+class LeaseRecord:
+    """Who holds which key until when."""
+
+    key: str
+    holder: str
+    until: float
+
+
+@STORES.register("memory")
+def open_memory(url):
+    """Return the store of that name; all users in the process share it."""
+    with _shared_lock:
+        return _shared.setdefault(url, MemoryStore())
+
+
+class MemoryStore:
+    """Keys with versions, watches and leases, guarded by one lock.
+
+    Parameters
+    ----------
+    clock : callable
+        Monotonic seconds, for leases.
+    """
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._changed = threading.Condition()
+        self._values = {}
+        self._leases = {}
+        self._counter = 0
+
+    def get(self, key):
+        """See `hingesill_core.store.Store`."""
+        with self._changed:
+            return self._values.get(key, Missing())
+
+    def put(self, key, data, expected):
+        """See `hingesill_core.store.Store`."""
+        with self._changed:
+            if self._values.get(key, Missing()).version != expected:
+                return Conflicting()
+            self._counter += 1
+            self._values[key] = Value(bytes(data), self._counter)
+            self._changed.notify_all()
+            return Written()
+
+    def delete(self, key):
+        """See `hingesill_core.store.Store`."""
+        with self._changed:
+            self._values.pop(key, None)
+            self._changed.notify_all()
+            return Written()
+
+    def watch(self, key, version, timeout):
+        """See `hingesill_core.store.Store`."""
+
+        def has_changed():
+            return self._values.get(key, Missing()).version != version
+
+        with self._changed:
+            if not self._changed.wait_for(has_changed, timeout):
+                return Unchanged()
+            return self._values.get(key, Missing())
+
+    def acquire(self, key, holder, ttl):
+        """See `hingesill_core.store.Store`."""
+        with self._changed:
+            now = self._clock()
+            for record in self._leases.values():
+                if record.key == key and record.until > now:
+                    return LeaseLost()
+            self._counter += 1
+            lease = f"lease-{self._counter}"
+            self._leases[lease] = LeaseRecord(key, holder, now + ttl)
+            return Held(lease, ttl)
+
+    def renew(self, lease, ttl):
+        """See `hingesill_core.store.Store`."""
+        with self._changed:
+            record = self._leases.get(lease)
+            if record is None or record.until <= self._clock():
+                self._leases.pop(lease, None)
+                return LeaseLost()
+            record.until = self._clock() + ttl
+            return Held(lease, ttl)
+
+    def release(self, lease):
+        """See `hingesill_core.store.Store`."""
+        with self._changed:
+            self._leases.pop(lease, None)
+            return Written()
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Counters, numbered log events and the address where both are seen."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -0,0 +1,82 @@
+"""Counters of everything that was answered, refused and sent again.
+
+The request path adds to plain integers; OpenTelemetry reads them when it is
+asked, so that a request pays for no exporter.
+"""
+
+from collections import Counter
+
+from opentelemetry.exporter.prometheus import PrometheusMetricReader
+from opentelemetry.metrics import Observation
+from opentelemetry.sdk.metrics import MeterProvider
+
+__all__ = ["Counters", "COUNTER_TEXTS", "GAUGE_TEXTS", "start_metrics"]
+
+COUNTER_TEXTS = {
+    "requests": "Requests by service and outcome.",
+    "refusals": "Requests refused by the node, by service and reason.",
+    "retries": "Requests sent again, or not, by service and reason.",
+    "sends": "Sends to endpoints by service.",
+    "probes": "Probes sent by service.",
+    "store_calls": "Calls to the platform's key-value service by kind.",
+    "peer_bytes": "Bytes between nodes by direction.",
+    "events": "Log events by number.",
+}
+
+GAUGE_TEXTS = {
+    "in_flight": "Requests in flight.",
+    "held": "Requests held in the node's queues.",
+    "revision": "Revision of the configuration in force.",
+    "confirmed_age_seconds": "Age of the store's last word that it is the newest.",
+}
+
+
+class Counters:
+    """Counts by (counter, service or kind, reason)."""
+
+    def __init__(self):
+        self.counts = Counter()
+
+    def add(self, name, subject, reason="", amount=1):
+        """Add to one count; safe between threads under the interpreter's lock."""
+        self.counts[(name, subject, reason)] += amount
+
+    def sum_by_name(self):
+        """Return the totals by counter and reason, for a status."""
+        totals = Counter()
+        for (name, _, reason), amount in list(self.counts.items()):
+            totals[f"{name}.{reason}" if reason else name] += amount
+        return dict(totals)
+
+    def observe(self, name):
+        """Yield the observations of one counter."""
+        for (counter, subject, reason), amount in list(self.counts.items()):
+            if counter == name:
+                yield Observation(amount, {"subject": subject, "reason": reason})
+
+
+def start_metrics(counters, gauges):
+    """Register all counters and gauges with OpenTelemetry.
+
+    Parameters
+    ----------
+    counters : Counters
+        Read on each collection.
+    gauges : callable
+        Returns the current value by gauge name.
+    """
+    provider = MeterProvider(metric_readers=[PrometheusMetricReader()])
+    meter = provider.get_meter("hingesill")
+    for name, text in COUNTER_TEXTS.items():
+        meter.create_observable_counter(
+            f"hingesill_{name}",
+            callbacks=[lambda options, name=name: counters.observe(name)],
+            description=text,
+        )
+    for name, text in GAUGE_TEXTS.items():
+        meter.create_observable_gauge(
+            f"hingesill_{name}",
+            callbacks=[lambda options, name=name: [Observation(gauges()[name])]],
+            description=text,
+        )
+    return provider
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -0,0 +1,88 @@
+"""The catalogue of log events: one number for each thing worth a line.
+
+``docs/EVENTS.md`` lists them; CI compares the two.
+"""
+
+import logging
+import sys
+from enum import Enum
+
+from pythonjsonlogger.json import JsonFormatter
+
+__all__ = ["Event", "log_event", "start_logging"]
+
+LOGGER = logging.getLogger("hingesill")
+
+
+class Event(Enum):
+    """Number, level and text of each event."""
+
+    NODE_STARTED = (1001, logging.INFO, "the node serves")
+    NODE_READY = (1002, logging.INFO, "the node is ready for callers")
+    NODE_NOT_READY = (1003, logging.WARNING, "the node is not ready for callers")
+    STOP_BEGUN = (1004, logging.INFO, "a planned stop has begun")
+    STOP_ENDED = (1005, logging.INFO, "a planned stop has ended")
+    STOP_BOUND_REACHED = (1006, logging.WARNING, "requests outlived the stop's bound")
+    SETTINGS_INVALID = (1007, logging.ERROR, "the settings are not valid")
+    PORT_UNAVAILABLE = (1008, logging.ERROR, "an address cannot be listened on")
+    CONFIGURATION_IN_FORCE = (2001, logging.INFO, "a configuration is in force")
+    OLDER_REFUSED = (2002, logging.WARNING, "an older configuration was refused")
+    FORK_REFUSED = (2003, logging.ERROR, "a configuration of another log was refused")
+    DOCUMENT_INVALID = (2004, logging.ERROR, "a held declaration is not valid")
+    STORE_BEHIND = (2005, logging.ERROR, "the store is behind this node")
+    CHANGE_ACCEPTED = (2006, logging.INFO, "a change was accepted")
+    CHANGE_REJECTED = (2007, logging.WARNING, "a change was not accepted")
+    STORE_LOST = (3001, logging.WARNING, "the store does not answer")
+    STORE_BACK = (3002, logging.INFO, "the store answers again")
+    PARENT_LOST = (3003, logging.WARNING, "the parent node does not answer")
+    PARENT_FOUND = (3004, logging.INFO, "changes come from a parent node")
+    BECAME_RELAY = (3005, logging.INFO, "the node watches the store")
+    LIST_UNAVAILABLE = (3006, logging.WARNING, "the list of VMs cannot be read")
+    ISOLATED = (3007, logging.ERROR, "neither the store nor any node answers")
+    ENDPOINT_DRAINING = (4001, logging.INFO, "an endpoint is leaving")
+    ENDPOINT_EJECTED = (4002, logging.WARNING, "an endpoint was ejected")
+    ENDPOINT_BACK = (4003, logging.INFO, "an endpoint was let back in")
+    PROBE_SHARE_HELD = (5001, logging.INFO, "a share of the probe budget is held")
+    PROBE_SHARE_LOST = (5002, logging.INFO, "a share of the probe budget has lapsed")
+    REQUEST_FAULT = (6001, logging.ERROR, "a request ended by a fault of the node")
+
+    @property
+    def number(self):
+        """The event's number; it never changes its meaning."""
+        return self.value[0]
+
+    @property
+    def level(self):
+        """The level of the standard logging module."""
+        return self.value[1]
+
+    @property
+    def text(self):
+        """What happened, in words."""
+        return self.value[2]
+
+
+def start_logging(node, level):
+    """Write events as JSON lines to the standard error.
+
+    Parameters
+    ----------
+    node : str
+        Stands in each line.
+    level : str
+        Name of the lowest level that is written.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "%(asctime)s %(levelname)s %(message)s", static_fields={"node": node}
+        )
+    )
+    LOGGER.handlers[:] = [handler]
+    LOGGER.propagate = False
+    LOGGER.setLevel(level)
+
+
+def log_event(event, **fields):
+    """Write one event with its fields."""
+    LOGGER.log(event.level, event.text, extra={"event": event.number, **fields})
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/telemetry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the telemetry sub-package."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the modules at the top of the package."""
--- /dev/null
+++ b/scripts/run_tests.py
@@ -0,0 +1,60 @@
+"""Run all tests; pass over just the known failures and print them.
+
+``KNOWN-RED.txt`` names at most three tests, one a line: test, cause, issue.
+"""
+
+import sys
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+FOLDERS = ("packages/hingesill-core", "packages/hingesill-node")
+FOLDERS += ("packages/hingesill-cli", "tests")
+MOST_KNOWN = 3
+
+
+def read_known():
+    """Return the names of the tests that are known to fail, with their lines."""
+    file = ROOT / "KNOWN-RED.txt"
+    if not file.exists():
+        return {}
+    lines = [line.strip() for line in file.read_text().splitlines()]
+    return {line.split(",")[0].strip(): line for line in lines if line}
+
+
+def load_suite():
+    """Return the tests of all folders."""
+    loader = unittest.TestLoader()
+    sys.path.insert(0, str(ROOT))
+    suite = unittest.TestSuite()
+    for folder in FOLDERS:
+        path = ROOT / folder
+        top = ROOT if folder == "tests" else path
+        suite.addTests(loader.discover(str(path), "test_*.py", str(top)))
+    if loader.errors:
+        raise SystemExit("\n".join(loader.errors))
+    return suite
+
+
+def main():
+    """Run the tests; return the exit code."""
+    known = read_known()
+    if len(known) > MOST_KNOWN:
+        print(f"KNOWN-RED.txt has more than {MOST_KNOWN} lines")
+        return 1
+    result = unittest.TextTestRunner(verbosity=1).run(load_suite())
+    failed = [test.id() for test, _ in result.failures + result.errors]
+    new = [name for name in failed if name not in known]
+    for name, line in known.items():
+        state = "failed as known" if name in failed else "passed, take it off the list"
+        print(f"known red: {line} [{state}]")
+    if result.testsRun == 0:
+        print("no test ran")
+        return 1
+    if failed and not new:
+        print("OK but for the known failures")
+    return 1 if new or result.unexpectedSuccesses else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,237 @@
+"""Starts stand-ins and nodes as separate processes, for tests and benches.
+
+Only processes started here are ended here, each by its own id.
+"""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import urllib3
+import yaml
+
+from hingesill_core.configuration.files import load_declarations
+
+__all__ = ["Fleet", "NodeProcess", "find_free_port", "wait_until"]
+
+START_SECONDS = 20.0
+END_SECONDS = 5.0
+EXAMPLES = Path(__file__).parent.parent / "examples"
+BIN = Path(sys.executable).parent
+
+
+def find_free_port():
+    """Return a loopback port that is free now."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def wait_until(condition, seconds, what):
+    """Wait until a condition holds; TimeoutError names what did not come."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError(f"{what} did not come within {seconds} s")
+        time.sleep(0.02)
+
+
+def call(method, url, content=None):
+    """Return the decoded answer of a stand-in."""
+    body = None if content is None else json.dumps(content).encode()
+    response = urllib3.request(method, url, body=body, timeout=5.0, retries=False)
+    return json.loads(response.data)
+
+
+@dataclass
+class NodeProcess:
+    """One node with its addresses."""
+
+    name: str
+    data_centre: str
+    process: subprocess.Popen
+    address: str
+    control: str
+    admin: str
+    log: Path | None = None
+
+    def is_ready(self):
+        """Tell whether ``/ready`` says yes."""
+        try:
+            url = f"http://{self.admin}/ready"
+            response = urllib3.request("GET", url, timeout=1.0, retries=False)
+            return response.status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+
+@dataclass
+class Fleet:
+    """A platform, endpoints and nodes on loopback."""
+
+    folder: Path
+    processes: list = field(default_factory=list)
+    nodes: dict = field(default_factory=dict)
+    endpoints: list = field(default_factory=list)
+    store: str = ""
+    vm_list: str = ""
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        self.close()
+
+    def start_standin(self, module, *arguments):
+        """Start a stand-in; return the first line that it prints."""
+        process = subprocess.Popen(
+            [sys.executable, "-m", f"standins.{module}", *map(str, arguments)],
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.processes.append(process)
+        return process.stdout.readline().strip()
+
+    def start_platform(self):
+        """Start the store and the list of VMs."""
+        self.store = self.start_standin("store")
+        self.vm_list = self.start_standin("vmlist")
+
+    def start_endpoints(self, count, service_ms=4.0, per_process=8):
+        """Start endpoints, several a process; return their addresses."""
+        started = []
+        while len(started) < count:
+            number = min(per_process, count - len(started))
+            line = self.start_standin("endpoint", number, service_ms)
+            started += line.split()
+        self.endpoints += started
+        return started
+
+    def write_example(self, name, service_ms=4.0):
+        """Write an example's declarations with stand-ins for its endpoints.
+
+        Returns
+        -------
+        Path
+            The folder.
+        """
+        folder = self.folder / name
+        folder.mkdir()
+        declarations, findings = load_declarations(EXAMPLES / name)
+        if findings:
+            raise ValueError(f"the example {name} is not valid")
+        for declaration in declarations:
+            content = declaration.model_dump(mode="json")
+            endpoints = content["endpoints"]
+            addresses = self.start_endpoints(len(endpoints), service_ms)
+            for endpoint, address in zip(endpoints, addresses):
+                endpoint["address"] = address
+            file = folder / f"{declaration.service}.yaml"
+            file.write_text(yaml.safe_dump(content, sort_keys=False))
+        return folder
+
+    def start_node(self, name, data_centre="lsn-a", wait=True, **settings):
+        """Start a node; return its NodeProcess once it is ready."""
+        ports = [find_free_port() for _ in range(3)]
+        address, control, admin = (f"127.0.0.1:{port}" for port in ports)
+        values = {
+            "name": name,
+            "data-centre": data_centre,
+            "address": address,
+            "control-address": control,
+            "admin-address": admin,
+            "store": self.store,
+            "vm-list": self.vm_list,
+            "balancer-lag-s": 0.5,
+            **settings,
+        }
+        log = self.folder / f"{name}.log"
+        with log.open("wb") as output:
+            process = subprocess.Popen(
+                [str(BIN / "hingesilld")]
+                + [f"--{key}={value}" for key, value in values.items()],
+                stderr=output,
+                stdout=output,
+            )
+        node = NodeProcess(name, data_centre, process, address, control, admin, log)
+        self.processes.append(process)
+        self.nodes[name] = node
+        self.put_list()
+        if wait:
+            self.wait_ready(node)
+        return node
+
+    def wait_ready(self, node):
+        """Wait until a node is ready."""
+
+        def is_up():
+            if node.process.poll() is not None:
+                raise RuntimeError(f"{node.name} ended: {node.log.read_text()}")
+            return node.is_ready()
+
+        wait_until(is_up, START_SECONDS, f"readiness of {node.name}")
+
+    def put_list(self, leaving=()):
+        """Show the nodes that run in the platform's list."""
+        items = [
+            {
+                "name": node.name,
+                "role": "node",
+                "address": node.control,
+                "data_centre": node.data_centre,
+                "state": "leaving" if node.name in leaving else "live",
+            }
+            for node in self.nodes.values()
+        ]
+        call("PUT", self.vm_list, items)
+
+    def set_store_faults(self, **faults):
+        """Set the store's faults."""
+        call("PUT", f"{self.store}/standin/faults", faults)
+
+    def count_store_calls(self):
+        """Return the store's calls by kind."""
+        return call("GET", f"{self.store}/standin/calls")
+
+    def set_faults(self, endpoint, **faults):
+        """Set an endpoint's faults."""
+        call("PUT", f"http://{endpoint}/standin/faults", faults)
+
+    def read_record(self, endpoint):
+        """Return what an endpoint ran."""
+        return call("GET", f"http://{endpoint}/standin/record")
+
+    def run_cli(self, node, *arguments):
+        """Run the command line against a node; return the finished process."""
+        return subprocess.run(
+            [str(BIN / "hingesill"), *map(str, arguments), f"--node={node.control}"],
+            capture_output=True,
+            text=True,
+            timeout=30,
+        )
+
+    def forget(self, node):
+        """Take a node that has ended out of the list."""
+        self.nodes.pop(node.name, None)
+        self.put_list()
+
+    def close(self):
+        """End every process that was started here."""
+        for process in self.processes:
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.terminate()
+        deadline = time.monotonic() + 0.5
+        for process in self.processes:
+            try:
+                process.wait(max(0.01, deadline - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait(END_SECONDS)
+            if process.stdout:
+                process.stdout.close()
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes and of the repository itself."""
