--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benches on real processes over loopback; each ends with a line of JSON."""
--- /dev/null
+++ b/bench/openloop.py
@@ -0,0 +1,154 @@
+"""Open-loop load: requests leave at set times, whatever the answers do."""
+
+import heapq
+import time
+from dataclasses import dataclass
+
+import eventlet
+
+from hingesill_node.datapath.connections import ConnectFailed, EndpointConnection
+
+__all__ = ["Arrival", "Sample", "compute_quantile", "draw_arrivals", "run_arrivals"]
+
+ANSWER_SECONDS = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request to send.
+
+    Parameters
+    ----------
+    at : float
+        Seconds from the start of the run.
+    address : str
+        Where to send it.
+    method, path : str
+        What to ask for.
+    """
+
+    at: float
+    address: str
+    method: str
+    path: str
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """What became of an arrival; seconds from when it was due."""
+
+    arrival: Arrival
+    status: int
+    seconds: float
+    reason: str
+
+
+def draw_arrivals(rng, rate, seconds, addresses, requests):
+    """Return Poisson arrivals.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of times and choices.
+    rate : float
+        Requests a second.
+    seconds : float
+        Length of the run.
+    addresses : list of str
+        Targets; each arrival draws one.
+    requests : list of tuple
+        Method, path and weight.
+    """
+    arrivals = []
+    at = rng.expovariate(rate)
+    weights = [weight for _, _, weight in requests]
+    while at < seconds:
+        method, path, _ = rng.choices(requests, weights)[0]
+        arrivals.append(Arrival(at, rng.choice(addresses), method, path))
+        at += rng.expovariate(rate)
+    return arrivals
+
+
+class Sender:
+    """Keeps connections open and sends one request at a time on each."""
+
+    def __init__(self):
+        self.idle = {}
+        self.samples = []
+        self.open = 0
+
+    def send(self, arrival, due):
+        """Send one request and note what became of it."""
+        connection = None
+        try:
+            connection = self._take(arrival.address)
+            connection.collect()
+            connection.begin(arrival.method, arrival.path)
+            connection.putheader("Host", arrival.address)
+            body = b"e2e4" if arrival.method == "POST" else b""
+            if body:
+                connection.putheader("Content-Length", str(len(body)))
+            connection.endheaders(body or None)
+            connection.flush()
+            connection.set_time_limit(ANSWER_SECONDS)
+            response = connection.read_head()
+            response.read_whole()
+            reason = response.get("Hingesill-Reason") or ""
+            sample = Sample(arrival, response.status, time.monotonic() - due, reason)
+            if response.can_keep:
+                self.idle.setdefault(arrival.address, []).append(connection)
+                connection = None
+        except (OSError, ConnectFailed) as error:
+            name = type(error).__name__
+            sample = Sample(arrival, 0, time.monotonic() - due, name)
+        finally:
+            if connection is not None:
+                connection.close()
+            self.open -= 1
+        self.samples.append(sample)
+
+    def _take(self, address):
+        idle = self.idle.get(address)
+        if idle:
+            return idle.pop()
+        connection = EndpointConnection(address)
+        connection.open()
+        return connection
+
+    def close(self):
+        """Close all connections."""
+        for connections in self.idle.values():
+            for connection in connections:
+                connection.close()
+        self.idle.clear()
+
+
+def run_arrivals(arrivals, sender=None):
+    """Send all arrivals when they are due; return the samples."""
+    sender = sender or Sender()
+    sender.samples = []
+    start = time.monotonic() + 0.02
+    for arrival in arrivals:
+        due = start + arrival.at
+        pause = due - time.monotonic()
+        if pause > 0:
+            eventlet.sleep(pause)
+        sender.open += 1
+        eventlet.spawn_n(sender.send, arrival, due)
+    while sender.open:
+        eventlet.sleep(0.01)
+    return sender.samples
+
+
+def compute_quantile(values, share):
+    """Return the value that a share of all values does not exceed.
+
+    Raises
+    ------
+    ValueError
+        If there are no values.
+    """
+    if not values:
+        raise ValueError("no values")
+    count = max(1, round(len(values) * (1 - share)))
+    return heapq.nlargest(count, values)[-1]
--- /dev/null
+++ b/bench/registry.py
@@ -0,0 +1,22 @@
+"""The registry of benches."""
+
+import importlib
+
+from hingesill_core.registry import Registry
+
+__all__ = ["BENCHES"]
+
+BENCHES = Registry("bench")
+MODULES = ("added_latency",)
+
+
+def register_lazily(module):
+    """Enter a bench under its name; its module is imported when it runs."""
+
+    @BENCHES.register(module.replace("_", "-"))
+    def run():
+        importlib.import_module(f"bench.{module}").run()
+
+
+for name in MODULES:
+    register_lazily(name)
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -2,8 +2,8 @@
 
 import json
 import math
+import random
 import time
-import uuid
 
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal, Ticket
@@ -97,7 +97,10 @@
         return CountedBody(body, self.blackboard)
 
     def _handle(self, environ, start_response):
-        request_id = environ.get("HTTP_HINGESILL_REQUEST_ID") or uuid.uuid4().hex
+        request_id = (
+            environ.get("HTTP_HINGESILL_REQUEST_ID")
+            or f"{random.getrandbits(128):032x}"
+        )
         request = self._build_request(environ, request_id)
         if isinstance(request, Refusal):
             return self._refuse(environ, start_response, request, request_id, "")
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -3,13 +3,14 @@
 import socket
 import time
 from collections import deque
-from http.client import HTTPConnection as StandardConnection
 
 from eventlet import hubs
 from eventlet.green import socket as green_socket
 from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
+from hingesill_node.datapath.responses import EndpointResponse
+
 __all__ = ["ConnectFailed", "EndpointConnection", "Pool", "WaitTimeout"]
 
 CONNECT_SECONDS = 0.25
@@ -41,6 +42,7 @@
         self.address = address
         self.idle_since = 0.0
         self.used = False
+        self.method = ""
         self._collected = None
 
     def _new_conn(self):
@@ -75,6 +77,24 @@
         if parts:
             self.sock.sendall(b"".join(parts))
 
+    def begin(self, method, target):
+        """Begin a request; the answer to the one before was read whole."""
+        self.method = method
+        self.reset_state()
+        self.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
+
+    def reset_state(self):
+        """Let the next request begin, as answers are not read by this class.
+
+        Notes
+        -----
+        Closing is the base class's only way back to its idle state, so it
+        closes without the socket.
+        """
+        sock, self.sock = self.sock, None
+        self.close()
+        self.sock = sock
+
     def wait_readable(self, seconds):
         """Wait for the first byte of an answer; WaitTimeout if none comes."""
         hubs.trampoline(
@@ -83,7 +103,9 @@
 
     def read_head(self):
         """Return the response with its head read."""
-        return StandardConnection.getresponse(self)
+        response = EndpointResponse(self.sock, self.method)
+        response.read_head()
+        return response
 
     def set_time_limit(self, seconds):
         """Bound each later read and write."""
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -20,7 +20,6 @@
 from hingesill_node.datapath.connections import ConnectFailed, WaitTimeout
 from hingesill_node.datapath.messages import Answer, LiveSend
 from hingesill_node.datapath.transport import (
-    CHUNK_BYTES,
     TRANSPORT_ERRORS,
     BodyFailed,
     read_result,
@@ -223,19 +222,18 @@
 
     def _drain_short_body(self, live):
         """Read a refusal's body; tell whether the connection can be kept."""
-        body = live.response.read(CHUNK_BYTES)
-        del body
-        return live.response.isclosed() and not live.response.will_close
+        response = live.response
+        if response.length is None or response.length > WHOLE_BYTES:
+            return False
+        response.read_whole()
+        return response.can_keep
 
     def _build_answer(self, live, result):
         response = live.response
-        answer = Answer(response.status, response.reason, response.getheaders(), None)
+        answer = Answer(response.status, response.reason, response.headers, None)
         if response.length is not None and response.length <= WHOLE_BYTES:
-            expected = response.length
-            answer.body = response.read()
-            if len(answer.body) != expected:
-                raise ConnectionAbortedError("the endpoint's answer ended short")
-            self._end(live, result, keep=not response.will_close)
+            answer.body = response.read_whole()
+            self._end(live, result, keep=response.can_keep)
             return answer
         answer.live = live
         self.lives.remove(live)
@@ -255,14 +253,8 @@
         response = live.response
         keep = False
         try:
-            while True:
-                chunk = response.read(CHUNK_BYTES)
-                if not chunk:
-                    break
-                yield chunk
-            if response.length:
-                raise ConnectionAbortedError("the endpoint's answer ended short")
-            keep = not response.will_close
+            yield from response.read_body()
+            keep = response.can_keep
         except TRANSPORT_ERRORS as error:
             self.counters.add(
                 "refusals", self.service, RefusalReason.ANSWER_SHORT.value
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -3,10 +3,12 @@
 import socket
 
 import eventlet
+import httptools
 from eventlet import wsgi
 from eventlet.green import socket as green_socket
 
 from hingesill_node.datapath.application import PROTOCOL_KEY
+from hingesill_node.datapath.requests import RequestHead
 
 __all__ = ["CallerProtocol", "listen", "split_address", "start_server"]
 
@@ -14,7 +16,12 @@
 MOST_CONNECTIONS = 10_000
 IDLE_SECONDS = 60
 SOCKET_SECONDS = 30
-ACCEPT_QUIET_SECONDS = 0.1
+END_OF_HEAD = (b"\r\n", b"\n", b"")
+MALFORMED = (
+    b"HTTP/1.1 400 Bad Request\r\n"
+    b"Hingesill-Outcome: not-run\r\nHingesill-Reason: bad-framing\r\n"
+    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -26,6 +33,32 @@
         environ[PROTOCOL_KEY] = self
         return environ
 
+    def parse_request(self):
+        """Read and parse the head; answer a malformed one and tell of it.
+
+        Returns
+        -------
+        bool
+            False if the request was answered here.
+        """
+        self.close_connection = True
+        lines = [self.raw_requestline]
+        while lines[-1] not in END_OF_HEAD:
+            lines.append(self.rfile.readline())
+        try:
+            head = RequestHead(lines)
+        except httptools.HttpParserError:
+            self.wfile.write(MALFORMED)
+            self.wfile.flush()
+            return False
+        self.headers = head
+        self.command = head.method
+        self.path = head.target.decode("latin-1")
+        self.request_version = f"HTTP/{head.version}"
+        self.requestline = f"{self.command} {self.path} {self.request_version}"
+        self.close_connection = not head.keep_alive
+        return True
+
 
 class SilentLog:
     """Takes the server's own lines: events are logged by the application."""
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -1,7 +1,5 @@
 """One send: the request to an endpoint and the head of its answer."""
 
-from http.client import HTTPException
-
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd, SendResult
 from hingesill_node.datapath.connections import WaitTimeout
@@ -12,7 +10,7 @@
 CHUNK_BYTES = 64 * 1024
 WRITE_SECONDS = 10.0
 BODYLESS_METHODS = frozenset({"GET", "HEAD", "DELETE", "OPTIONS"})
-TRANSPORT_ERRORS = (OSError, HTTPException, WaitTimeout)
+TRANSPORT_ERRORS = (OSError, WaitTimeout)
 REFUSED_STATUS = 503
 NOT_RUN = "not-run"
 
@@ -59,9 +57,7 @@
 
 def write_head(connection, request, now):
     """Write the request line and the headers."""
-    connection.putrequest(
-        request.method, request.target, skip_host=True, skip_accept_encoding=True
-    )
+    connection.begin(request.method, request.target)
     for name, value in request.headers:
         connection.putheader(name, value)
     remaining = max(0, int((request.ticket.deadline - now) * 1000))
@@ -121,24 +117,23 @@
 
     Raises
     ------
-    OSError, HTTPException
+    OSError
         The answer was lost.
     """
     response = live.response = live.connection.read_head()
-    headers = response.headers
-    report = parse_report(headers.get(Names.RUNNING), now, own_in_flight - 1)
+    report = parse_report(response.get(Names.RUNNING), now, own_in_flight - 1)
     end = SendEnd.ANSWERED
     retry_after = 0.0
     if response.status >= 500:
         end = SendEnd.FAULT
         if is_explicitly_not_run(response):
             end = SendEnd.REFUSED
-            retry_after = parse_retry_after(headers.get("Retry-After"))
+            retry_after = parse_retry_after(response.get("Retry-After"))
     return SendResult(
         end,
         report,
-        draining=headers.get(Names.DRAINING) == "1",
-        cold=headers.get(Names.COLD) == "1",
+        draining=response.get(Names.DRAINING) == "1",
+        cold=response.get(Names.COLD) == "1",
         retry_after=retry_after,
     )
 
@@ -147,7 +142,7 @@
     """Tell whether the endpoint says that it did not run the request."""
     if response.status != REFUSED_STATUS:
         return False
-    return response.headers.get(Names.OUTCOME) == NOT_RUN
+    return response.get(Names.OUTCOME) == NOT_RUN
 
 
 def parse_report(text, now, own_in_flight):
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -8,6 +8,8 @@
 import json
 import os
 import random
+import socket
+import struct
 import sys
 import time
 from collections import Counter
@@ -155,7 +157,9 @@
         if faults.get("late_ms"):
             eventlet.sleep(faults["late_ms"] / 1000)
         if faults.get("reset_before"):
-            raise ConnectionResetError
+            reset(environ)
+            start_response("200 OK", [])
+            return []
         content = json.dumps(
             {
                 "id": request_id,
@@ -169,6 +173,7 @@
         headers.append(("Content-Length", str(len(content))))
         start_response("200 OK", headers)
         if faults.get("short") or faults.get("reset_after"):
+            environ["eventlet.minimum_write_chunk_size"] = 1
             return self.end_early(content)
         return [content]
 
@@ -178,6 +183,14 @@
         raise ConnectionResetError
 
 
+def reset(environ):
+    """Reset the connection of a request before its answer."""
+    sock = environ["eventlet.input"].get_socket().fd
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
+
+
 def listen():
     """Return a listening socket on a free port."""
     sock = green_socket.socket()
