Routing: unknown load is average load; nodes tell each other of overdue answers

A report decayed to nothing with its age, so an endpoint that a node had not heard of for long looked idle and drew all nodes at once; and a running mean as the typical time was lifted by each slow spell, so that overdue answers were noticed late.

Change: a report decays to the mean of all endpoints; the typical time of a route follows the median; an answer of three times the typical time is told to the other nodes by a datagram, which counts against the endpoint for some tens of milliseconds.

--- a/Makefile
+++ b/Makefile
@@ -38,7 +38,7 @@
 	$(RUN) -m demo.main
 
 bench: $(STAMP) ## Run a bench: make bench NAME=added-latency.
-	$(RUN) -m bench.main $(NAME)
+	$(RUN) -W ignore -m bench.main $(NAME)
 
 matrix: $(STAMP) ## Run the fault matrix.
 	$(RUN) -m matrix.main
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -7,7 +7,7 @@
 __all__ = ["BENCHES"]
 
 BENCHES = Registry("bench")
-MODULES = ("added_latency",)
+MODULES = ("added_latency", "routing")
 
 
 def register_lazily(module):
--- a/packages/hingesill-core/hingesill_core/configuration/declaration.py
+++ b/packages/hingesill-core/hingesill_core/configuration/declaration.py
@@ -99,7 +99,7 @@
     probes: ProbeDeclaration = ProbeDeclaration()
     sends: SendDeclaration = SendDeclaration()
     queue_limit: int = Field(default=64, ge=0, le=100_000)
-    drain_s: float = Field(default=3.0, ge=0.1, le=60)
+    places: int = Field(default=0, ge=0, le=1000)
 
     @field_validator("policy")
     @classmethod
@@ -185,7 +185,7 @@
     probes: ProbeBudget
     sends: SendBudget
     queue_limit: int
-    drain_seconds: float
+    places: int
 
 
 def validate_declaration(raw, findings, place=""):
@@ -246,7 +246,7 @@
         ),
         sends=SendBudget(declaration.sends.hedge_share, declaration.sends.retry_share),
         queue_limit=declaration.queue_limit,
-        drain_seconds=declaration.drain_s,
+        places=declaration.places,
     )
 
 
--- a/packages/hingesill-core/hingesill_core/limits/shares.py
+++ b/packages/hingesill-core/hingesill_core/limits/shares.py
@@ -23,15 +23,25 @@
     return max(1, connections // max(1, fleet_limit))
 
 
-def compute_send_limit(slots, connections, nodes, fleet_limit):
+def compute_send_limit(endpoint, places, nodes, fleet_limit):
     """Return how many sends this node may have in flight at an endpoint.
 
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Its slots and connections.
+    places : int
+        What the operator declared; 0 to work it out.
+    nodes, fleet_limit : int
+        Nodes that are alive, and the most there ever are.
+
     Notes
     -----
     Each node gets its share of the slots and one more. What is beyond that
     waits at the node, where it can still go to another endpoint, and not at an
     endpoint that has become slow.
     """
-    fair = ceil(slots / max(1, nodes)) + SPARE_SENDS
-    share = compute_connection_share(connections, fleet_limit)
-    return max(1, min(max(FEWEST_SENDS, fair), share))
+    share = compute_connection_share(endpoint.connections, fleet_limit)
+    fair = ceil(endpoint.slots / max(1, nodes)) + SPARE_SENDS
+    wanted = places or max(FEWEST_SENDS, fair)
+    return max(1, min(wanted, share))
--- a/packages/hingesill-core/hingesill_core/retries/budget.py
+++ b/packages/hingesill-core/hingesill_core/retries/budget.py
@@ -22,6 +22,12 @@
     share: float
     tokens: float = 0.0
 
+    def set_share(self, share):
+        """Put another share in force; none at all takes away what was saved."""
+        self.share = share
+        if share == 0:
+            self.tokens = 0.0
+
     def earn(self):
         """Take note of a first send."""
         self.tokens = min(BURST, self.tokens + self.share)
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -12,8 +12,7 @@
     judge_retry,
     mark_exposure,
 )
-from hingesill_core.retries.hedging import HedgeDelay
-from hingesill_core.routing.endpoint_state import EndpointState
+from hingesill_core.routing.endpoint_state import EndpointState, ServiceView
 from hingesill_core.routing.messages import (
     Denied,
     Hold,
@@ -26,6 +25,7 @@
 __all__ = ["Dispatcher", "FleetView"]
 
 OTHER_DATA_CENTRE = 0.003
+MOST_SUSPICION = 20.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,9 +63,10 @@
     def __init__(self, service, fleet, rng):
         self.rng = rng
         self.states = {}
+        self.view = ServiceView()
         self.queue = RequestQueue(service.queue_limit)
         self.pace = Pace()
-        self.hedge_delay = HedgeDelay()
+        self.paces = {}
         self.hedges = TokenBudget(service.sends.hedge_share)
         self.retries = TokenBudget(service.sends.retry_share)
         self.configure(service, fleet)
@@ -82,29 +83,40 @@
         self.fleet = fleet
         self.choose = POLICIES.get(service.policy)
         self.queue.limit = service.queue_limit
-        self.hedges.share = service.sends.hedge_share
-        self.retries.share = service.sends.retry_share
+        self.hedges.set_share(service.sends.hedge_share)
+        self.retries.set_share(service.sends.retry_share)
         self.states = {
             endpoint.address: self._build_state(endpoint)
             for endpoint in service.endpoints
         }
         self.places = sum(state.send_limit for state in self.states.values())
+        self.paces = {
+            route: pace for route, pace in self.paces.items() if route in service.routes
+        }
 
     def _build_state(self, endpoint):
         state = self.states.get(endpoint.address)
         if state is None:
-            state = EndpointState(endpoint.address)
+            state = EndpointState(endpoint.address, common=self.view)
         near = endpoint.data_centre == self.fleet.data_centre
         state.slots = endpoint.slots
-        state.distance = 0.0 if near else OTHER_DATA_CENTRE
+        state.is_near = near
         state.send_limit = compute_send_limit(
-            endpoint.slots,
-            endpoint.connections,
-            self.fleet.nodes,
-            self.fleet.fleet_limit,
+            endpoint, self.service.places, self.fleet.nodes, self.fleet.fleet_limit
         )
         return state
 
+    def get_pace(self, route):
+        """Return how long the answers of a route take."""
+        pace = self.paces.get(route)
+        if pace is None:
+            pace = self.paces[route] = Pace()
+        return pace
+
+    def get_overdue_time(self, route):
+        """Return the seconds after which a request of a route is overdue."""
+        return self.get_pace(route).get_overdue_time()
+
     def submit(self, ticket, now):
         """Take a new request.
 
@@ -126,7 +138,7 @@
             return self._refuse(ticket, RefusalReason.NO_ENDPOINT, now)
         ahead = self.queue.count_ahead(ticket)
         wait = self.pace.estimate_queue_time(ahead, self.places)
-        if now + wait + self.pace.quick > ticket.deadline:
+        if now + wait + self.get_pace(ticket.route).quick > ticket.deadline:
             return self._refuse(ticket, RefusalReason.DEADLINE_UNREACHABLE, now)
         if len(self.queue) >= self.queue.limit and not ticket.route.live:
             return self._refuse(ticket, RefusalReason.QUEUE_FULL, now)
@@ -159,7 +171,8 @@
         return self._start(ticket, self.choose(free, now, self.rng), now)
 
     def _start(self, ticket, state, now, hedge=False):
-        send = Send(ticket, state.address, now, hedge)
+        expected = self.get_pace(ticket.route).typical
+        send = Send(ticket, state.address, now, expected, hedge)
         state.begin(send, now)
         ticket.sends += 1
         ticket.tried.append(state.address)
@@ -186,9 +199,9 @@
         A request goes as soon as not even a quick answer would be in time, and
         deferrable ones go when the queue is over its limit.
         """
-        latest = now + self.pace.quick
         takers = bool(self._list_takers(now))
         for ticket in list(self.queue):
+            latest = now + self.get_pace(ticket.route).quick
             if latest > ticket.deadline or not takers:
                 self.queue.remove(ticket)
                 late = RefusalReason.DEADLINE_UNREACHABLE
@@ -232,7 +245,7 @@
             return RetryReason.DENIED_NOT_REPEATABLE
         if not ticket.may_retry:
             return RetryReason.DENIED_LAYER
-        if now + self.pace.quick > ticket.deadline:
+        if now + self.get_pace(ticket.route).quick > ticket.deadline:
             return RetryReason.DENIED_TIME
         return None
 
@@ -254,17 +267,22 @@
             return
         state.finish(send)
         seconds = now - send.started
+        state.learn(result, seconds, send.expected, now)
         self._learn_pace(send, result, seconds)
-        state.learn(result, seconds, now, self.service.drain_seconds)
         came_back = state.health.note(result.end, now, self._may_eject(now))
         if came_back or result.cold:
             state.cold_since = now
 
     def _learn_pace(self, send, result, seconds):
-        if result.end is SendEnd.ANSWERED:
+        if result.end is not SendEnd.ANSWERED:
+            return
+        route = send.ticket.route
+        self.get_pace(route).note(seconds, send.hedge)
+        if route.live:
             self.pace.note(seconds)
-            if not send.hedge:
-                self.hedge_delay.note(seconds)
+            away = OTHER_DATA_CENTRE / self.pace.typical
+            for state in self.states.values():
+                state.distance = 0.0 if state.is_near else away
 
     def _may_eject(self, now):
         ejected = sum(not s.health.is_open(now) for s in self.states.values())
@@ -279,7 +297,8 @@
             The Send, Hold or Refusal to act on, and the RetryReason that is
             counted, which is a ``DENIED`` one with a Refusal.
         """
-        verdict = judge_retry(ticket, end, self.retries, now, self.pace.quick)
+        quick = self.get_pace(ticket.route).quick
+        verdict = judge_retry(ticket, end, self.retries, now, quick)
         if isinstance(verdict, Denied):
             return self._give_up(ticket, end), verdict.reason
         send = self._assign(ticket, now)
@@ -296,6 +315,23 @@
         back = self.pace.suggest_return(wait, self.rng)
         return classify_refusal(ticket, end, back)
 
+    def note_suspicion(self, endpoint, ratio, now):
+        """Take another node's word that an endpoint's answers are overdue.
+
+        Parameters
+        ----------
+        endpoint : str
+            Its address.
+        ratio : float
+            How many times longer than typical an answer takes there.
+        now : float
+            The time.
+        """
+        state = self.states.get(endpoint)
+        if state is not None:
+            state.suspected_ratio = min(MOST_SUSPICION, ratio)
+            state.suspected_at = now
+
     def mark_draining(self, endpoint, until):
         """Give an endpoint no new work until a time."""
         state = self.states.get(endpoint)
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -7,11 +7,13 @@
 from hingesill_core.routing.health import Health
 from hingesill_core.routing.messages import SendEnd
 
-__all__ = ["EndpointState"]
+__all__ = ["EndpointState", "ServiceView"]
 
-INITIAL_LATENCY = 0.005
-LATENCY_WEIGHT = 0.2
+SLOWNESS_WEIGHT = 0.2
+MOST_SLOWNESS = 100.0
 REPORT_DECAY = 0.02
+OTHERS_WEIGHT = 0.05
+SUSPICION_DECAY = 0.05
 SLOW_START = 2.0
 SLOW_START_FLOOR = 0.25
 FAULT_PENALTY = 10.0
@@ -21,32 +23,61 @@
 WAIT_FOR_REPEATABLE = 5.0
 
 
+@dataclass(slots=True)
+class ServiceView:
+    """What the endpoints of a service have in common at one node.
+
+    Attributes
+    ----------
+    others : float
+        Mean number of other nodes' requests at an endpoint.
+    """
+
+    others: float = 0.0
+
+    def note_report(self, report):
+        """Take a report into the mean."""
+        others = max(0, report.running - report.own_in_flight)
+        self.others += OTHERS_WEIGHT * (others - self.others)
+
+
 @dataclass(slots=True, eq=False)
 class EndpointState:
     """One endpoint of a service as one node sees it; times in seconds.
 
     Attributes
     ----------
+    slowness : float
+        Running mean of how many times longer than typical for their route its
+        answers take.
     sent : OrderedDict
-        Sends in flight with their start, the oldest first.
+        Sends in flight, the oldest first.
     sends : int
         All sends so far.
     refused_until : float
         The endpoint asked to be left alone until then.
     draining_until : float
         The endpoint is leaving; the sign holds until then.
+    suspected_ratio, suspected_at : float
+        What other nodes told of overdue answers, and when.
+    distance : float
+        Way to its data centre and back, in typical answers' times.
     """
 
     address: str
     slots: int = 1
     send_limit: int = 1
+    is_near: bool = True
     distance: float = 0.0
-    latency: float = INITIAL_LATENCY
+    slowness: float = 1.0
     report: object = None
+    common: ServiceView = field(default_factory=ServiceView)
     sent: OrderedDict = field(default_factory=OrderedDict)
     sends: int = 0
     refused_until: float = 0.0
     draining_until: float = 0.0
+    suspected_ratio: float = 0.0
+    suspected_at: float = 0.0
     cold_since: float | None = None
     last_heard: float | None = None
     health: Health = field(default_factory=Health)
@@ -58,7 +89,7 @@
 
     def begin(self, send, now):
         """Note the start of a send."""
-        self.sent[send] = now
+        self.sent[send] = None
         self.sends += 1
         if self.health.needs_trial(now):
             self.health.on_trial = True
@@ -67,16 +98,28 @@
         """Note the end of a send."""
         self.sent.pop(send, None)
 
-    def learn(self, result, seconds, now, drain_seconds):
-        """Take what the end of a send tells of load and state."""
+    def learn(self, result, seconds, expected, now):
+        """Take what the end of a send tells of load and state.
+
+        Parameters
+        ----------
+        result : SendResult
+            What became of the send.
+        seconds, expected : float
+            How long it took and how long its route typically takes.
+        now : float
+            The time.
+        """
         if result.report is not None:
             self.report = result.report
+            self.common.note_report(result.report)
             self.last_heard = now
+        ratio = min(MOST_SLOWNESS, seconds / expected)
         if result.end is SendEnd.ANSWERED:
-            self.latency += LATENCY_WEIGHT * (seconds - self.latency)
+            self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
             self.last_heard = now
-        elif result.end is SendEnd.CANCELLED and seconds > self.latency:
-            self.latency += LATENCY_WEIGHT * (seconds - self.latency)
+        elif result.end is SendEnd.CANCELLED and ratio > self.slowness:
+            self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
         elif result.end is SendEnd.REFUSED:
             pause = max(SHORTEST_REFUSED_PAUSE, result.retry_after)
             self.refused_until = now + min(LONGEST_REFUSED_PAUSE, pause)
@@ -112,25 +155,37 @@
 
         Notes
         -----
-        The node's own share is taken out of the report, and what remains
-        decays with age: other nodes saw the same report and acted on it.
+        The node's own share is taken out of the report. What remains tends
+        with its age to the mean of all endpoints: an endpoint that was not
+        heard of for long is an average one, not an idle one.
         """
+        mean = self.common.others
         report = self.report
         if report is None:
-            return 0.0
-        others = report.running - report.own_in_flight
-        if others <= 0:
-            return 0.0
-        return others * exp((report.received_at - now) / REPORT_DECAY)
+            return mean
+        others = max(0, report.running - report.own_in_flight)
+        return mean + (others - mean) * exp((report.received_at - now) / REPORT_DECAY)
 
     def measure_overdue(self, now):
-        """Return the age of the oldest send without an answer."""
+        """Return how many times longer than typical the oldest send has taken."""
         if not self.sent:
             return 0.0
-        return now - next(iter(self.sent.values()))
+        oldest = next(iter(self.sent))
+        return (now - oldest.started) / oldest.expected
+
+    def measure_suspicion(self, now):
+        """Return the slowness that other nodes told of, less with its age."""
+        if not self.suspected_ratio:
+            return 0.0
+        suspicion = self.suspected_ratio * exp(
+            (self.suspected_at - now) / SUSPICION_DECAY
+        )
+        if suspicion < 1.0:
+            self.suspected_ratio = 0.0
+        return suspicion
 
     def estimate_wait(self, now):
-        """Return the expected time to an answer for one more request.
+        """Return the expected time to an answer, in typical answers' times.
 
         Notes
         -----
@@ -138,13 +193,15 @@
         through the running mean. An endpoint that fails looks slower by its
         share of faults, whatever load it reports.
         """
-        latency = max(self.latency, self.measure_overdue(now))
+        slowness = max(
+            self.slowness, self.measure_overdue(now), self.measure_suspicion(now)
+        )
         occupied = len(self.sent) + self.estimate_others(now)
-        wait = latency * (1 + occupied / self.slots)
+        wait = 1 + occupied / self.slots
         if occupied >= self.slots:
-            wait += latency * (occupied + 1 - self.slots) / self.slots
-        wait = wait * (1 + FAULT_PENALTY * self.health.fault_share) + self.distance
-        return wait / self.measure_warmth(now)
+            wait += (occupied + 1 - self.slots) / self.slots
+        wait *= slowness * (1 + FAULT_PENALTY * self.health.fault_share)
+        return (wait + self.distance) / self.measure_warmth(now)
 
     def measure_warmth(self, now):
         """Return the share of its full load that a started endpoint may take."""
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -49,11 +49,26 @@
 
 @dataclass(slots=True, eq=False)
 class Send:
-    """Send the request to this endpoint now."""
+    """Send the request to this endpoint now.
+
+    Parameters
+    ----------
+    ticket : Ticket
+        The request.
+    endpoint : str
+        The endpoint's address.
+    started : float
+        When it was decided, in seconds of the node's clock.
+    expected : float
+        Seconds that an answer of this route typically takes.
+    hedge : bool
+        Another send of the request is still under way.
+    """
 
     ticket: Ticket
     endpoint: str
     started: float
+    expected: float
     hedge: bool = False
 
 
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -44,6 +44,8 @@
         Written by the membership controller.
     signs : dict
         Until when each endpoint's drain sign holds, in the node's seconds.
+    peers : tuple
+        Host and port of other nodes' control addresses, the nearest first.
     phase : Phase
         Written by the life cycle.
     in_flight : int
@@ -53,6 +55,7 @@
     fleet: FleetView
     configuration: Configuration = field(default_factory=Configuration)
     signs: dict = field(default_factory=dict)
+    peers: tuple = ()
     phase: Phase = Phase.STARTING
     in_flight: int = 0
     _watchers: dict = field(default_factory=lambda: defaultdict(list))
--- a/packages/hingesill-node/hingesill_node/control/publisher.py
+++ b/packages/hingesill-node/hingesill_node/control/publisher.py
@@ -5,6 +5,7 @@
 from hingesill_core.findings import Findings
 from hingesill_core.routing.dispatcher import FleetView
 from hingesill_node.blackboard import Configuration
+from hingesill_node.datapath.server import split_address
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["Publisher"]
@@ -29,6 +30,7 @@
         self.fleet_limit = fleet_limit
         self.revision = 0
         self.fleet = None
+        self.peers = ()
         self.generation = 0
         self._built = {}
 
@@ -43,6 +45,10 @@
         if fleet != self.fleet:
             self.fleet = fleet
             self.bridge.post(self.blackboard.write, "fleet", fleet)
+        peers = list_peers(state)
+        if peers != self.peers:
+            self.peers = peers
+            self.bridge.post(self.blackboard.write, "peers", peers)
         if state.signs.generation != self.generation:
             self.generation = state.signs.generation
             signs = state.signs.list_until(0.0)
@@ -81,3 +87,13 @@
             )
             return None
         return build_service(declaration)
+
+
+def list_peers(state):
+    """Return where other nodes listen, those of the same data centre first."""
+    own = state.own
+    others = [
+        vm for vm in state.membership.list_usable(state.clock()) if vm.name != own.name
+    ]
+    others.sort(key=lambda vm: (vm.data_centre != own.data_centre, vm.name))
+    return tuple(split_address(vm.control) for vm in others)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/announcements.py
@@ -0,0 +1,105 @@
+"""What a node tells others of endpoints: leaving ones, overdue answers.
+
+Overdue answers go by UDP from hub to hub: they are worth something for a few
+milliseconds only, and a lost one costs nothing but that. What is told changes
+no promise, only which endpoint is preferred for a moment.
+"""
+
+import time
+
+import eventlet
+from eventlet.green import socket as green_socket
+from google.protobuf.message import DecodeError
+
+from hingesill_api.generated import hingesill_pb2 as pb
+from hingesill_node.datapath.server import split_address
+
+__all__ = ["Announcements"]
+
+PAUSE_SECONDS = 0.02
+MOST_BYTES = 512
+MOST_PEERS = 32
+MOST_A_SECOND = 200
+
+
+class Announcements:
+    """Tells and hears of endpoints.
+
+    Parameters
+    ----------
+    blackboard : Blackboard
+        Its ``peers`` are the control addresses of other nodes.
+    team : str
+        Messages of another team are ignored.
+    tell_drain : callable
+        Spreads an endpoint's own sign that it is leaving.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(self, blackboard, team, tell_drain, clock=time.monotonic):
+        self.blackboard = blackboard
+        self.team = team
+        self.tell_drain = tell_drain
+        self.clock = clock
+        self._told = {}
+        self._sock = None
+        self._second = 0
+        self._sent = 0
+
+    def start(self, address, hear):
+        """Listen on a UDP address.
+
+        Parameters
+        ----------
+        address : str
+            ``IP:PORT``, the control address.
+        hear : callable
+            Called with an endpoint's address and a ratio.
+
+        Raises
+        ------
+        OSError
+            If the address cannot be listened on.
+        """
+        self._sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_DGRAM)
+        self._sock.bind(split_address(address))
+        eventlet.spawn(self._listen, hear)
+
+    def _listen(self, hear):
+        while True:
+            data, _ = self._sock.recvfrom(MOST_BYTES)
+            try:
+                message = pb.Suspicion.FromString(data)
+            except DecodeError:
+                continue
+            if message.team == self.team and message.ratio > 1.0:
+                hear(message.endpoint, message.ratio)
+
+    def tell_suspicion(self, endpoint, ratio, now):
+        """Tell other nodes that an endpoint's answer is overdue.
+
+        Notes
+        -----
+        Bounded: once in `PAUSE_SECONDS` an endpoint, to `MOST_PEERS` nodes,
+        `MOST_A_SECOND` datagrams a second in all.
+        """
+        if self._sock is None or now - self._told.get(endpoint, 0.0) < PAUSE_SECONDS:
+            return
+        self._told[endpoint] = now
+        message = pb.Suspicion(team=self.team, endpoint=endpoint, ratio=ratio)
+        data = message.SerializeToString()
+        for peer in self.blackboard.peers[:MOST_PEERS]:
+            if not self._may_send(now):
+                return
+            try:
+                self._sock.sendto(data, peer)
+            except OSError:
+                continue  # A datagram that cannot be sent counts as lost.
+
+    def _may_send(self, now):
+        if int(now) != self._second:
+            self._second = int(now)
+            self._sent = 0
+        self._sent += 1
+        return self._sent <= MOST_A_SECOND
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -28,7 +28,7 @@
 
 __all__ = ["Exchange"]
 
-SLICE_SECONDS = 0.05
+SLICE_SECONDS = 0.03
 WHOLE_BYTES = 64 * 1024
 READ_SECONDS = 30.0
 
@@ -123,34 +123,32 @@
 
     def _await_first(self, live):
         """Wait for the first send's answer, with a hedge once it is overdue."""
-        delay = self.runner.dispatcher.hedge_delay.seconds
-        if not self._may_hedge():
-            delay = float("inf")
-        started = self.clock()
+        overdue = self.clock() + self._get_overdue_time()
+        may_hedge = self.ticket.route.repeatable and self.ticket.may_retry
         while True:
             now = self.clock()
             if now >= self.ticket.deadline:
                 return self._end(live, SendResult(SendEnd.LATE))
-            until_hedge = started + delay - now
-            if until_hedge <= 0:
-                hedge = self._start_hedge()
+            if now >= overdue:
+                hedge = self._start_hedge() if may_hedge else None
                 if hedge is not None:
                     return self._race([live, hedge])
-                delay = float("inf")
-                continue
-            wait = min(self.ticket.deadline - now, until_hedge, SLICE_SECONDS)
+                may_hedge = False
+                overdue = now + SLICE_SECONDS
+            wait = min(self.ticket.deadline, overdue, now + SLICE_SECONDS) - now
             try:
                 live.connection.wait_readable(wait)
                 return self._read(live)
             except WaitTimeout:
+                self.runner.suspect(live.send, self.clock())
                 if self._should_cancel():
                     self._end(live, SendResult(SendEnd.CANCELLED))
                     return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
             except OSError:
                 return self._end(live, SendResult(SendEnd.LOST))
 
-    def _may_hedge(self):
-        return self.ticket.route.repeatable and self.ticket.may_retry
+    def _get_overdue_time(self):
+        return self.runner.dispatcher.get_overdue_time(self.ticket.route)
 
     def _should_cancel(self):
         """Tell whether the caller is gone and stopping the work is safe."""
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -15,6 +15,7 @@
 __all__ = ["RunnerTable", "ServiceRunner"]
 
 TICK_SECONDS = 0.002
+SUSPICIOUS_RATIO = 3.0
 CALLER_CHECK_SECONDS = 0.05
 
 
@@ -29,15 +30,15 @@
         The node and its fleet.
     rng : random.Random
         For the dispatcher.
-    on_drain : callable
-        Called with an endpoint's address when it says that it is leaving.
+    announce : Announcements
+        Told of endpoints that leave and of overdue answers.
     clock : callable
         Monotonic seconds.
     """
 
-    def __init__(self, service, fleet, rng, on_drain, clock=time.monotonic):
+    def __init__(self, service, fleet, rng, announce, clock=time.monotonic):
         self.dispatcher = Dispatcher(service, fleet, rng)
-        self.on_drain = on_drain
+        self.announce = announce
         self.clock = clock
         self.pools = {}
         self.held = {}
@@ -77,10 +78,17 @@
         """Hand a send's end to the dispatcher and start what can go now."""
         self.dispatcher.settle(send, result, self.clock())
         if result.draining:
-            self.on_drain(send.endpoint)
+            self.announce.tell_drain(send.endpoint)
         if self.held:
             self.pump()
 
+    def suspect(self, send, now):
+        """Tell other nodes of an answer that takes far longer than typical."""
+        ratio = (now - send.started) / send.expected
+        if ratio < SUSPICIOUS_RATIO:
+            return
+        self.announce.tell_suspicion(send.endpoint, ratio, now)
+
     def pump(self):
         """Wake the held requests that can go now."""
         for send in self.dispatcher.pump(self.clock()):
@@ -128,14 +136,14 @@
         Configuration, fleet and drain signs in force.
     rng : random.Random
         For the dispatchers.
-    on_drain : callable
-        Called with an endpoint's address when it says that it is leaving.
+    announce : Announcements
+        Told of endpoints that leave and of overdue answers.
     """
 
-    def __init__(self, blackboard, rng, on_drain, clock=time.monotonic):
+    def __init__(self, blackboard, rng, announce, clock=time.monotonic):
         self.blackboard = blackboard
         self.rng = rng
-        self.on_drain = on_drain
+        self.announce = announce
         self.clock = clock
         self.runners = {}
         blackboard.watch("configuration", self.refresh)
@@ -149,7 +157,7 @@
             board = self.blackboard
             service = board.configuration.services[name]
             runner = ServiceRunner(
-                service, board.fleet, self.rng, self.on_drain, self.clock
+                service, board.fleet, self.rng, self.announce, self.clock
             )
             self.runners[name] = runner
             self._apply_signs(runner)
@@ -179,6 +187,12 @@
             if address in runner.dispatcher.states:
                 runner.mark_draining(address, until)
 
+    def note_suspicion(self, endpoint, ratio):
+        """Take another node's word on an endpoint."""
+        now = self.clock()
+        for runner in self.runners.values():
+            runner.dispatcher.note_suspicion(endpoint, ratio, now)
+
     def count_held(self):
         """Return the requests held at this node."""
         return sum(len(runner.held) for runner in self.runners.values())
--- a/packages/hingesill-node/hingesill_node/main.py
+++ b/packages/hingesill-node/hingesill_node/main.py
@@ -15,6 +15,7 @@
 from hingesill_node.bridge import Bridge
 from hingesill_node.control.publisher import Publisher
 from hingesill_node.control.thread import ControlThread
+from hingesill_node.datapath.announcements import Announcements
 from hingesill_node.datapath.application import Application
 from hingesill_node.datapath.runner import RunnerTable
 from hingesill_node.datapath.server import listen, start_server
@@ -49,9 +50,10 @@
         self.counters = Counters()
         fleet = FleetView(settings.data_centre, 1, settings.fleet_limit)
         self.blackboard = Blackboard(fleet)
-        self.runners = RunnerTable(
-            self.blackboard, random.Random(), self._announce_drain
+        self.announcements = Announcements(
+            self.blackboard, settings.team, self._announce_drain
         )
+        self.runners = RunnerTable(self.blackboard, random.Random(), self.announcements)
         explainer = Explainer(self.blackboard, self.runners, self.bridge)
         publisher = Publisher(self.blackboard, self.bridge, settings.fleet_limit)
         self.control = ControlThread(
@@ -92,6 +94,7 @@
         if error:
             log_event(Event.PORT_UNAVAILABLE, error=error)
             return EXIT_NO_ADDRESS
+        self.announcements.start(self.control.address, self.runners.note_suspicion)
         start_metrics(self.counters, self.read_gauges)
         start_server(callers, self.application)
         start_server(admin, AdminApplication(self.blackboard))
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -38,6 +38,7 @@
     "noise_period_s": "slow down once in about so long",
     "noise_length_s": "for so long",
     "noise_factor": "by so much",
+    "seed": "start the random source again",
 }
 SLOTS = 3
 
@@ -48,6 +49,7 @@
     def __init__(self, slots=SLOTS, service_ms=4.0, seed=0):
         self.slots = Semaphore(slots)
         self.faults = {"service_ms": service_ms}
+        self.seed = seed
         self.random = random.Random(seed)
         self.running = 0
         self.ran = Counter()
@@ -75,6 +77,8 @@
         """Set faults or tell the record."""
         if path == "/standin/faults":
             self.faults = json.loads(environ["wsgi.input"].read() or b"{}")
+            self.random = random.Random(f"{self.seed} {self.faults.get('seed')}")
+            self.noise_from = self.noise_until = 0.0
         content = {
             "ran": self.ran,
             "running": self.running,
@@ -112,17 +116,32 @@
             start_response("500 Internal Server Error", self.list_signs())
             return [b"fault\n"]
         body = environ["wsgi.input"].read()
+        arrived = time.monotonic()
         self.running += 1
         try:
             if faults.get("hang"):
                 eventlet.sleep(30)
             with self.slots:
+                if self.is_of_no_use(environ, arrived):
+                    self.cancelled += 1
+                    return self.shed(start_response)
                 self.ran[request_id] += 1
                 self.spend_time(environ)
         finally:
             self.running -= 1
         return self.answer(environ, start_response, request_id, body)
 
+    def is_of_no_use(self, environ, arrived):
+        """Tell whether a request's time is up or its caller is gone."""
+        remaining = environ.get("HTTP_HINGESILL_REMAINING_MS")
+        if remaining and time.monotonic() > arrived + int(remaining) / 1000:
+            return True
+        sock = environ["eventlet.input"].get_socket().fd
+        try:
+            return sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+
     def spend_time(self, environ):
         """Spend the time of one request in a slot."""
         faults = self.faults
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -19,17 +20,34 @@
 
 __all__ = ["Fleet", "NodeProcess", "find_free_port", "wait_until"]
 
+FIRST_PORT, LAST_PORT = 20_000, 32_000
 START_SECONDS = 20.0
 END_SECONDS = 5.0
 EXAMPLES = Path(__file__).parent.parent / "examples"
 BIN = Path(sys.executable).parent
 
 
+def draw_ports():
+    """Yield ports below those that the system gives to outgoing connections."""
+    ports = list(range(FIRST_PORT, LAST_PORT))
+    random.shuffle(ports)
+    yield from ports
+
+
+PORTS = draw_ports()
+
+
 def find_free_port():
-    """Return a loopback port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Return a loopback port that is free now and was not returned before."""
+    for port in PORTS:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no free port is left")
 
 
 def wait_until(condition, seconds, what):
