Probing within a fleet-wide budget by leased shares; the protocols model-checked

Change: six shares of the budget are leases in the store; a holder checks the lease on its own clock and the pace right before it sends; a new holder begins with an empty bucket; the interval leaves room for one late probe a lease that can change hands. Probes go only where own traffic tells nothing. Two specifications for minicheck, each rule with a variant that leaves it out.

Ruled out: a fixed share by a declared fleet limit (with VMs replaced at any time more processes than declared can run at once, and each would spend its share); one lease a service (1,400 services would take 560 renewals a second).

--- a/bench/openloop.py
+++ b/bench/openloop.py
@@ -109,8 +109,11 @@
 
     def _take(self, address):
         idle = self.idle.get(address)
-        if idle:
-            return idle.pop()
+        while idle:
+            connection = idle.pop()
+            if not connection.is_stale():
+                return connection
+            connection.close()
         connection = EndpointConnection(address)
         connection.open()
         return connection
--- /dev/null
+++ b/model/__init__.py
@@ -0,0 +1,1 @@
+"""A small specification of the protocols, checked exhaustively by minicheck."""
--- /dev/null
+++ b/model/main.py
@@ -0,0 +1,98 @@
+"""Checks the specifications and their broken variants: ``make model-check``."""
+
+import json
+import sys
+from dataclasses import dataclass, field
+
+from minicheck import check_liveness, check_safety
+
+from model import probing, spreading
+
+__all__ = ["Report", "check_all", "main"]
+
+MOST_STATES = 1_000_000
+LIVENESS = "under fair delivery every live node ends at the newest version"
+
+
+@dataclass
+class Report:
+    """What was checked.
+
+    Attributes
+    ----------
+    states : int
+        Reachable states of the specifications as built.
+    properties : dict
+        Whether each property holds; None if that could not be determined.
+    caught : dict
+        For each broken variant, the property that fails with the shortest trace.
+    """
+
+    states: int = 0
+    properties: dict = field(default_factory=dict)
+    caught: dict = field(default_factory=dict)
+
+
+def check_protocol(protocol):
+    """Return (states, {property: (holds, trace)})."""
+    result = check_safety(protocol, MOST_STATES)
+    found = {
+        name: (item["holds"], item.get("counterexample"))
+        for name, item in result["properties"].items()
+    }
+    if protocol.goal is not None:
+        live = check_liveness(protocol)
+        found[LIVENESS] = (live["holds"], live.get("counterexample"))
+    return result["reachable_states"], found
+
+
+def check_all():
+    """Return the Report of all specifications and variants."""
+    report = Report()
+    for module in (spreading, probing):
+        states, found = check_protocol(module.build_protocol())
+        report.states += states
+        report.properties.update({name: holds for name, (holds, _) in found.items()})
+        for variant, rules in module.BROKEN.items():
+            _, found = check_protocol(module.build_protocol(rules))
+            report.caught[variant] = find_shortest(found)
+    return report
+
+
+def find_shortest(found):
+    """Return (property, labels) of the shortest violation, or None."""
+    failed = [
+        (name, [step["label"] for step in trace if step["label"]])
+        for name, (holds, trace) in found.items()
+        if holds is False
+    ]
+    return min(failed, key=lambda item: len(item[1]), default=None)
+
+
+def main():
+    """Print what was found; return the exit code."""
+    report = check_all()
+    for name, holds in report.properties.items():
+        print(
+            f"{'holds' if holds else 'FAILS' if holds is False else 'UNKNOWN'}: {name}"
+        )
+    for variant, caught in report.caught.items():
+        if caught is None:
+            print(f"NOT CAUGHT: {variant}")
+            continue
+        name, labels = caught
+        print(f"caught: {variant}\n  breaks: {name}\n  by: {'; '.join(labels)}")
+    violations = sum(holds is not True for holds in report.properties.values())
+    summary = {
+        "states": report.states,
+        "properties": len(report.properties),
+        "violations": violations,
+        "broken_variants_caught": sum(c is not None for c in report.caught.values()),
+    }
+    print(json.dumps(summary))
+    all_caught = summary["broken_variants_caught"] == len(report.caught)
+    return 0 if not violations and all_caught else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/packages/hingesill-core/hingesill_core/membership/spreading.py
+++ b/packages/hingesill-core/hingesill_core/membership/spreading.py
@@ -8,7 +8,7 @@
 import hashlib
 from dataclasses import dataclass
 
-__all__ = ["Place", "find_place", "list_relays", "rank_nodes"]
+__all__ = ["Place", "find_place", "list_relays", "rank_by_weight", "rank_nodes"]
 
 RELAYS_PER_DATA_CENTRE = 2
 FAN_OUT = 8
@@ -33,16 +33,21 @@
     depth: int
 
 
-def compute_weight(name, data_centre):
-    """Return the rendezvous weight of a node for a data centre's relays."""
-    text = f"{data_centre}/{name}".encode()
+def compute_weight(name, key):
+    """Return the rendezvous weight of a node for a text."""
+    text = f"{key}/{name}".encode()
     return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
 
 
+def rank_by_weight(vms, text):
+    """Return VMs, the one that rendezvous hashing prefers for a text first."""
+    return sorted(vms, key=lambda vm: compute_weight(vm.name, text))
+
+
 def rank_nodes(vms, data_centre):
     """Return a data centre's VMs, the most suited as a relay first."""
     local = [vm for vm in vms if vm.data_centre == data_centre]
-    return sorted(local, key=lambda vm: compute_weight(vm.name, vm.data_centre))
+    return rank_by_weight(local, data_centre)
 
 
 def find_place(own, vms):
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/probing/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring endpoints by probes within a budget that holds at every moment."""
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/probing/planner.py
@@ -0,0 +1,39 @@
+"""Which endpoint a probe would tell something new of, if any."""
+
+__all__ = ["choose_probe"]
+
+UNHEARD_SECONDS = 2.0
+BUSY_SECONDS = 5.0
+
+
+def choose_probe(dispatcher, now):
+    """Return the address that is most worth a probe, or None.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        The service.
+    now : float
+        The time.
+
+    Notes
+    -----
+    Reports ride on answers for nothing, so a probe is worth its cost only where
+    own traffic says nothing: for an ejected endpoint whose trial is due, which
+    then need not be risked on a caller's request, and for an endpoint that was
+    not heard of for a while although the service is in use. A service without
+    traffic is not probed at all: there is no caller whom it would help.
+    """
+    if now - dispatcher.last_submit > BUSY_SECONDS:
+        return None
+    best = None
+    longest = UNHEARD_SECONDS
+    for state in dispatcher.states.values():
+        if state.is_draining(now) or state.in_flight:
+            continue
+        if state.health.needs_trial(now):
+            return state.address
+        unheard = now - max(state.last_heard or 0.0, state.last_probe)
+        if state.health.is_open(now) and unheard > longest:
+            best, longest = state.address, unheard
+    return best
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -65,6 +65,7 @@
         self.rng = rng
         self.states = {}
         self.view = ServiceView()
+        self.last_submit = float("-inf")
         self.queue = RequestQueue(service.queue_limit)
         self.pace = Pace()
         self.paces = {}
@@ -135,6 +136,7 @@
         Send, Hold or Refusal
             Where to send it, or to hold it, or its final answer.
         """
+        self.last_submit = now
         self.hedges.earn()
         self.retries.earn()
         if ticket.route.live or not self.queue.get_first(live=True):
@@ -325,6 +327,25 @@
         back = self.pace.suggest_return(wait, self.rng)
         return classify_refusal(ticket, end, back)
 
+    def note_probe(self, endpoint, result, now):
+        """Take what a probe told of an endpoint.
+
+        Notes
+        -----
+        Its time is not that of a request, so it says nothing on slowness.
+        """
+        state = self.states.get(endpoint)
+        if state is None:
+            return
+        state.last_probe = now
+        if result.report is not None:
+            state.report = result.report
+            self.view.note_report(result.report)
+        if state.health.needs_trial(now):
+            state.health.on_trial = True
+        if state.health.note(result.end, now, self._may_eject(now)) or result.cold:
+            state.cold_since = now
+
     def note_suspicion(self, endpoint, ratio, now):
         """Take another node's word that an endpoint's answers are overdue.
 
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -83,6 +83,7 @@
     suspected_at: float = 0.0
     cold_since: float | None = None
     last_heard: float | None = None
+    last_probe: float = 0.0
     health: Health = field(default_factory=Health)
 
     @property
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -9,6 +9,7 @@
 from enum import Enum
 
 from hingesill_core.configuration.route_table import RouteTable
+from hingesill_core.probing.share import Share
 from hingesill_core.routing.dispatcher import FleetView
 
 __all__ = ["Blackboard", "Configuration", "Phase"]
@@ -46,6 +47,8 @@
         Until when each endpoint's drain sign holds, in the node's seconds.
     peers : tuple
         Host and port of other nodes' control addresses, the nearest first.
+    probe_share : Share or None
+        Written by the keeper of the lease.
     phase : Phase
         Written by the life cycle.
     in_flight : int
@@ -56,6 +59,7 @@
     configuration: Configuration = field(default_factory=Configuration)
     signs: dict = field(default_factory=dict)
     peers: tuple = ()
+    probe_share: Share | None = None
     phase: Phase = Phase.STARTING
     in_flight: int = 0
     _watchers: dict = field(default_factory=lambda: defaultdict(list))
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/control/probeshares.py
@@ -0,0 +1,100 @@
+"""Holding a share of the probe budget by a lease in the store."""
+
+import asyncio
+import random
+import time
+
+from hingesill_core.membership.spreading import rank_by_weight
+from hingesill_core.probing.share import SHARE_TTL, SHARES, Share
+from hingesill_core.store import Held, LeaseLost
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["ProbeShares", "read_lease_clock"]
+
+CANDIDATES = 2
+RENEW_SECONDS = SHARE_TTL / 3
+TRY_SECONDS = 5.0
+
+
+def read_lease_clock():
+    """Return seconds of a clock that runs on while the machine sleeps."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ProbeShares:
+    """Tries to get one share and to keep it.
+
+    Parameters
+    ----------
+    state : ControlState
+        Its membership says which shares this node may try for.
+    store : Store
+        Holds the leases.
+    store_calls : StoreCalls
+        Runs the blocking calls.
+    team : str
+        First part of the keys.
+    publish : callable
+        Called with the Share, or None.
+    """
+
+    def __init__(self, state, store, store_calls, team, publish):
+        self.state = state
+        self.store = store
+        self.store_calls = store_calls
+        self.team = team
+        self.publish = publish
+        self.share = None
+        self.rng = random.Random()
+
+    async def run(self):
+        """Work until cancelled."""
+        while True:
+            if self.share is None:
+                await self._try_shares()
+                await asyncio.sleep(TRY_SECONDS * (0.5 + self.rng.random()))
+            else:
+                await asyncio.sleep(RENEW_SECONDS)
+                await self._renew()
+
+    async def _try_shares(self):
+        """Ask for each share that this node is a candidate for."""
+        if not self.state.store_answers:
+            return
+        usable = self.state.membership.list_usable(self.state.clock())
+        for number in range(SHARES):
+            ranked = rank_by_weight(usable, f"probe-share-{number}")
+            if self.state.own.name not in [vm.name for vm in ranked[:CANDIDATES]]:
+                continue
+            if await self._acquire(number):
+                return
+
+    async def _acquire(self, number):
+        asked_at = read_lease_clock()
+        key = f"{self.team}/probe-share/{number}"
+        name = self.state.own.name
+        answer = await self.store_calls.run(self.store.acquire, key, name, SHARE_TTL)
+        if not isinstance(answer, Held):
+            return False
+        self.share = Share.acquire(number, answer.lease, answer.ttl, asked_at)
+        log_event(Event.PROBE_SHARE_HELD, share=number)
+        self.publish(self.share)
+        return True
+
+    async def _renew(self):
+        asked_at = read_lease_clock()
+        share = self.share
+        answer = await self.store_calls.run(self.store.renew, share.lease, SHARE_TTL)
+        if isinstance(answer, Held):
+            share.renew(answer.ttl, asked_at)
+            self.publish(share)
+        elif isinstance(answer, LeaseLost) or not share.is_held(read_lease_clock()):
+            log_event(Event.PROBE_SHARE_LOST, share=share.number)
+            self.share = None
+            self.publish(None)
+
+    async def release(self):
+        """Give the share up, as in a planned stop."""
+        if self.share is not None:
+            self.publish(None)
+            await self.store_calls.run(self.store.release, self.share.lease)
--- a/packages/hingesill-node/hingesill_node/control/publisher.py
+++ b/packages/hingesill-node/hingesill_node/control/publisher.py
@@ -1,5 +1,7 @@
 """Bringing what the control thread knows onto the blackboard of the hub."""
 
+from dataclasses import replace
+
 from hingesill_core.configuration.declaration import build_service, parse_declaration
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.findings import Findings
@@ -54,6 +56,11 @@
             signs = state.signs.list_until(0.0)
             self.bridge.post(self.blackboard.write, "signs", signs)
 
+    def publish_share(self, share):
+        """Post the share of the probe budget, or None."""
+        copy = None if share is None else replace(share)
+        self.bridge.post(self.blackboard.write, "probe_share", copy)
+
     def _build_fleet(self, state):
         nodes = len(state.membership.list_usable(state.clock()))
         return FleetView(state.own.data_centre, nodes, self.fleet_limit)
--- a/packages/hingesill-node/hingesill_node/control/thread.py
+++ b/packages/hingesill-node/hingesill_node/control/thread.py
@@ -24,6 +24,7 @@
 )
 from hingesill_node.control.operators import Operators
 from hingesill_node.control.peers import Peers
+from hingesill_node.control.probeshares import ProbeShares
 from hingesill_node.control.spreader import Spreader
 from hingesill_node.control.state import ControlState
 from hingesill_node.control.storecalls import CountedStore, StoreCalls
@@ -132,14 +133,20 @@
         reader = ListReader(self.state, settings.vm_list)
         await reader.refresh() if reader.read else None
         spreader = Spreader(self.state, changelog, store_calls, channels)
+        shares = ProbeShares(
+            self.state, store, store_calls, settings.team, self.publisher.publish_share
+        )
         tasks = [
             asyncio.create_task(spreader.run()),
             asyncio.create_task(reader.run()),
         ]
+        if settings.probing:
+            tasks.append(asyncio.create_task(shares.run()))
         self._started.set()
         await self._stop.wait()
         for task in tasks:
             task.cancel()
+        await shares.release()
         await server.stop(STOP_GRACE_SECONDS)
         await channels.close()
         store_calls.close()
--- a/packages/hingesill-node/hingesill_node/main.py
+++ b/packages/hingesill-node/hingesill_node/main.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 
+import eventlet
 import fire
 
 from hingesill_core.findings import Findings
@@ -17,6 +18,7 @@
 from hingesill_node.control.thread import ControlThread
 from hingesill_node.datapath.announcements import Announcements
 from hingesill_node.datapath.application import Application
+from hingesill_node.datapath.prober import Prober
 from hingesill_node.datapath.runner import RunnerTable
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.explanation import Explainer
@@ -98,6 +100,7 @@
         start_metrics(self.counters, self.read_gauges)
         start_server(callers, self.application)
         start_server(admin, AdminApplication(self.blackboard))
+        eventlet.spawn(Prober(self.blackboard, self.runners, self.counters).run)
         signal.signal(signal.SIGTERM, self.lifecycle.ask_stop)
         signal.signal(signal.SIGINT, self.lifecycle.ask_stop)
         freeze_start_objects()
