Suspicion measured against what is usual under load; slowness without the queue

Answers that take long because everything is loaded were told as suspicious; all nodes then left the endpoint at once and overloaded the rest. And an endpoint's slowness held its queue a second time.

Change: an answer is suspicious at 1.6 times what nine in ten stay below, and at least 2.2 times the time expected under the load at its send; the typical time is that of unloaded answers; slowness fades with the age of the last answer; one word of another node weighs half.

--- a/packages/hingesill-core/hingesill_core/limits/admission.py
+++ b/packages/hingesill-core/hingesill_core/limits/admission.py
@@ -18,7 +18,8 @@
     Attributes
     ----------
     typical : float
-        Follows the median, which a spell of slow answers does not lift.
+        Follows the median of unloaded answers, which a spell of slow answers
+        does not lift.
     quick : float
         Follows the lower tenth, so that a request is refused only if even a
         quick answer would be too late.
@@ -28,13 +29,21 @@
     quick: float = INITIAL_PACE / 2
     answers: int = 0
 
-    def note(self, seconds):
-        """Take the time of an answer; the first one sets the scale."""
+    def note(self, seconds, load=1.0):
+        """Take the time of an answer; the first one sets the scale.
+
+        Parameters
+        ----------
+        seconds : float
+            From the send to the answer.
+        load : float
+            How many times longer than unloaded it should have taken.
+        """
         self.answers += 1
         if self.answers == 1:
             self.typical = seconds
             self.quick = seconds / 2
-        self._follow_median(seconds)
+        self._follow_median(seconds / load)
         step = PACE_WEIGHT * self.typical
         self.quick += step * (0.1 if seconds > self.quick else -0.9)
         self.quick = max(self.quick, 0.0)
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -116,7 +116,7 @@
             pace = self.paces[route] = Pace()
         return pace
 
-    def get_overdue_time(self, route):
+    def get_overdue_time(self, send):
         """Return the seconds after which an answer is worth a second send.
 
         Notes
@@ -127,7 +127,7 @@
         """
         spent = 1 - self.hedges.tokens / BURST
         factor = EARLIEST_HEDGE + (LATEST_HEDGE - EARLIEST_HEDGE) * spent
-        return factor * self.get_pace(route).typical
+        return factor * self.get_pace(send.ticket.route).typical
 
     def submit(self, ticket, now):
         """Take a new request.
@@ -192,8 +192,9 @@
         return self._start(ticket, self.choose(free, now, self.rng), now)
 
     def _start(self, ticket, state, now, hedge=False):
-        expected = self.get_pace(ticket.route).typical
-        send = Send(ticket, state.address, now, expected, hedge)
+        load = state.predict_load(now)
+        expected = load * self.get_pace(ticket.route).typical
+        send = Send(ticket, state.address, now, expected, load, hedge)
         state.begin(send, now)
         ticket.sends += 1
         ticket.tried.append(state.address)
@@ -296,7 +297,7 @@
         if result.end is not SendEnd.ANSWERED:
             return
         route = send.ticket.route
-        self.get_pace(route).note(seconds)
+        self.get_pace(route).note(seconds, send.load)
         if route.live:
             self.pace.note(seconds)
             away = OTHER_DATA_CENTRE / self.pace.typical
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -11,10 +11,15 @@
 
 SLOWNESS_WEIGHT = 0.2
 MOST_SLOWNESS = 100.0
+SLOWNESS_DECAY = 0.25
 REPORT_DECAY = 0.02
 OTHERS_WEIGHT = 0.05
+RATIO_STEP = 0.1
+USUAL_SHARE = 0.9
+LEAST_SUSPICIOUS = 2.2
+BEYOND_USUAL = 1.6
 SUSPICION_DECAY = 0.03
-SUSPICION_WEIGHT = 1.5
+SUSPICION_WEIGHT = 0.5
 MOST_SUSPICION = 20.0
 LEAST_SUSPICION = 0.05
 SLOW_START = 2.0
@@ -36,10 +41,30 @@
         Mean number of other nodes' requests at an endpoint.
     turns : int
         Sends of this node so far.
+    usual_ratio : float
+        Nine in ten answers take at most so many times the expected time.
     """
 
     others: float = 0.0
     turns: int = 0
+    usual_ratio: float = 1.5
+
+    def note_ratio(self, ratio):
+        """Take how many times longer than expected an answer took."""
+        if ratio > self.usual_ratio:
+            self.usual_ratio += RATIO_STEP * USUAL_SHARE
+        else:
+            self.usual_ratio -= RATIO_STEP * (1 - USUAL_SHARE)
+
+    def get_suspicious_ratio(self):
+        """Return the ratio from which an answer is worth telling others of.
+
+        Notes
+        -----
+        Under load many answers take long everywhere. What nine in ten stay
+        below is no sign that one endpoint is slower than the rest.
+        """
+        return max(LEAST_SUSPICIOUS, BEYOND_USUAL * self.usual_ratio)
 
     def note_report(self, report):
         """Take a report into the mean."""
@@ -125,6 +150,7 @@
         ratio = min(MOST_SLOWNESS, seconds / expected)
         if result.end is SendEnd.ANSWERED:
             self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
+            self.common.note_ratio(ratio)
             self.last_heard = now
         elif result.end is SendEnd.CANCELLED and ratio > self.slowness:
             self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
@@ -174,6 +200,24 @@
         others = max(0, report.running - report.own_in_flight)
         return mean + (others - mean) * exp((report.received_at - now) / REPORT_DECAY)
 
+    def predict_load(self, now):
+        """Return how many times longer than unloaded an answer should take."""
+        occupied = len(self.sent) + self.estimate_others(now)
+        return 1 + max(0.0, occupied + 1 - self.slots) / self.slots
+
+    def measure_slowness(self, now):
+        """Return the mean slowness, less with the age of the last answer.
+
+        Notes
+        -----
+        An endpoint that nobody sends to because it was slow gives no answer that
+        could tell that it no longer is.
+        """
+        if self.last_heard is None:
+            return 1.0
+        age = now - self.last_heard
+        return 1 + (self.slowness - 1) * exp(-age / SLOWNESS_DECAY)
+
     def measure_overdue(self, now):
         """Return how many times longer than typical the oldest send has taken."""
         if not self.sent:
@@ -211,7 +255,9 @@
         share of faults, whatever load it reports.
         """
         slowness = max(
-            self.slowness, self.measure_overdue(now), 1 + self.measure_suspicion(now)
+            self.measure_slowness(now),
+            self.measure_overdue(now),
+            1 + self.measure_suspicion(now),
         )
         occupied = len(self.sent) + self.estimate_others(now)
         wait = 1 + occupied / self.slots
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -60,7 +60,9 @@
     started : float
         When it was decided, in seconds of the node's clock.
     expected : float
-        Seconds that an answer of this route typically takes.
+        Seconds that an answer of this route typically takes under that load.
+    load : float
+        How many times longer than unloaded it should take.
     hedge : bool
         Another send of the request is still under way.
     """
@@ -69,6 +71,7 @@
     endpoint: str
     started: float
     expected: float
+    load: float = 1.0
     hedge: bool = False
 
 
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -131,7 +131,7 @@
                 return self._end(live, SendResult(SendEnd.LATE))
             wait = self.runner.get_time_to_suspicion(live.send, now)
             if may_hedge:
-                overdue = self.runner.dispatcher.get_overdue_time(self.ticket.route)
+                overdue = self.runner.dispatcher.get_overdue_time(live.send)
                 until_hedge = started + overdue - now
                 if until_hedge > 0:
                     wait = min(wait, until_hedge)
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -16,7 +16,6 @@
 
 TICK_SECONDS = 0.002
 SUSPICION_REPEAT_SECONDS = 0.02
-SUSPICIOUS_RATIO = 2.2
 CALLER_CHECK_SECONDS = 0.05
 
 
@@ -85,13 +84,14 @@
 
     def get_time_to_suspicion(self, send, now):
         """Return the seconds until an answer takes suspiciously long."""
-        left = send.started + SUSPICIOUS_RATIO * send.expected - now
+        ratio = self.dispatcher.view.get_suspicious_ratio()
+        left = send.started + ratio * send.expected - now
         return left if left > 0 else SUSPICION_REPEAT_SECONDS
 
     def suspect(self, send, now):
         """Tell other nodes of an answer that takes far longer than typical."""
         ratio = (now - send.started) / send.expected
-        if ratio < SUSPICIOUS_RATIO:
+        if ratio < self.dispatcher.view.get_suspicious_ratio():
             return
         self.announce.tell_suspicion(send.endpoint, ratio, now)
 
