Matrix: a node that was killed cannot be stopped in a planned way

Cause: the first whole run of the matrix ended at 'node killed / during a planned stop': the stage tried to stop a process that had ended. Change: that cell is not applicable.

--- a/matrix/stage.py
+++ b/matrix/stage.py
@@ -147,7 +147,9 @@
         self.fleet.set_faults(self.endpoints[0], **faults)
 
     def stop_node(self):
-        """Stop the second node in a planned way."""
+        """Stop the second node in a planned way, if it still runs."""
+        if self.second.process.poll() is not None:
+            return
         self.second.process.terminate()
         wait_until(lambda: not self.second.is_ready(), 5.0, "the node's sign")
         self.usable.remove(self.second.address)
