Nodes that hold only some services are leaves of the tree

Change: the list says what a node holds, partial nodes rank last and are never parents, and one that is asked all the same refuses, so the asker goes to the next.

Ruled out: giving interior nodes the union of their children's interests, which changes with every child.

--- a/packages/hingesill-core/hingesill_core/membership/spreading.py
+++ b/packages/hingesill-core/hingesill_core/membership/spreading.py
@@ -45,9 +45,15 @@
 
 
 def rank_nodes(vms, data_centre):
-    """Return a data centre's VMs, the most suited as a relay first."""
+    """Return a data centre's VMs, the most suited as a relay first.
+
+    Notes
+    -----
+    Nodes that do not hold everything come last: they are relays only where
+    there is no other node, and then hold everything.
+    """
     local = [vm for vm in vms if vm.data_centre == data_centre]
-    return rank_by_weight(local, data_centre)
+    return sorted(rank_by_weight(local, data_centre), key=lambda vm: not vm.holds_all)
 
 
 def find_place(own, vms):
@@ -76,12 +82,23 @@
     remote = list_remote_relays(own, vms)
     if rank < RELAYS_PER_DATA_CENTRE:
         return Place(True, tuple(relays + remote), 0)
-    parent_rank = (rank - RELAYS_PER_DATA_CENTRE) // FAN_OUT
-    parent = ranked[parent_rank]
+    parent = ranked[find_parent_rank(rank, ranked)]
     others = [vm for vm in relays if vm.name != parent.name]
     return Place(False, (parent, *others, *remote), compute_depth(rank))
 
 
+def find_parent_rank(rank, ranked):
+    """Return the rank of a node's parent, which is one that holds everything.
+
+    Notes
+    -----
+    Nodes that hold only some services are leaves, shared out evenly where there
+    are more of them than a full tree has room for.
+    """
+    givers = max(RELAYS_PER_DATA_CENTRE, sum(vm.holds_all for vm in ranked))
+    return (rank - RELAYS_PER_DATA_CENTRE) // FAN_OUT % givers
+
+
 def list_relays(vms):
     """Return the relays of every data centre."""
     names = sorted({vm.data_centre for vm in vms})
--- a/packages/hingesill-core/hingesill_core/membership/vms.py
+++ b/packages/hingesill-core/hingesill_core/membership/vms.py
@@ -29,12 +29,16 @@
         Where it runs.
     state : VmState
         LEAVING ones serve, but are asked for nothing new.
+    holds_all : bool
+        False for a node that holds only the services that it needs; it gives
+        changes to nobody.
     """
 
     name: str
     control: str
     data_centre: str
     state: VmState = VmState.LIVE
+    holds_all: bool = True
 
 
 class Membership:
--- a/packages/hingesill-node/hingesill_node/control/peers.py
+++ b/packages/hingesill-node/hingesill_node/control/peers.py
@@ -1,5 +1,7 @@
 """The calls that other nodes make on this one."""
 
+import grpc
+
 from hingesill_api.generated import hingesill_pb2 as pb
 from hingesill_api.generated.hingesill_pb2_grpc import PeersServicer
 from hingesill_core.configuration.state import encode_difference
@@ -31,6 +33,9 @@
     async def Subscribe(self, request, context):
         """Send each change as the difference from what the subscriber has."""
         state = self.state
+        if state.interests and not state.is_relay:
+            reason = "this node holds only some services"
+            await context.abort(grpc.StatusCode.FAILED_PRECONDITION, reason)
         state.membership.note_heard(request.node)
         held = request.revision
         names = frozenset(request.services)
--- a/packages/hingesill-node/hingesill_node/control/thread.py
+++ b/packages/hingesill-node/hingesill_node/control/thread.py
@@ -165,9 +165,14 @@
 
     def _build_state(self):
         settings = self.settings
-        own = Vm(settings.name, self.address, settings.data_centre)
         names = (name.strip() for name in settings.services.split(","))
         interests = frozenset(name for name in names if name)
+        own = Vm(
+            settings.name,
+            self.address,
+            settings.data_centre,
+            holds_all=not interests,
+        )
         return ControlState(
             Membership(own),
             self.counters,
--- a/packages/hingesill-node/hingesill_node/control/vmlist.py
+++ b/packages/hingesill-node/hingesill_node/control/vmlist.py
@@ -20,6 +20,7 @@
 READ_SECONDS = 2.0
 LEAVING_HOLDS = 30.0
 NODE_ROLE = "node"
+HOLDS_ALL = "all"
 
 
 @LISTS.register("http")
@@ -44,7 +45,8 @@
     ----------
     items : list of dict
         ``name``, ``role`` (``node`` or ``endpoint``), ``address``,
-        ``data_centre`` and ``state`` (``live`` or ``leaving``).
+        ``data_centre`` and ``state`` (``live`` or ``leaving``); a node may have
+        ``holds`` (``all`` or ``some`` services).
 
     Returns
     -------
@@ -64,9 +66,9 @@
         for item in items:
             state = VmState(item["state"])
             if item["role"] == NODE_ROLE:
-                vms.append(
-                    Vm(item["name"], item["address"], item["data_centre"], state)
-                )
+                holds_all = item.get("holds", HOLDS_ALL) == HOLDS_ALL
+                where = (item["address"], item["data_centre"])
+                vms.append(Vm(item["name"], *where, state, holds_all))
             elif state is VmState.LEAVING:
                 leaving.append(item["address"])
     except (LookupError, TypeError) as error:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -77,6 +77,7 @@
     control: str
     admin: str
     log: Path | None = None
+    holds: str = "all"
 
     def is_ready(self):
         """Tell whether ``/ready`` says yes."""
@@ -178,7 +179,10 @@
                 stderr=output,
                 stdout=output,
             )
-        node = NodeProcess(name, data_centre, process, address, control, admin, log)
+        holds = "some" if settings.get("services") else "all"
+        node = NodeProcess(
+            name, data_centre, process, address, control, admin, log, holds
+        )
         self.processes.append(process)
         self.nodes[name] = node
         self.put_list()
@@ -205,6 +209,7 @@
                 "address": node.control,
                 "data_centre": node.data_centre,
                 "state": "leaving" if node.name in leaving else "live",
+                "holds": node.holds,
             }
             for node in self.nodes.values()
         ]
