--- a/packages/hingesill-core/hingesill_core/probing/planner.py
+++ b/packages/hingesill-core/hingesill_core/probing/planner.py
@@ -34,6 +34,6 @@
         if state.health.needs_trial(now):
             return state.address
         unheard = now - max(state.last_heard or 0.0, state.last_probe)
-        if state.health.is_open(now) and unheard > longest:
+        if state.health.is_open() and unheard > longest:
             best, longest = state.address, unheard
     return best
--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -36,7 +36,6 @@
     ANSWER_LOST = "answer-lost"
     ANSWER_LATE = "answer-late"
     ANSWER_SHORT = "answer-short"
-    SHUTTING_DOWN = "shutting-down"
     INTERNAL = "internal"
 
 
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -305,7 +305,7 @@
                 state.distance = 0.0 if state.is_near else away
 
     def _may_eject(self, now):
-        ejected = sum(not s.health.is_open(now) for s in self.states.values())
+        ejected = sum(not s.health.is_open() for s in self.states.values())
         return (ejected + 1) * 2 <= len(self.states)
 
     def retry(self, ticket, end, now):
--- a/packages/hingesill-core/hingesill_core/routing/health.py
+++ b/packages/hingesill-core/hingesill_core/routing/health.py
@@ -89,6 +89,6 @@
         """Tell whether its ejection has ended and a single trial is due."""
         return 0 < self.ejected_until <= now and not self.on_trial
 
-    def is_open(self, now):
+    def is_open(self):
         """Tell whether ordinary traffic may go there."""
         return self.ejected_until == 0.0
--- a/packages/hingesill-node/hingesill_node/control/operators.py
+++ b/packages/hingesill-node/hingesill_node/control/operators.py
@@ -142,8 +142,7 @@
         sign = DrainSign(
             request.endpoint, int(time.time() * 1000), self.state.clock() + hold
         )
-        self.state.signs.take(sign, self.state.clock())
-        self.state.wake()
+        self.state.take_signs([sign])
         return pb.DrainReply(nodes_told=await self.announcer.tell([sign]))
 
     def _has_endpoint(self, service, endpoint):
--- a/packages/hingesill-node/hingesill_node/control/peers.py
+++ b/packages/hingesill-node/hingesill_node/control/peers.py
@@ -75,11 +75,7 @@
     async def Tell(self, request, context):
         """Take drain signs from any node; subscribers get them at once."""
         now = self.state.clock()
-        news = [
-            self.state.signs.take(sign, now) for sign in read_signs(request.signs, now)
-        ]
-        if any(news):
-            self.state.wake()
+        self.state.take_signs(read_signs(request.signs, now))
         return pb.TellReply()
 
     async def Inspect(self, request, context):
--- a/packages/hingesill-node/hingesill_node/control/spreader.py
+++ b/packages/hingesill-node/hingesill_node/control/spreader.py
@@ -204,9 +204,7 @@
         if update.revision <= state.replica.revision:
             if update.confirmed_age_ms < NEVER_CONFIRMED:
                 state.confirm(now - update.confirmed_age_ms / 1000)
-        news = [state.signs.take(sign, now) for sign in read_signs(update.signs, now)]
-        if any(news):
-            state.wake()
+        state.take_signs(read_signs(update.signs, now))
         return True
 
     def _agrees(self, update, source):
--- a/packages/hingesill-node/hingesill_node/control/state.py
+++ b/packages/hingesill-node/hingesill_node/control/state.py
@@ -74,6 +74,17 @@
             self.wake()
         return applied
 
+    def take_signs(self, signs):
+        """Take drain signs; wake everybody if one of them is news."""
+        now = self.clock()
+        news = [sign for sign in signs if self.signs.take(sign, now)]
+        for sign in news:
+            if sign.until > now:
+                log_event(Event.ENDPOINT_DRAINING, endpoint=sign.endpoint)
+        if news:
+            self.wake()
+        return bool(news)
+
     def confirm(self, at):
         """Note that the replica was the newest state at a time."""
         if self.confirmed_at is None or at > self.confirmed_at:
--- a/packages/hingesill-node/hingesill_node/control/thread.py
+++ b/packages/hingesill-node/hingesill_node/control/thread.py
@@ -104,8 +104,7 @@
             return
         sequence = int(time.time() * 1000)
         sign = DrainSign(endpoint, sequence, now + ENDPOINT_SIGN_SECONDS)
-        self.state.signs.take(sign, now)
-        self.state.wake()
+        self.state.take_signs([sign])
         self._loop.create_task(self.announcer.tell([sign]))
 
     def _run(self):
--- a/packages/hingesill-node/hingesill_node/control/vmlist.py
+++ b/packages/hingesill-node/hingesill_node/control/vmlist.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import random
 import time
 from pathlib import Path
 from urllib.parse import urlsplit
@@ -17,6 +18,7 @@
 
 LISTS = Registry("list of VMs")
 POLL_SECONDS = 2.0
+READS_A_SECOND = 500
 READ_SECONDS = 2.0
 LEAVING_HOLDS = 30.0
 NODE_ROLE = "node"
@@ -94,10 +96,18 @@
         self.available = True
 
     async def run(self):
-        """Read the list every few seconds until cancelled."""
+        """Read the list again and again until cancelled.
+
+        Notes
+        -----
+        The pause grows with the fleet, so that all nodes together read the list
+        `READS_A_SECOND` times a second at most.
+        """
         while self.read is not None:
             await self.refresh()
-            await asyncio.sleep(POLL_SECONDS)
+            nodes = len(self.state.membership.list_all())
+            pause = max(POLL_SECONDS, nodes / READS_A_SECOND)
+            await asyncio.sleep(pause * (0.75 + random.random() / 2))
 
     async def refresh(self):
         """Read the list once."""
@@ -119,8 +129,10 @@
         """Take the platform's word that endpoints leave."""
         state = self.state
         now = state.clock()
-        for address in leaving:
-            if not state.signs.holds(address, now, LEAVING_HOLDS / 2):
-                sequence = int(time.time() * 1000)
-                sign = DrainSign(address, sequence, now + LEAVING_HOLDS)
-                state.signs.take(sign, now)
+        sequence = int(time.time() * 1000)
+        signs = [
+            DrainSign(address, sequence, now + LEAVING_HOLDS)
+            for address in leaving
+            if not state.signs.holds(address, now, LEAVING_HOLDS / 2)
+        ]
+        state.take_signs(signs)
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -126,6 +126,8 @@
         limit = self._read_time_limit(environ, route)
         if limit is None or not is_sound_id(request_id):
             return Refusal(RefusalReason.BAD_HEADER, Outcome.NOT_RUN)
+        if limit == 0:
+            return Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
         arrived = self.clock()
         body = self._read_body(environ)
         if isinstance(body, Refusal):
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -3,7 +3,7 @@
 import time
 
 import eventlet
-from eventlet.event import Event
+from eventlet import event as green_event
 
 from hingesill_core.limits.shares import compute_connection_share
 from hingesill_core.reasons import Outcome, RefusalReason
@@ -11,6 +11,7 @@
 from hingesill_core.routing.messages import Refusal
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import Pool
+from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["RunnerTable", "ServiceRunner"]
 
@@ -76,7 +77,12 @@
 
     def settle(self, send, result):
         """Hand a send's end to the dispatcher and start what can go now."""
+        state = self.dispatcher.states.get(send.endpoint)
+        was_open = state is None or state.health.is_open()
         self.dispatcher.settle(send, result, self.clock())
+        if state is not None and state.health.is_open() != was_open:
+            event = Event.ENDPOINT_EJECTED if was_open else Event.ENDPOINT_BACK
+            log_event(event, endpoint=send.endpoint)
         if result.draining:
             self.announce.tell_drain(send.endpoint)
         if self.held:
@@ -103,7 +109,7 @@
     def wait_held(self, request):
         """Wait until a held request is sent or refused; return the decision."""
         ticket = request.ticket
-        event = self.held[ticket] = Event()
+        event = self.held[ticket] = green_event.Event()
         if self.keeper is None:
             self.keeper = eventlet.spawn(self._keep)
         while True:
--- a/packages/hingesill-node/hingesill_node/explanation.py
+++ b/packages/hingesill-node/hingesill_node/explanation.py
@@ -62,7 +62,7 @@
         return "it is leaving"
     if state.health.is_ejected(now):
         return "it was ejected after failures"
-    if not state.health.is_open(now):
+    if not state.health.is_open():
         return "it awaits a trial"
     if now < state.refused_until:
         return "it refused a request just now"
--- a/packages/hingesill-node/hingesill_node/main.py
+++ b/packages/hingesill-node/hingesill_node/main.py
@@ -24,13 +24,11 @@
 from hingesill_node.explanation import Explainer
 from hingesill_node.lifecycle import Lifecycle
 from hingesill_node.settings import load_settings
-from hingesill_node.store import consul, memory
 from hingesill_node.telemetry.counters import Counters, start_metrics
 from hingesill_node.telemetry.events import Event, log_event, start_logging
 
 __all__ = ["Node", "run", "serve"]
 
-ADAPTERS = (consul, memory)
 EXIT_BAD_SETTINGS = 2
 EXIT_NO_ADDRESS = 3
 EXIT_STOP_BOUND = 4
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/store/tests/test_conformance.py
@@ -0,0 +1,114 @@
+"""The same tests of conformance on every adapter of the store."""
+
+import threading
+import time
+import unittest
+
+from hingesill_core.store import (
+    Conflicting,
+    Held,
+    LeaseLost,
+    Missing,
+    StoreFailure,
+    Unchanged,
+    Value,
+    Written,
+)
+from hingesill_node.store.consul import ConsulStore
+from hingesill_node.store.memory import MemoryStore
+from hingesill_node.store.registry import open_store
+from standins.store import StoreServer
+
+
+class Conformance:
+    """What every adapter must do; mixed into a test case an adapter."""
+
+    def put(self, key, data, expected=0):
+        self.assertIsInstance(self.store.put(key, data, expected), Written)
+        return self.store.get(key).version
+
+    def test_missing_key(self):
+        self.assertEqual(self.store.get("team/none"), Missing())
+
+    def test_bytes_come_back(self):
+        data = bytes(range(256)) * 400
+        self.put("team/a", data)
+        self.assertEqual(self.store.get("team/a").data, data)
+
+    def test_create_only_once(self):
+        self.put("team/b", b"1")
+        self.assertIsInstance(self.store.put("team/b", b"2", 0), Conflicting)
+
+    def test_write_of_the_version_read(self):
+        version = self.put("team/c", b"1")
+        newer = self.put("team/c", b"2", version)
+        self.assertNotEqual(version, newer)
+        self.assertIsInstance(self.store.put("team/c", b"3", version), Conflicting)
+        self.assertEqual(self.store.get("team/c").data, b"2")
+
+    def test_deleted_key(self):
+        self.put("team/d", b"1")
+        self.assertIsInstance(self.store.delete("team/d"), Written)
+        self.assertIsInstance(self.store.get("team/d"), Missing)
+
+    def test_watch_ends_without_a_change(self):
+        version = self.put("team/e", b"1")
+        self.assertEqual(self.store.watch("team/e", version, 0.1), Unchanged())
+
+    def test_watch_sees_a_change(self):
+        version = self.put("team/f", b"1")
+        timer = threading.Timer(0.1, self.store.put, ("team/f", b"2", version))
+        timer.start()
+        self.addCleanup(timer.join)
+        seen = self.store.watch("team/f", version, 5.0)
+        self.assertIsInstance(seen, Value)
+        self.assertEqual(seen.data, b"2")
+
+    def test_watch_sees_an_earlier_change_at_once(self):
+        version = self.put("team/g", b"1")
+        self.put("team/g", b"2", version)
+        self.assertEqual(self.store.watch("team/g", version, 5.0).data, b"2")
+
+    def test_lease_has_one_holder(self):
+        held = self.store.acquire("team/lease-a", "ann", 10.0)
+        self.assertIsInstance(held, Held)
+        other = self.store.acquire("team/lease-a", "ben", 10.0)
+        self.assertIsInstance(other, LeaseLost)
+        self.assertIsInstance(self.store.renew(held.lease, 10.0), Held)
+        self.assertIsInstance(self.store.release(held.lease), Written)
+        again = self.store.acquire("team/lease-a", "ben", 10.0)
+        self.assertIsInstance(again, Held)
+
+    def test_lapsed_lease_is_lost(self):
+        held = self.store.acquire("team/lease-b", "ann", 0.1)
+        time.sleep(0.2)
+        self.assertIsInstance(self.store.acquire("team/lease-b", "ben", 10.0), Held)
+        self.assertIsInstance(self.store.renew(held.lease, 10.0), LeaseLost)
+
+
+class MemoryStoreTests(Conformance, unittest.TestCase):
+    def setUp(self):
+        self.store = MemoryStore()
+
+    def test_opened_by_its_address(self):
+        self.assertIs(open_store("memory://x"), open_store("memory://x"))
+
+
+class ConsulStoreTests(Conformance, unittest.TestCase):
+    def setUp(self):
+        self.server = StoreServer().start()
+        self.addCleanup(self.server.server_close)
+        self.addCleanup(self.server.shutdown)
+        self.store = open_store(self.server.url)
+
+    def test_lost_answer_may_have_run(self):
+        self.server.faults = {"lose_answers": 1}
+        answer = self.store.put("team/h", b"1", 0)
+        self.assertIsInstance(answer, StoreFailure)
+        self.assertTrue(answer.may_have_run)
+        self.assertEqual(self.store.get("team/h").data, b"1")
+
+    def test_nobody_there(self):
+        answer = ConsulStore("http://127.0.0.1:1").put("team/i", b"1", 0)
+        self.assertIsInstance(answer, StoreFailure)
+        self.assertFalse(answer.may_have_run)
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -21,7 +21,6 @@
     "store_calls": "Calls to the platform's key-value service by kind.",
     "peer_bytes": "Bytes between nodes by direction.",
     "suspicions": "Overdue answers told to other nodes, and heard of.",
-    "events": "Log events by number.",
 }
 
 GAUGE_TEXTS = {
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -23,7 +23,6 @@
     STOP_BEGUN = (1004, logging.INFO, "a planned stop has begun")
     STOP_ENDED = (1005, logging.INFO, "a planned stop has ended")
     STOP_BOUND_REACHED = (1006, logging.WARNING, "requests outlived the stop's bound")
-    SETTINGS_INVALID = (1007, logging.ERROR, "the settings are not valid")
     PORT_UNAVAILABLE = (1008, logging.ERROR, "an address cannot be listened on")
     CONFIGURATION_IN_FORCE = (2001, logging.INFO, "a configuration is in force")
     OLDER_REFUSED = (2002, logging.WARNING, "an older configuration was refused")
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,6 +6,7 @@
 
 from hingesill_core.reasons import RefusalReason, RetryReason
 from hingesill_node.telemetry.counters import COUNTER_TEXTS, GAUGE_TEXTS
+from hingesill_node.telemetry.events import Event
 from scripts.generate_docs import build_events_page, build_settings_page
 
 ROOT = Path(__file__).parent.parent
@@ -18,6 +19,29 @@
     return re.findall(r"^\| `([a-z_-]+)` \|", text, re.MULTILINE)
 
 
+def read_sources():
+    """Return the code of all packages without their tests."""
+    files = [f for f in (ROOT / "packages").rglob("*.py") if "tests" not in f.parts]
+    return {str(file): file.read_text() for file in files}
+
+
+class UseTests(unittest.TestCase):
+    def test_every_reason_and_event_is_used(self):
+        sources = read_sources()
+        for kind, defined in (
+            (RefusalReason, "reasons.py"),
+            (RetryReason, "reasons.py"),
+            (Event, "events.py"),
+        ):
+            code = "".join(
+                t for name, t in sources.items() if not name.endswith(defined)
+            )
+            for member in kind:
+                with self.subTest(member=member):
+                    used = f"{kind.__name__}.{member.name}" in code
+                    self.assertTrue(used, "stands in the catalogue only")
+
+
 class PageTests(unittest.TestCase):
     def test_reasons(self):
         text = (DOCS / "REASONS.md").read_text()
