--- a/packages/hingesill-node/hingesill_node/control/thread.py
+++ b/packages/hingesill-node/hingesill_node/control/thread.py
@@ -104,8 +104,7 @@
             return
         sequence = int(time.time() * 1000)
         sign = DrainSign(endpoint, sequence, now + ENDPOINT_SIGN_SECONDS)
-        self.state.signs.take(sign, now)
-        self.state.wake()
+        self.state.take_signs([sign])
         self._loop.create_task(self.announcer.tell([sign]))
 
     def _run(self):
@@ -165,9 +164,14 @@
 
     def _build_state(self):
         settings = self.settings
-        own = Vm(settings.name, self.address, settings.data_centre)
         names = (name.strip() for name in settings.services.split(","))
         interests = frozenset(name for name in names if name)
+        own = Vm(
+            settings.name,
+            self.address,
+            settings.data_centre,
+            holds_all=not interests,
+        )
         return ControlState(
             Membership(own),
             self.counters,
