--- a/packages/hingesill-cli/hingesill_cli/commands.py
+++ b/packages/hingesill-cli/hingesill_cli/commands.py
@@ -59,7 +59,12 @@
         self._connection = (node, token, ca, certificate, key)
 
     def _call(self, name, request):
-        return Client(*self._connection).call(name, request)
+        """Return the reply; None once the operator was told that there is none."""
+        reply = Client(*self._connection).call(name, request)
+        if isinstance(reply, CallFailed):
+            complain(reply.reason)
+            return None
+        return reply
 
     def validate(self, f):
         """Check declarations without any node.
@@ -109,8 +114,7 @@
 
     def _apply(self, changes, dry_run, operation, author):
         held = self._call("Get", pb.GetRequest())
-        if isinstance(held, CallFailed):
-            complain(held.reason)
+        if held is None:
             return EXIT_NO_ANSWER
         versions = {document.service: document.version for document in held.documents}
         for change in changes:
@@ -123,8 +127,8 @@
             dry_run=dry_run,
         )
         reply = self._call("Apply", request)
-        if isinstance(reply, CallFailed):
-            complain(f"{reply.reason}; ask for operation {operation}")
+        if reply is None:
+            complain(f"it is not known what became of operation {operation}")
             return EXIT_UNKNOWN
         return self._report_apply(reply, operation, dry_run)
 
@@ -145,8 +149,7 @@
     def get(self, *services):
         """Print declarations as they are in force, as YAML."""
         reply = self._call("Get", pb.GetRequest(services=[str(s) for s in services]))
-        if isinstance(reply, CallFailed):
-            complain(reply.reason)
+        if reply is None:
             return EXIT_NO_ANSWER
         print(f"# revision {reply.revision}")
         for item in reply.documents:
@@ -158,8 +161,7 @@
     def operation(self, id):
         """Say what became of an operation, by its id."""
         reply = self._call("GetOperation", pb.GetOperationRequest(operation_id=str(id)))
-        if isinstance(reply, CallFailed):
-            complain(reply.reason)
+        if reply is None:
             return EXIT_NO_ANSWER
         return self._report_apply(reply, str(id), False)
 
@@ -176,8 +178,7 @@
         deadline = time.monotonic() + float(wait)
         while True:
             reply = self._call("Status", pb.StatusRequest(fleet=True))
-            if isinstance(reply, CallFailed):
-                complain(reply.reason)
+            if reply is None:
                 return EXIT_NO_ANSWER
             wanted = revision or max(node.revision for node in reply.nodes)
             lagging = [n for n in reply.nodes if n.unreachable or n.revision < wanted]
@@ -193,8 +194,7 @@
         """Have all nodes give an endpoint no new work, or take that back."""
         request = pb.DrainRequest(service=service, endpoint=endpoint, cancel=cancel)
         reply = self._call("Drain", request)
-        if isinstance(reply, CallFailed):
-            complain(reply.reason)
+        if reply is None:
             return EXIT_NO_ANSWER
         if reply.reason:
             complain(reply.reason)
@@ -206,8 +206,7 @@
         """Say how the node would route a request now, and why."""
         request = pb.ExplainRequest(method=method.upper(), path=path)
         reply = self._call("Explain", request)
-        if isinstance(reply, CallFailed):
-            complain(reply.reason)
+        if reply is None:
             return EXIT_NO_ANSWER
         if reply.reason:
             complain(reply.reason)
--- a/packages/hingesill-core/hingesill_core/configuration/changelog.py
+++ b/packages/hingesill-core/hingesill_core/configuration/changelog.py
@@ -6,23 +6,14 @@
 next tail points back to it.
 """
 
-import hashlib
-import json
 from dataclasses import dataclass
 from enum import Enum
 
-from hingesill_core.configuration.log import (
-    EMPTY_CHAIN,
-    Entry,
-    decode_entry,
-    encode_entry,
-)
-from hingesill_core.configuration.state import (
-    Applied,
-    decode_difference,
-    encode_difference,
-)
-from hingesill_core.store import Conflicting, Missing, StoreFailure, Value, Written
+from hingesill_core.configuration.log import Entry, encode_entry
+from hingesill_core.configuration.snapshots import Snapshots
+from hingesill_core.configuration.state import Applied
+from hingesill_core.configuration.tail import Tail, decode_tail, encode_tail
+from hingesill_core.store import Missing, StoreFailure, Value, Written
 
 __all__ = [
     "Accepted",
@@ -30,14 +21,11 @@
     "ChangeRequest",
     "Rejected",
     "Rejection",
-    "Snapshot",
-    "Tail",
-    "decode_tail",
 ]
 
 TAIL_BYTES = 8 * 1024
 MAX_RACES = 8
-SNAPSHOT_PART_BYTES = 500_000
+MOST_ENTRY_BYTES = 500_000
 
 
 class Rejection(str, Enum):
@@ -101,81 +89,6 @@
     findings: tuple = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Tail:
-    """The end of the change log.
-
-    Parameters
-    ----------
-    base : int
-        The revision before the first entry.
-    chain : str
-        The chain digest at the base.
-    segment : str
-        The key of the segment before; empty if there is none.
-    entries : tuple of Entry
-        In order.
-    version : int
-        The store's version of the key, for a CAS.
-    """
-
-    base: int = 0
-    chain: str = EMPTY_CHAIN
-    segment: str = ""
-    entries: tuple = ()
-    version: int = 0
-
-    @property
-    def revision(self):
-        """The newest revision in the store."""
-        return self.base + len(self.entries)
-
-    @property
-    def last_chain(self):
-        """The chain digest after the newest entry."""
-        return self.entries[-1].compute_chain() if self.entries else self.chain
-
-
-def decode_tail(data, version):
-    """Return the Tail that a value holds; ValueError if it holds none."""
-    try:
-        base, chain, segment, entries = json.loads(data)
-        decoded = tuple(decode_entry(json.dumps(entry)) for entry in entries)
-        return Tail(int(base), str(chain), str(segment), decoded, version)
-    except (TypeError, ValueError) as error:
-        raise ValueError(f"not a tail of the change log: {error}") from error
-
-
-def encode_tail(tail):
-    """Return a tail as JSON bytes."""
-    entries = b",".join(encode_entry(entry) for entry in tail.entries)
-    head = json.dumps([tail.base, tail.chain, tail.segment], separators=(",", ":"))
-    return head[:-1].encode() + b",[" + entries + b"]]"
-
-
-@dataclass(frozen=True, slots=True)
-class Snapshot:
-    """Where a whole state stands in the store.
-
-    Parameters
-    ----------
-    revision : int
-        What it holds.
-    parts : int
-        How many values it is cut into.
-    folder : str
-        First part of their keys.
-    """
-
-    revision: int = 0
-    parts: int = 0
-    folder: str = ""
-
-    def list_keys(self):
-        """Return the keys of the parts, in order."""
-        return [f"{self.folder}/{index}" for index in range(self.parts)]
-
-
 class ChangeLog:
     """Reads and appends to the change log through a store.
 
@@ -191,8 +104,7 @@
         self.store = store
         self.tail_key = f"{team}/log/tail"
         self.segment_prefix = f"{team}/log/segment"
-        self.snapshot_key = f"{team}/snapshot/head"
-        self.snapshot_prefix = f"{team}/snapshot"
+        self.snapshots = Snapshots(store, team)
 
     def read_tail(self):
         """Return the Tail, or StoreFailure."""
@@ -240,7 +152,7 @@
             return answer
         if isinstance(answer, StoreFailure):
             return answer
-        loaded = self.load_snapshot(replica)
+        loaded = self.snapshots.load(replica)
         if loaded is not Applied.APPLIED:
             return StoreFailure(f"the segment {tail.segment} is gone, no snapshot")
         return None
@@ -318,7 +230,7 @@
             request.author,
             request.changes,
         )
-        if len(encode_entry(entry)) > SNAPSHOT_PART_BYTES:
+        if len(encode_entry(entry)) > MOST_ENTRY_BYTES:
             return Rejected(Rejection.TOO_LARGE, "split the change")
         return self._extend(tail, entry, exposed)
 
@@ -340,56 +252,6 @@
         reason = Rejection.UNKNOWN if exposed else Rejection.UNAVAILABLE
         return Rejected(reason, detail)
 
-    def save_snapshot(self, replica):
-        """Write the whole state, so that new nodes need not read the whole log.
-
-        Returns
-        -------
-        Snapshot, Conflicting or StoreFailure
-            The Snapshot before it, which nothing needs any more once all nodes
-            that were starting have read it.
-        """
-        head = self.store.get(self.snapshot_key)
-        if isinstance(head, StoreFailure):
-            return head
-        before = decode_snapshot(head)
-        if before.revision >= replica.revision:
-            return Conflicting()
-        whole = encode_difference(replica.build_difference())
-        digest = hashlib.blake2b(whole, digest_size=8).hexdigest()
-        folder = f"{self.snapshot_prefix}/{replica.revision:012d}-{digest}"
-        starts = range(0, len(whole), SNAPSHOT_PART_BYTES)
-        snapshot = Snapshot(replica.revision, len(starts), folder)
-        for key, start in zip(snapshot.list_keys(), starts):
-            part = whole[start : start + SNAPSHOT_PART_BYTES]
-            written = self.store.put(key, part, 0)
-            if isinstance(written, StoreFailure):
-                return written
-        value = json.dumps([snapshot.revision, snapshot.parts, snapshot.folder])
-        written = self.store.put(self.snapshot_key, value.encode(), head.version)
-        return before if isinstance(written, Written) else written
-
-    def load_snapshot(self, replica):
-        """Bring a replica up to the snapshot.
-
-        Returns
-        -------
-        Applied or StoreFailure
-        """
-        head = self.store.get(self.snapshot_key)
-        if not isinstance(head, Value):
-            return head if isinstance(head, StoreFailure) else Applied.ALREADY_HELD
-        parts = []
-        for key in decode_snapshot(head).list_keys():
-            part = self.store.get(key)
-            if not isinstance(part, Value):
-                return StoreFailure(f"{key}, a part of the snapshot, is not there")
-            parts.append(part.data)
-        try:
-            return replica.adopt(decode_difference(b"".join(parts)))
-        except ValueError as error:
-            return StoreFailure(str(error))
-
     def delete_before(self, snapshot):
         """Delete an old snapshot and the segments that it holds already.
 
@@ -422,11 +284,3 @@
             if isinstance(deleted, StoreFailure):
                 return deleted
         return len(old)
-
-
-def decode_snapshot(head):
-    """Return the Snapshot that the head key names; an empty one if none does."""
-    if not isinstance(head, Value):
-        return Snapshot()
-    revision, parts, folder = json.loads(head.data)
-    return Snapshot(revision, parts, folder)
--- a/packages/hingesill-core/hingesill_core/configuration/tests/test_changelog.py
+++ b/packages/hingesill-core/hingesill_core/configuration/tests/test_changelog.py
@@ -8,9 +8,9 @@
     ChangeRequest,
     Rejected,
     Rejection,
-    Snapshot,
 )
 from hingesill_core.configuration.log import ServiceChange
+from hingesill_core.configuration.snapshots import Snapshot
 from hingesill_core.configuration.state import Applied, Replica
 from hingesill_core.store import (
     Conflicting,
@@ -151,7 +151,7 @@
     def test_snapshot_takes_the_place_of_segments(self):
         for number in range(100):
             self.append(ask(f"op-{number}", expected=number, document="x" * 200))
-        self.assertEqual(self.log.save_snapshot(self.replica), Snapshot())
+        self.assertEqual(self.log.snapshots.save(self.replica), Snapshot())
         for key in [key for key in self.store.values if "segment" in key]:
             del self.store.values[key]
         other = Replica()
@@ -163,7 +163,7 @@
         for number in range(400):
             self.append(ask(f"op-{number}", expected=number, document="x" * 200))
             if number % 50 == 49:
-                before = self.log.save_snapshot(self.replica)
+                before = self.log.snapshots.save(self.replica)
                 self.log.delete_before(before)
                 sizes.append(len(self.store.values))
         self.assertLessEqual(max(sizes), 8, sizes)
--- a/packages/hingesill-node/hingesill_node/control/spreader.py
+++ b/packages/hingesill-node/hingesill_node/control/spreader.py
@@ -6,8 +6,9 @@
 
 from hingesill_api.generated import hingesill_pb2 as pb
 from hingesill_api.generated.hingesill_pb2_grpc import PeersStub
-from hingesill_core.configuration.changelog import Snapshot, Tail
+from hingesill_core.configuration.snapshots import Snapshot
 from hingesill_core.configuration.state import Applied, decode_difference
+from hingesill_core.configuration.tail import Tail
 from hingesill_core.membership.spreading import find_place, list_relays, rank_by_weight
 from hingesill_core.store import StoreFailure
 from hingesill_node.control.messages import read_signs
@@ -134,7 +135,7 @@
         if ranked and ranked[0].name != self.state.own.name:
             return
         copy = copy_replica(replica)
-        before = await self.store_calls.run(self.changelog.save_snapshot, copy)
+        before = await self.store_calls.run(self.changelog.snapshots.save, copy)
         if isinstance(before, Snapshot):
             await self.store_calls.run(self.changelog.delete_before, before)
 
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -1,13 +1,12 @@
 """The WSGI application: a caller's request in, its final answer out."""
 
-import json
-import math
 import random
 import time
 
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal, Ticket
 from hingesill_node.blackboard import Phase
+from hingesill_node.datapath.bodies import CountedBody, LimitedBody
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.framing import find_framing_fault
 from hingesill_node.datapath.headers import (
@@ -18,43 +17,13 @@
     parse_milliseconds,
 )
 from hingesill_node.datapath.messages import Body, CallerRequest
+from hingesill_node.datapath.refusals import build_refusal_answer, is_sound_id
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["Application", "PROTOCOL_KEY"]
 
 PROTOCOL_KEY = "hingesill.protocol"
 WHOLE_BODY_BYTES = 64 * 1024
-LONGEST_ID = 128
-TEXTS = {
-    400: "Bad Request",
-    404: "Not Found",
-    413: "Content Too Large",
-    499: "Caller Gone",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
-STATUSES = {
-    RefusalReason.NO_ROUTE: 404,
-    RefusalReason.BAD_FRAMING: 400,
-    RefusalReason.BAD_HEADER: 400,
-    RefusalReason.BODY_TOO_LARGE: 413,
-    RefusalReason.CALLER_GONE: 499,
-    RefusalReason.ANSWER_LOST: 502,
-    RefusalReason.ANSWER_LATE: 504,
-    RefusalReason.DEADLINE_PASSED: 504,
-    RefusalReason.INTERNAL: 500,
-}
-DEFAULT_STATUS = 503
-CLOSING_REASONS = frozenset(
-    {
-        RefusalReason.BAD_FRAMING,
-        RefusalReason.BODY_TOO_LARGE,
-        RefusalReason.CALLER_GONE,
-        RefusalReason.INTERNAL,
-    }
-)
 
 
 class Application:
@@ -202,29 +171,16 @@
             close_after_answer(environ)
 
     def _refuse(self, environ, start_response, refusal, request_id, service):
-        reason = refusal.reason
-        self.counters.add("refusals", service, reason.value)
+        """Give the final answer of a request that got none from an endpoint."""
+        self.counters.add("refusals", service, refusal.reason.value)
         self.counters.add("requests", service, refusal.outcome.value)
-        status = STATUSES.get(reason, DEFAULT_STATUS)
-        content = {"outcome": refusal.outcome.value, "reason": reason.value}
-        headers = [
-            ("Content-Type", "application/json"),
-            (Names.OUTCOME, refusal.outcome.value),
-            (Names.REASON, reason.value),
-        ]
-        if is_sound_id(request_id):
-            headers.append((Names.REQUEST_ID, request_id))
-        if refusal.retry_after is not None:
-            milliseconds = math.ceil(refusal.retry_after * 1000)
-            content["retry_after_ms"] = milliseconds
-            headers.append(("Retry-After", str(math.ceil(refusal.retry_after))))
-            headers.append((Names.RETRY_AFTER, str(milliseconds)))
-        if reason in CLOSING_REASONS:
+        answer = build_refusal_answer(refusal, request_id)
+        if answer.closes:
             close_after_answer(environ)
         else:
             self._announce_end(environ)
-        start_response(f"{status} {TEXTS[status]}", headers)
-        return [json.dumps(content).encode() + b"\n"]
+        start_response(answer.status, answer.headers)
+        return [answer.body]
 
     def _answer_fault(self, environ, start_response, error):
         """Answer a request that ended by a fault of the node itself."""
@@ -238,48 +194,3 @@
 def close_after_answer(environ):
     """Have the server end the caller's connection after this answer."""
     environ[PROTOCOL_KEY].close_connection = 1
-
-
-def is_sound_id(text):
-    """Tell whether a request id can be put into a header again."""
-    return 0 < len(text) <= LONGEST_ID and text.isascii() and text.isprintable()
-
-
-class LimitedBody:
-    """A body that fails once it is longer than allowed.
-
-    Parameters
-    ----------
-    source : object
-        The server's input.
-    limit : int
-        Bytes.
-    """
-
-    def __init__(self, source, limit):
-        self._source = source
-        self._left = limit
-
-    def read(self, size):
-        """Return up to ``size`` bytes; OSError beyond the limit."""
-        data = self._source.read(size)
-        self._left -= len(data)
-        if self._left < 0:
-            raise OSError("the body is longer than allowed")
-        return data
-
-
-class CountedBody:
-    """A body whose request counts as in flight until the body is closed."""
-
-    def __init__(self, chunks, blackboard):
-        self._chunks = chunks
-        self._blackboard = blackboard
-
-    def __iter__(self):
-        return iter(self._chunks)
-
-    def close(self):
-        """Note the end of the request."""
-        self._blackboard.in_flight -= 1
-        self._chunks.close()
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -0,0 +1,91 @@
+"""The final answer of a request that got none from an endpoint."""
+
+import json
+import math
+from dataclasses import dataclass
+
+from hingesill_core.reasons import RefusalReason
+from hingesill_node.datapath.headers import Names
+
+__all__ = ["RefusalAnswer", "build_refusal_answer", "is_sound_id"]
+
+LONGEST_ID = 128
+TEXTS = {
+    400: "Bad Request",
+    404: "Not Found",
+    413: "Content Too Large",
+    499: "Caller Gone",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+STATUSES = {
+    RefusalReason.NO_ROUTE: 404,
+    RefusalReason.BAD_FRAMING: 400,
+    RefusalReason.BAD_HEADER: 400,
+    RefusalReason.BODY_TOO_LARGE: 413,
+    RefusalReason.CALLER_GONE: 499,
+    RefusalReason.ANSWER_LOST: 502,
+    RefusalReason.ANSWER_LATE: 504,
+    RefusalReason.DEADLINE_PASSED: 504,
+    RefusalReason.INTERNAL: 500,
+}
+DEFAULT_STATUS = 503
+CLOSING_REASONS = frozenset(
+    {
+        RefusalReason.BAD_FRAMING,
+        RefusalReason.BODY_TOO_LARGE,
+        RefusalReason.CALLER_GONE,
+        RefusalReason.INTERNAL,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True)
+class RefusalAnswer:
+    """A refusal as it goes to the caller.
+
+    Parameters
+    ----------
+    status : str
+        Status code and phrase.
+    headers : list of tuple
+        With outcome, reason and when to come back.
+    body : bytes
+        The same as JSON.
+    closes : bool
+        The caller's connection cannot be used again.
+    """
+
+    status: str
+    headers: list
+    body: bytes
+    closes: bool
+
+
+def build_refusal_answer(refusal, request_id):
+    """Return the answer that a Refusal becomes."""
+    reason = refusal.reason
+    status = STATUSES.get(reason, DEFAULT_STATUS)
+    content = {"outcome": refusal.outcome.value, "reason": reason.value}
+    headers = [
+        ("Content-Type", "application/json"),
+        (Names.OUTCOME, refusal.outcome.value),
+        (Names.REASON, reason.value),
+    ]
+    if is_sound_id(request_id):
+        headers.append((Names.REQUEST_ID, request_id))
+    if refusal.retry_after is not None:
+        milliseconds = math.ceil(refusal.retry_after * 1000)
+        content["retry_after_ms"] = milliseconds
+        headers.append(("Retry-After", str(math.ceil(refusal.retry_after))))
+        headers.append((Names.RETRY_AFTER, str(milliseconds)))
+    body = json.dumps(content).encode() + b"\n"
+    closes = reason in CLOSING_REASONS
+    return RefusalAnswer(f"{status} {TEXTS[status]}", headers, body, closes)
+
+
+def is_sound_id(text):
+    """Tell whether a request id can be put into a header again."""
+    return 0 < len(text) <= LONGEST_ID and text.isascii() and text.isprintable()
