A started node settles before it is ready; the lone node says so

Change: it is ready with the store's word, directly or through a parent; else it asks up to five nodes and takes the newest.

--- a/matrix/faults.py
+++ b/matrix/faults.py
@@ -145,7 +145,8 @@
             stage.usable.remove(stage.second.address)
         time.sleep(FREEZE_SECONDS)
         stage.second.process.send_signal(signal.SIGCONT)
-        stage.frozen_seconds = FREEZE_SECONDS
+        if stage.second.address not in stage.usable:
+            stage.usable.append(stage.second.address)
 
 
 class StoreFault(Fault):
--- a/matrix/stage.py
+++ b/matrix/stage.py
@@ -152,7 +152,8 @@
             return
         self.second.process.terminate()
         wait_until(lambda: not self.second.is_ready(), 5.0, "the node's sign")
-        self.usable.remove(self.second.address)
+        if self.second.address in self.usable:
+            self.usable.remove(self.second.address)
         self.evidence.stopped = self.second.process.wait(STOP_SECONDS)
 
     def drain_endpoint(self):
--- a/packages/hingesill-node/hingesill_node/control/spreader.py
+++ b/packages/hingesill-node/hingesill_node/control/spreader.py
@@ -161,11 +161,11 @@
                 attempt += 1
             await asyncio.sleep(backoff.get_pause())
 
-    async def _subscribe(self, parent):
-        """Take changes from a parent until it falls silent; tell if it spoke."""
+    def _ask_for_changes(self, vm):
+        """Return the stream of another node's changes."""
         state = self.state
-        stub = PeersStub(self.channels.get(parent.control))
-        call = stub.Subscribe(
+        stub = PeersStub(self.channels.get(vm.control))
+        return stub.Subscribe(
             pb.SubscribeRequest(
                 node=state.own.name,
                 data_centre=state.own.data_centre,
@@ -174,6 +174,23 @@
                 services=sorted(state.interests),
             )
         )
+
+    async def fetch(self, vm):
+        """Take what another node holds now, and no more."""
+        call = self._ask_for_changes(vm)
+        try:
+            update = await asyncio.wait_for(call.read(), SILENCE_SECONDS)
+            if update is not grpc.aio.EOF:
+                self._take_update(update, vm.name)
+        except (grpc.aio.AioRpcError, TimeoutError):
+            self.state.membership.note_silent(vm.name, self.state.clock())
+        finally:
+            call.cancel()
+
+    async def _subscribe(self, parent):
+        """Take changes from a parent until it falls silent; tell if it spoke."""
+        state = self.state
+        call = self._ask_for_changes(parent)
         heard = False
         try:
             while not (state.is_relay and state.store_answers):
--- a/packages/hingesill-node/hingesill_node/control/state.py
+++ b/packages/hingesill-node/hingesill_node/control/state.py
@@ -34,6 +34,11 @@
         The services this node holds; empty for all.
     publish : callable
         Called after each change of the replica or of the signs.
+
+    Attributes
+    ----------
+    settled : bool
+        Whether a started node knows that it holds what others hold.
     """
 
     membership: Membership
@@ -47,6 +52,7 @@
     parent: str = ""
     is_relay: bool = False
     store_answers: bool = False
+    settled: bool = False
     last_peer_at: float | None = None
     _changed: object = None
 
--- a/packages/hingesill-node/hingesill_node/control/thread.py
+++ b/packages/hingesill-node/hingesill_node/control/thread.py
@@ -25,6 +25,7 @@
 from hingesill_node.control.operators import Operators
 from hingesill_node.control.peers import Peers
 from hingesill_node.control.probeshares import ProbeShares
+from hingesill_node.control.settling import Settling
 from hingesill_node.control.spreader import Spreader
 from hingesill_node.control.state import ControlState
 from hingesill_node.control.storecalls import CountedStore, StoreCalls
@@ -138,6 +139,7 @@
         tasks = [
             asyncio.create_task(spreader.run()),
             asyncio.create_task(reader.run()),
+            asyncio.create_task(Settling(self.state, spreader, channels).run()),
         ]
         if settings.probing:
             tasks.append(asyncio.create_task(shares.run()))
--- a/packages/hingesill-node/hingesill_node/lifecycle.py
+++ b/packages/hingesill-node/hingesill_node/lifecycle.py
@@ -52,7 +52,7 @@
         phase = self.blackboard.phase
         if self._is_isolated():
             wanted = Phase.ISOLATED
-        elif self.blackboard.configuration.revision or self._knows_it_is_empty():
+        elif self.control.state.settled:
             wanted = Phase.SERVING
         else:
             wanted = Phase.STARTING
@@ -63,10 +63,6 @@
             ready = wanted is Phase.SERVING
             log_event(Event.NODE_READY if ready else Event.NODE_NOT_READY)
 
-    def _knows_it_is_empty(self):
-        """Tell whether the store itself says that nothing is configured."""
-        return self.control.state.confirmed_at is not None
-
     def _is_isolated(self):
         """Tell whether neither the store nor any node was heard of for long."""
         state = self.control.state
