--- a/packages/hingesill-node/hingesill_node/control/peers.py
+++ b/packages/hingesill-node/hingesill_node/control/peers.py
@@ -29,6 +29,8 @@
     def __init__(self, state, is_ready):
         self.state = state
         self.is_ready = is_ready
+        self._encoded_key = None
+        self._encoded = b""
 
     async def Subscribe(self, request, context):
         """Send each change as the difference from what the subscriber has."""
@@ -65,13 +67,22 @@
             confirmed_age_ms=state.get_confirmed_age_ms(),
         )
         if replica.revision > held:
-            difference = replica.build_difference(held, names)
-            update.difference = encode_difference(difference)
+            update.difference = self._encode_since(held, names)
         if signs_sent != state.signs.generation:
             signs = state.signs.list_all()
             update.signs.extend(write_signs(signs, state.clock()))
         return update
 
+    def _encode_since(self, held, names):
+        """Return the difference since a revision, encoded once for all children."""
+        replica = self.state.replica
+        key = (held, replica.revision, names)
+        if key != self._encoded_key:
+            difference = replica.build_difference(held, names)
+            self._encoded = encode_difference(difference)
+            self._encoded_key = key
+        return self._encoded
+
     async def Tell(self, request, context):
         """Take drain signs from any node; subscribers get them at once."""
         now = self.state.clock()
