--- a/matrix/changes.py
+++ b/matrix/changes.py
@@ -1,27 +1,21 @@
-"""The second half of the matrix: accepting, spreading, restarting, draining."""
+"""The stage of the second half of the matrix: changes of the configuration."""
 
-import signal
 import time
 import uuid
 from dataclasses import dataclass, field
 
-import psutil
 import yaml
 
 from hingesill_api.generated import hingesill_pb2 as pb
 from hingesill_cli.client import CallFailed, Client
 from hingesill_core.configuration.files import load_declarations
-from hingesill_core.registry import Registry
 from hingesill_node.store.consul import ConsulStore
-from matrix.evidence import DrainRecord, Evidence
+from matrix.evidence import Evidence
 from standins.fleet import wait_until
 
-__all__ = ["CHANGE_FAULTS", "CHANGE_STEPS", "ChangeRecord", "ChangeStage"]
+__all__ = ["CENTRES", "ChangeRecord", "ChangeStage", "IN_FORCE_SECONDS"]
 
-CHANGE_FAULTS = Registry("fault of changes")
-CHANGE_STEPS = Registry("step of changes")
 IN_FORCE_SECONDS = 11.0
-FAULT_SECONDS = 1.5
 REPEAT_SECONDS = 12.0
 CENTRES = ("lsn-a", "lsn-a", "lsn-a", "gva-a")
 
@@ -252,184 +246,3 @@
         """Tell whether all nodes hold the same."""
         held = [self.read_held(node) for node in self.nodes]
         return None not in held and len(set(held)) == 1
-
-
-class ChangeFault:
-    """A fault of the store or of a node, for some time."""
-
-    def begin(self, stage):
-        """Let the fault begin."""
-
-    def end(self, stage):
-        """Let the fault end."""
-
-
-@CHANGE_FAULTS.register("none")
-class NoFault(ChangeFault):
-    """Nothing happens."""
-
-
-def register_store_fault(name, **settings):
-    """Enter a fault of the store."""
-
-    class StoreFault(ChangeFault):
-        def begin(self, stage):
-            stage.fleet.set_store_faults(**settings)
-
-        def end(self, stage):
-            stage.fleet.set_store_faults()
-
-    CHANGE_FAULTS.register(name)(StoreFault)
-
-
-register_store_fault("store down", down=True)
-register_store_fault("store slow", slow_s=0.7)
-register_store_fault("store loses answers", lose_answers=2)
-register_store_fault("store loses all answers", lose_answers=1000)
-register_store_fault("store drops writes", drop_writes=2)
-
-
-def register_node_fault(name, relay, sign, wakes):
-    """Enter a fault of a relay or of a follower."""
-
-    class NodeFault(ChangeFault):
-        node = None
-
-        def begin(self, stage):
-            self.node = stage.find_node(relay)
-            self.node.process.send_signal(sign)
-            if not wakes:
-                self.node.process.wait()
-
-        def end(self, stage):
-            if wakes and self.node is not None:
-                self.node.process.send_signal(signal.SIGCONT)
-
-    CHANGE_FAULTS.register(name)(NodeFault)
-
-
-register_node_fault("relay killed", True, signal.SIGKILL, False)
-register_node_fault("relay frozen and woken", True, signal.SIGSTOP, True)
-register_node_fault("follower killed", False, signal.SIGKILL, False)
-register_node_fault("follower frozen and woken", False, signal.SIGSTOP, True)
-
-
-@CHANGE_FAULTS.register("relay killed and store slow")
-class RelayAndStore(ChangeFault):
-    """Two faults at once."""
-
-    def begin(self, stage):
-        """Let both begin."""
-        stage.find_node(True).process.kill()
-        stage.fleet.set_store_faults(slow_s=0.5)
-
-    def end(self, stage):
-        """Let the store be well again."""
-        stage.fleet.set_store_faults()
-
-
-@CHANGE_STEPS.register("accept")
-def accept_during(stage, fault):
-    """The fault is there while a change is accepted."""
-    fault.begin(stage)
-    running = [n for n in stage.list_running() if is_awake(n)]
-    record = stage.change(running[-1])
-    fault.end(stage)
-    stage.repeat_until_known(record)
-    stage.watch(record)
-
-
-@CHANGE_STEPS.register("race")
-def race_during(stage, fault):
-    """Two operators change the same version while the fault is there."""
-    fault.begin(stage)
-    running = [n for n in stage.list_running() if is_awake(n)]
-    version = stage.read_version(running[0])
-    records = [
-        stage.change(node, None, None, version) for node in (running[0], running[-1])
-    ]
-    fault.end(stage)
-    for record in records:
-        stage.repeat_until_known(record)
-    accepted = [record for record in records if record.told[-1] == pb.ACCEPTED]
-    for record in accepted[:1]:
-        stage.watch(record)
-    if len(accepted) > 1:
-        accepted[1].told.append(pb.ACCEPTED)
-        stage.evidence.changes.append(accepted[1])  # Both accepted: a broken promise.
-
-
-@CHANGE_STEPS.register("spread")
-def spread_during(stage, fault):
-    """The fault begins right after a change was accepted."""
-    running = stage.list_running()
-    record = stage.change(running[-1])
-    fault.begin(stage)
-    time.sleep(FAULT_SECONDS)
-    fault.end(stage)
-    stage.watch(record)
-
-
-@CHANGE_STEPS.register("restart")
-def restart_during(stage, fault):
-    """A node is replaced while the fault is there."""
-    record = stage.change(stage.nodes[0])
-    stage.watch(record)
-    fault.begin(stage)
-    victim = next(
-        (n for n in stage.list_running()[1:] if is_awake(n)), stage.list_running()[0]
-    )
-    victim.process.kill()
-    victim.process.wait()
-    stage.fleet.forget(victim)
-    index = stage.nodes.index(victim)
-    fresh = stage.nodes[index] = stage.start_node(victim.data_centre, wait=False)
-    wait_until(fresh.is_ready, IN_FORCE_SECONDS, "readiness of the new node")
-    held = stage.read_held(fresh)
-    if held is None or held[1] != record.document:
-        record.went_back.append(f"{fresh.name}, ready with {held and held[0]},")
-    fault.end(stage)
-    stage.evidence.changes[-1:] = []
-    stage.watch(record)
-
-
-@CHANGE_STEPS.register("drain")
-def drain_during(stage, fault):
-    """An operator drains an endpoint while the fault is there."""
-    fault.begin(stage)
-    running = [n for n in stage.list_running() if is_awake(n)]
-    endpoint = stage.endpoints[0]
-    request = pb.DrainRequest(service="arena", endpoint=endpoint)
-    Client(running[-1].control).call("Drain", request, 4.0)
-    told = wait_told(stage, endpoint)
-    fault.end(stage)
-    stage.evidence.drain = DrainRecord(endpoint, 0, 0 if told else 1)
-    request.cancel = True
-    Client(running[-1].control).call("Drain", request, 4.0)
-
-
-def wait_told(stage, endpoint):
-    """Tell whether all awake nodes know within a few seconds that it leaves."""
-    deadline = time.monotonic() + 4.0
-    while time.monotonic() < deadline:
-        nodes = [node for node in stage.list_running() if is_awake(node)]
-        if all(knows_drain(node, endpoint) for node in nodes):
-            return True
-        time.sleep(0.05)
-    return False
-
-
-def knows_drain(node, endpoint):
-    """Tell whether a node gives an endpoint no new work."""
-    request = pb.ExplainRequest(method="GET", path="/arena")
-    reply = Client(node.control).call("Explain", request, 2.0)
-    if isinstance(reply, CallFailed):
-        return False
-    return any(c.endpoint == endpoint and not c.eligible for c in reply.candidates)
-
-
-def is_awake(node):
-    """Tell whether a node's process is neither ended nor frozen."""
-    if node.process.poll() is not None:
-        return False
-    return psutil.Process(node.process.pid).status() != psutil.STATUS_STOPPED
--- a/matrix/main.py
+++ b/matrix/main.py
@@ -7,7 +7,9 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
-from matrix.changes import CHANGE_FAULTS, CHANGE_STEPS, ChangeStage
+from matrix.changefaults import CHANGE_FAULTS
+from matrix.changes import ChangeStage
+from matrix.changesteps import CHANGE_STEPS
 from matrix.evidence import NotApplicable
 from matrix.faults import FAULTS
 from matrix.promises import check_promises
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,6 +23,7 @@
 FIRST_PORT, LAST_PORT = 20_000, 32_000
 START_SECONDS = 20.0
 END_SECONDS = 5.0
+EXIT_TERMINATED = 143
 EXAMPLES = Path(__file__).parent.parent / "examples"
 BIN = Path(sys.executable).parent
 
@@ -66,6 +67,11 @@
     return json.loads(response.data)
 
 
+def leave(*_):
+    """End this process in the ordinary way, through all context managers."""
+    sys.exit(EXIT_TERMINATED)
+
+
 @dataclass
 class NodeProcess:
     """One node with its addresses."""
@@ -101,6 +107,8 @@
     vm_list: str = ""
 
     def __enter__(self):
+        # Ended from outside, the processes started here must end, too.
+        signal.signal(signal.SIGTERM, leave)
         return self
 
     def __exit__(self, *error):
--- a/tests/test_matrix_checkers.py
+++ b/tests/test_matrix_checkers.py
@@ -4,7 +4,9 @@
 import unittest
 from pathlib import Path
 
-from matrix.changes import CHANGE_FAULTS, CHANGE_STEPS, ChangeStage
+from matrix.changefaults import CHANGE_FAULTS
+from matrix.changes import ChangeStage
+from matrix.changesteps import CHANGE_STEPS
 from matrix.faults import FAULTS
 from matrix.promises import PROMISES, check_promises
 from matrix.stage import Stage
