--- a/bench/routing.py
+++ b/bench/routing.py
@@ -1,8 +1,8 @@
 """Policies against each other on real processes, with noisy neighbours.
 
 All policies run on the same nodes and endpoints in one run, in turn, with the
-same arrivals and the same noise settings. Arguments: ``zugzwang`` for that example alone, ``quick`` for one example
-and load.
+same arrivals and the same noise settings. Arguments: ``zugzwang`` for that
+example alone, ``quick`` for one example and load.
 """
 
 import json
