Two mutations that broke nothing: the checkers of answers and probes now see theirs

Cause: `make test` on a fresh clone, 144 tests, 2 failures, both in the tests of the matrix's checkers. 'claims answers' kept the status 503, which that promise leaves out, and 'probes without pace' never held a share within the scenario, so no probe was sent. Ruled out: the checkers themselves, which are unchanged.

Change: the one answers 200 with the request's own id, the other probes without a share. Both tests pass; the other 142 passed before.

--- a/matrix/mutant.py
+++ b/matrix/mutant.py
@@ -4,6 +4,7 @@
 the mutation of that name. Used by tests only.
 """
 
+import json
 import sys
 import time
 
@@ -12,7 +13,7 @@
 
 from hingesill_core.configuration.changelog import Accepted, ChangeLog
 from hingesill_core.probing import pace
-from hingesill_core.reasons import Outcome
+from hingesill_core.probing.share import Share
 from hingesill_core.registry import Registry
 from hingesill_core.retries import decision
 from hingesill_core.routing import dispatcher
@@ -20,12 +21,14 @@
 from hingesill_core.routing.messages import Refusal
 from hingesill_node.datapath import prober
 from hingesill_node.datapath.exchange import Exchange
+from hingesill_node.datapath.messages import Answer
 from hingesill_node.lifecycle import Lifecycle
 from hingesill_node.main import serve
 
 __all__ = ["MUTATIONS"]
 
 MUTATIONS = Registry("mutation")
+PROBE_SECONDS = 0.02
 
 
 @MUTATIONS.register("repeats moves")
@@ -60,13 +63,14 @@
 
 @MUTATIONS.register("claims answers")
 def claim_answers():
-    """Tell callers of moves that were refused that they were answered."""
+    """Answer a request that was refused as if an endpoint had run it."""
     run = Exchange.run
 
     def run_claiming(self):
         answer = run(self)
         if isinstance(answer, Refusal):
-            return Refusal(answer.reason, Outcome.ANSWERED, answer.retry_after)
+            body = json.dumps({"id": self.request.request_id}).encode()
+            return Answer(200, "OK", [], body)
         return answer
 
     Exchange.run = run_claiming
@@ -93,12 +97,20 @@
 
 @MUTATIONS.register("probes without pace")
 def probe_without_pace():
-    """Probe whenever there is an endpoint to probe."""
+    """Probe all the time, without a share and without spacing."""
     pace.ProbePacer.take = lambda self, share, a_pace, now: True
     prober.choose_probe = lambda a_dispatcher, now: next(iter(a_dispatcher.states))
+
+    def run_freely(self):
+        self.blackboard.probe_share = Share(0, "none", float("inf"), 0.0)
+        while True:
+            eventlet.sleep(PROBE_SECONDS)
+            self._probe_services()
+
     prober.Prober._is_due = lambda self, name, a_pace: bool(
-        self._pacers.setdefault(name, pace.ProbePacer()) or True
+        self._pacers.setdefault(name, pace.ProbePacer())
     )
+    prober.Prober.run = run_freely
 
 
 @MUTATIONS.register("holds refusals back")
