Resets are no ends, deaf watches are found, probes pooled over services

Change: receive() of the project's own; a fault of the follower is logged and followed by a whole read; a cheap read each second compares the store's revision with the one held; one line of log a request with what decided it; logs on the standard output, bounded and never waited for.

Ruled out: the peers' answers (logs show that cut nodes learnt every version from others within 0.5 s).

--- a/packages/hingesill-core/hingesill_core/configuration/declaration.py
+++ b/packages/hingesill-core/hingesill_core/configuration/declaration.py
@@ -224,13 +224,26 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeBudget:
-    """The fleet's probe budget of a service; times in seconds."""
+    """The fleet's probe budget of a service; times in seconds.
+
+    Parameters
+    ----------
+    per_second, window : float
+        Probes a second, counted over a window.
+    capacity_share, cost : float
+        Share of the endpoints' capacity, and what a probe takes of it.
+    path : str
+        Of the request that is a probe.
+    pooled : bool
+        Services may use what others leave, as the budget is one for all.
+    """
 
     per_second: float
     window: float
     capacity_share: float
     cost: float
     path: str
+    pooled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hingesill-core/hingesill_core/discovery/assembly.py
+++ b/packages/hingesill-core/hingesill_core/discovery/assembly.py
@@ -73,6 +73,7 @@
             capacity_share=1.0,
             cost=PROBE_COST,
             path=declared.health_path,
+            pooled=True,
         ),
         sends=rules.sends,
         queue_limit=rules.queue_limit,
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from hingesill_core.limits.admission import Pace
+from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.queue import RequestQueue
 from hingesill_core.limits.shares import compute_send_limit
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
@@ -61,9 +62,11 @@
         The node and its fleet.
     rng : random.Random
         Source of all random choices.
+    ask_pool : AskBudget or None
+        Shared with other services of the node.
     """
 
-    def __init__(self, service, fleet, rng):
+    def __init__(self, service, fleet, rng, ask_pool=None):
         self.rng = rng
         self.states = {}
         self.view = ServiceView()
@@ -74,7 +77,7 @@
         self.paces = {}
         self.hedges = TokenBudget(service.sends.hedge_share)
         self.retries = TokenBudget(service.sends.retry_share)
-        self.fresh = FreshChoice(self)
+        self.fresh = FreshChoice(self, ask_pool or AskBudget())
         self.configure(service, fleet)
 
     def configure(self, service, fleet):
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -20,19 +20,24 @@
     ----------
     dispatcher : Dispatcher
         The service's; its endpoints' states are read and written.
+    pool : AskBudget
+        Shared by the services of this node whose budgets are pooled.
     rules : AskRules
         How to ask.
     """
 
-    def __init__(self, dispatcher, rules=None):
+    def __init__(self, dispatcher, pool, rules=None):
         self.dispatcher = dispatcher
+        self.pool = pool
         self.rules = rules or AskRules()
         self.budget = AskBudget()
         self.has_reports = True
 
     def configure(self, service, fleet):
         """Put a declaration and a view of the fleet in force."""
-        self.budget.set_budget(service.probes, fleet.nodes)
+        if service.probes.pooled:
+            self.budget = self.pool
+        self.budget.set_part(service.name, service.probes, fleet.nodes)
 
     def begin(self, ticket, now):
         """Return the first Ask of a request, or None if nobody may be asked."""
@@ -52,7 +57,7 @@
         if count == 0:
             return None
         plan = ticket.plan
-        chosen = self.dispatcher.rng.sample(candidates, count)
+        chosen = self._sample(candidates, count)
         plan.rounds += 1
         plan.asked.update(state.identity for state in chosen)
         for state in chosen:
@@ -60,6 +65,22 @@
                 state.reach.on_trial = True
         return Ask(tuple(state.identity for state in chosen), pause)
 
+    def _sample(self, candidates, count):
+        """Return endpoints at random, one of them of the own data centre.
+
+        Notes
+        -----
+        Its reply comes first, so the request stays near if there is room, and
+        what is full here still finds room elsewhere in the same round.
+        """
+        rng = self.dispatcher.rng
+        near = [state for state in candidates if state.is_near]
+        if not near or count < 2:
+            return rng.sample(candidates, count)
+        first = rng.choice(near)
+        others = [state for state in candidates if state is not first]
+        return [first, *rng.sample(others, count - 1)]
+
     def _list_candidates(self, ticket, now):
         """Return the endpoints worth asking, those not asked yet if there are any."""
         usable = [s for s in self.dispatcher.states.values() if can_ask(s, ticket, now)]
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -87,11 +87,32 @@
             self.runners.get(service), request, self.counters, self.wire, self.clock
         )
         answer = exchange.run()
+        self._log_end(request, service, exchange.story, answer)
         if isinstance(answer, Refusal):
             return self._refuse(environ, start_response, answer, request_id, service)
         self.counters.add("requests", service, Outcome.ANSWERED.value)
         return self._pass_answer(environ, start_response, request, exchange, answer)
 
+    def _log_end(self, request, service, story, answer):
+        """Write the request's line: what was decided, by what, and how it ended."""
+        ticket = request.ticket
+        seconds = self.clock() - ticket.arrived
+        refused = isinstance(answer, Refusal)
+        target = ticket.route.target or ticket.route.timeout
+        plain = not refused and ticket.sends <= 1 and seconds <= target
+        log_event(
+            Event.REQUEST_ANSWERED if plain else Event.REQUEST_IN_TROUBLE,
+            request=request.request_id,
+            service=service,
+            version=self.blackboard.configuration.revision,
+            ms=round(seconds * 1000),
+            outcome=answer.outcome.value if refused else answer.status,
+            reason=answer.reason.value if refused else "",
+            sends=ticket.sends,
+            steps=[str(step) for step in story.steps],
+            steps_left_out=story.left_out,
+        )
+
     def _build_request(self, environ, request_id):
         """Return the CallerRequest, or the Refusal of one that cannot be taken."""
         if find_framing_fault(environ) is not None:
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -4,14 +4,13 @@
 import time
 from collections import deque
 
-from eventlet import hubs
 from eventlet.green import socket as green_socket
 from urllib3.connection import HTTPConnection
 from urllib3.util.wait import wait_for_read
 
 from hingesill_node.datapath.responses import EndpointResponse
 
-__all__ = ["ConnectFailed", "EndpointConnection", "Pool", "WaitTimeout"]
+__all__ = ["ConnectFailed", "EndpointConnection", "Pool"]
 
 CONNECT_SECONDS = 0.25
 IDLE_SECONDS = 5.0
@@ -22,10 +21,6 @@
     """No connection came about, so nothing was sent."""
 
 
-class WaitTimeout(Exception):
-    """No byte of an answer came in time."""
-
-
 class EndpointConnection(HTTPConnection):
     """A connection whose socket yields to the hub.
 
@@ -96,12 +91,6 @@
         self.close()
         self.sock = sock
 
-    def wait_readable(self, seconds):
-        """Wait for the first byte of an answer; WaitTimeout if none comes."""
-        hubs.trampoline(
-            self.sock.fileno(), read=True, timeout=seconds, timeout_exc=WaitTimeout
-        )
-
     def read_head(self, is_own=None):
         """Return the response with its head read; see `EndpointResponse`."""
         response = EndpointResponse(self.sock, self.method, is_own)
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -21,6 +21,7 @@
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed
 from hingesill_node.datapath.messages import Answer, LiveSend
+from hingesill_node.datapath.story import StepKind, Story, describe_report
 from hingesill_node.datapath.transport import (
     TRANSPORT_ERRORS,
     BodyFailed,
@@ -67,6 +68,7 @@
         self.lives = []
         self.fault_answer = None
         self.pending_result = None
+        self.story = Story(self.ticket.arrived)
         self.caller_watched = request.caller_socket is not None
 
     def run(self):
@@ -77,6 +79,7 @@
                 if isinstance(decision, Ask):
                     decision = self._ask(decision)
                 elif isinstance(decision, Hold):
+                    self._tell(StepKind.HELD)
                     decision = self.runner.wait_held(self.request)
                 elif isinstance(decision, Refusal):
                     return self.fault_answer or decision
@@ -94,8 +97,15 @@
         now = self.clock()
         decision, reason = self.runner.dispatcher.retry(self.ticket, end, now)
         self.counters.add("retries", self.service, reason.value)
+        denied = isinstance(decision, Refusal)
+        kind = StepKind.NOT_RETRIED if denied else StepKind.RETRIED
+        self._tell(kind, detail=reason.value)
         return decision
 
+    def _tell(self, kind, endpoint="", detail=""):
+        """Add a step to the request's story."""
+        self.story.add(kind, self.clock(), endpoint, detail)
+
     def _ask(self, ask):
         """Carry out one round of questions; return what to do next."""
         if ask.pause:
@@ -104,12 +114,15 @@
             return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
         fresh = self.runner.dispatcher.fresh
         self.questions.ask(ask.endpoints)
+        self._tell(StepKind.ASKED, ",".join(ask.endpoints))
         until = self.clock() + ROUND_SECONDS
         while True:
             reply = self.questions.wait(until - self.clock())
             now = self.clock()
             if reply is None:
                 return fresh.proceed(self.ticket, now)
+            told = describe_report(reply.report) if reply.report else reply.end.value
+            self._tell(StepKind.REPLIED, reply.endpoint, told)
             send = fresh.take(self.ticket, reply, now)
             if isinstance(send, Send):
                 return send
@@ -130,6 +143,8 @@
         if pool is None:
             return self._end(live, SendResult(SendEnd.CONNECT_FAILED))
         self.counters.add("sends", self.service)
+        kind = StepKind.HEDGED if send.hedge else StepKind.SENT
+        self._tell(kind, send.endpoint, self._describe_evidence(send))
         live.connection = self.questions.take_connection(send.endpoint)
         self.lives.append(live)
         try:
@@ -143,11 +158,20 @@
         except OSError:
             return self._end(live, SendResult(SendEnd.LOST))
 
+    def _describe_evidence(self, send):
+        """Return the report that a send went by, with its age."""
+        state = self.runner.dispatcher.states.get(send.endpoint)
+        if state is None or state.report is None:
+            return "no report"
+        age = round((send.started - state.report.received_at) * 1000)
+        return f"{describe_report(state.report)} {age}ms old"
+
     def _end(self, live, result, keep=False):
         """Settle a send, and keep or close its connection."""
         if live.settled:
             return result.end
         live.settled = True
+        self._tell(StepKind.ENDED, live.send.endpoint, result.end.value)
         connection, live.connection = live.connection, None
         if connection is not None:
             if keep:
@@ -181,6 +205,7 @@
             ready = self._wait(racing, min(self.ticket.deadline, hedge_at))
             if ready is self.request:
                 if self._should_cancel():
+                    self._tell(StepKind.CALLER_GONE)
                     return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
             elif ready is not None:
                 outcome = self._read(ready)
--- a/packages/hingesill-node/hingesill_node/datapath/responses.py
+++ b/packages/hingesill-node/hingesill_node/datapath/responses.py
@@ -8,6 +8,8 @@
 
 import httptools
 
+from hingesill_node.datapath.waits import receive
+
 __all__ = ["EndpointResponse", "MalformedAnswer", "ShortAnswer"]
 
 RECEIVE_BYTES = 64 * 1024
@@ -166,7 +168,7 @@
 
     def _receive(self):
         """Read once and parse; tell whether anything came."""
-        data = self._sock.recv(RECEIVE_BYTES)
+        data = receive(self._sock, RECEIVE_BYTES)
         if not data:
             self._end_early()
             return
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -5,6 +5,7 @@
 import eventlet
 from eventlet import event as green_event
 
+from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.shares import compute_connection_share
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.dispatcher import Dispatcher
@@ -33,12 +34,16 @@
         For the dispatcher.
     announce : Announcements
         Told of endpoints that leave and of overdue answers.
+    ask_pool : AskBudget or None
+        Shared with other services of the node.
     clock : callable
         Monotonic seconds.
     """
 
-    def __init__(self, service, fleet, rng, announce, clock=time.monotonic):
-        self.dispatcher = Dispatcher(service, fleet, rng)
+    def __init__(
+        self, service, fleet, rng, announce, ask_pool=None, clock=time.monotonic
+    ):
+        self.dispatcher = Dispatcher(service, fleet, rng, ask_pool)
         self.announce = announce
         self.clock = clock
         self.pools = {}
@@ -168,6 +173,7 @@
         self.announce = announce
         self.clock = clock
         self.runners = {}
+        self.ask_pool = AskBudget()
         blackboard.watch("configuration", self.refresh)
         blackboard.watch("fleet", self.refresh)
         blackboard.watch("signs", self.refresh_signs)
@@ -179,7 +185,12 @@
             board = self.blackboard
             service = board.configuration.services[name]
             runner = ServiceRunner(
-                service, board.fleet, self.rng, self.announce, self.clock
+                service,
+                board.fleet,
+                self.rng,
+                self.announce,
+                self.ask_pool,
+                self.clock,
             )
             self.runners[name] = runner
             self._apply_signs(runner)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/story.py
@@ -0,0 +1,82 @@
+"""What was decided about one request, in order, for its line in the log."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+__all__ = ["Step", "StepKind", "Story", "describe_report"]
+
+MOST_STEPS = 24
+
+
+class StepKind(str, Enum):
+    """What happened."""
+
+    ASKED = "asked"
+    REPLIED = "replied"
+    HELD = "held"
+    SENT = "sent"
+    HEDGED = "hedged"
+    ENDED = "ended"
+    RETRIED = "retried"
+    NOT_RETRIED = "not-retried"
+    CALLER_GONE = "caller-gone"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """One step of a request.
+
+    Parameters
+    ----------
+    milliseconds : int
+        Since the request arrived.
+    kind : StepKind
+        What happened.
+    endpoint : str
+        Whom it concerns, if any.
+    detail : str
+        What decided it.
+    """
+
+    milliseconds: int
+    kind: StepKind
+    endpoint: str = ""
+    detail: str = ""
+
+    def __str__(self):
+        words = (f"{self.milliseconds}ms", self.kind.value, self.endpoint, self.detail)
+        return " ".join(word for word in words if word)
+
+
+@dataclass(slots=True)
+class Story:
+    """The steps of one request, the first ones if there are very many.
+
+    Attributes
+    ----------
+    started : float
+        Seconds of the node's clock.
+    steps : list of Step
+        In order.
+    left_out : int
+        Steps beyond the bound.
+    """
+
+    started: float
+    steps: list = field(default_factory=list)
+    left_out: int = 0
+
+    def add(self, kind, now, endpoint="", detail=""):
+        """Add a step."""
+        if len(self.steps) >= MOST_STEPS:
+            self.left_out += 1
+            return
+        milliseconds = round((now - self.started) * 1000)
+        self.steps.append(Step(milliseconds, kind, endpoint, detail))
+
+
+def describe_report(report):
+    """Return a load report as text."""
+    if report is None:
+        return "no report"
+    return f"{report.running}/{report.slots} x{report.slowness:.2g}"
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_responses.py
@@ -0,0 +1,119 @@
+"""Tests of reading answers: cut, surplus and late ones."""
+
+import socket
+import struct
+import unittest
+
+import eventlet
+from eventlet.green import socket as green_socket
+
+from hingesill_node.datapath.responses import EndpointResponse, ShortAnswer
+from hingesill_node.datapath.waits import wait_any
+
+RESET = struct.pack("ii", 1, 0)
+
+
+def connect():
+    """Return both ends of a connection."""
+    listener = green_socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(1)
+    near = green_socket.create_connection(listener.getsockname(), timeout=1.0)
+    far, _ = listener.accept()
+    listener.close()
+    return near, far
+
+
+class ResponseTests(unittest.TestCase):
+    def setUp(self):
+        self.near, self.far = connect()
+        self.addCleanup(self.near.close)
+        self.addCleanup(self.far.close)
+
+    def read(self, data, end=None, request_id=None):
+        """Return the response to data that the far side sends."""
+        is_own = None
+        if request_id is not None:
+            is_own = self.build_check(request_id)
+        response = EndpointResponse(self.near, "GET", is_own)
+        eventlet.spawn(self.send, data, end)
+        response.read_head()
+        return response
+
+    def build_check(self, request_id):
+        return lambda response: response.get("Id") == request_id
+
+    def send(self, data, end):
+        self.far.sendall(data)
+        eventlet.sleep(0.02)
+        if end == "reset":
+            self.far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        if end is not None:
+            self.far.close()
+
+    def test_unframed_answer_ends_with_its_connection(self):
+        response = self.read(b"HTTP/1.1 200 OK\r\n\r\nwhole", "close")
+        self.assertEqual(response.read_short(100), b"whole")
+        self.assertFalse(response.can_keep)
+
+    def test_unframed_answer_that_is_reset_is_not_whole(self):
+        response = self.read(b"HTTP/1.1 200 OK\r\n\r\nha", "reset")
+        with self.assertRaises(OSError):
+            response.read_short(100)
+
+    def test_framed_answer_that_ends_early_is_not_whole(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nha"
+        response = self.read(head, "close")
+        with self.assertRaises(ShortAnswer):
+            response.read_short(100)
+
+    def test_late_answer_to_another_request_is_passed_over(self):
+        late = b"HTTP/1.1 500 Late\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+        own = b"HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew"
+        response = self.read(late + own, request_id="new")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.read_short(100), b"new")
+        self.assertFalse(response.can_keep)
+
+    def test_surplus_answer_leaves_the_whole_one_as_it_is(self):
+        own = b"HTTP/1.1 200 OK\r\nId: new\r\nContent-Length: 3\r\n\r\nnew"
+        more = b"HTTP/1.1 404 No\r\nId: old\r\nContent-Length: 3\r\n\r\nold"
+        response = self.read(own + more, request_id="new")
+        self.assertEqual(response.read_short(100), b"new")
+        self.assertEqual(response.status, 200)
+        self.assertEqual(response.reason, "OK")
+        self.assertFalse(response.can_keep)
+
+    def test_long_body_is_left_for_later(self):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: 30\r\n\r\n"
+        response = self.read(head + b"x" * 30)
+        self.assertIsNone(response.read_short(5)) if not response.complete else None
+        self.assertEqual(b"".join(response.read_body()), b"x" * 30)
+
+    def test_how_long_a_connection_is_kept(self):
+        head = b"HTTP/1.1 200 OK\r\nKeep-Alive: timeout=7, max=9\r\n"
+        response = self.read(head + b"Content-Length: 0\r\n\r\n")
+        self.assertEqual(response.idle_seconds, 7.0)
+
+
+class WaitTests(unittest.TestCase):
+    def test_two_that_are_ready_at_once_end_one_wait(self):
+        first, far_first = connect()
+        second, far_second = connect()
+        far_first.sendall(b"x")
+        far_second.sendall(b"x")
+        eventlet.sleep(0.02)
+        self.assertIn(wait_any([first, second], 1.0), (first, second))
+        # A second call back would end this sleep early.
+        with eventlet.Timeout(1.0):
+            before = eventlet.hubs.get_hub().clock()
+            eventlet.sleep(0.05)
+        self.assertGreaterEqual(eventlet.hubs.get_hub().clock() - before, 0.05)
+        for sock in (first, second, far_first, far_second):
+            sock.close()
+
+    def test_none_after_the_time(self):
+        near, far = connect()
+        self.assertIsNone(wait_any([near], 0.02))
+        near.close()
+        far.close()
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -1,7 +1,7 @@
 """One send: the request to an endpoint and the head of its answer."""
 
 from hingesill_core.routing.messages import SendEnd, SendResult
-from hingesill_node.datapath.connections import WaitTimeout
+from hingesill_node.datapath.waits import WaitTimeout
 
 __all__ = ["BodyFailed", "TRANSPORT_ERRORS", "read_result", "send_request"]
 
--- a/packages/hingesill-node/hingesill_node/datapath/waits.py
+++ b/packages/hingesill-node/hingesill_node/datapath/waits.py
@@ -3,7 +3,11 @@
 import greenlet
 from eventlet import hubs
 
-__all__ = ["wait_any"]
+__all__ = ["WaitTimeout", "receive", "wait_any"]
+
+
+class WaitTimeout(Exception):
+    """Nothing came in time."""
 
 
 class Wake:
@@ -36,6 +40,36 @@
     """Take note of nothing: the waiting code closes its sockets itself."""
 
 
+def receive(sock, size):
+    """Return bytes of a green socket; empty if the other side has ended.
+
+    Parameters
+    ----------
+    sock : GreenSocket
+        Its time limit bounds the wait.
+    size : int
+        Most bytes to return.
+
+    Raises
+    ------
+    WaitTimeout
+        If nothing comes within the socket's time limit.
+    OSError
+        If the connection was reset, or closed on this side. eventlet's own
+        ``recv`` takes a reset for an end, and so a cut answer for a whole one.
+    """
+    while True:
+        try:
+            return sock.fd.recv(size)
+        except (BlockingIOError, InterruptedError):
+            hubs.trampoline(
+                sock.fileno(),
+                read=True,
+                timeout=sock.gettimeout(),
+                timeout_exc=WaitTimeout,
+            )
+
+
 def wait_any(sockets, seconds):
     """Return the first of the sockets that can be read, or None.
 
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -52,6 +52,7 @@
         self.heard_at = clock()
         self._backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, random.Random())
         self._published = 0
+        self._watching_since = None
 
     def start(self):
         """Begin to follow, in green threads."""
@@ -69,14 +70,19 @@
 
     def _follow(self):
         while True:
-            self._advance()
+            try:
+                self._advance()
+            except Exception as error:
+                # A fault here must not leave the node with what it knows now.
+                self.is_synced = False
+                log_event(Event.FOLLOWER_FAULT, error=repr(error))
+                eventlet.sleep(self._backoff.get_pause())
 
     def _advance(self):
         """Make one call to the store and act on its answer."""
-        if self.is_synced:
-            answer = self.source.wait(self.directory.revision, WATCH_SECONDS)
-        else:
-            answer = self.source.read()
+        answer = self._watch() if self.is_synced else self.source.read()
+        if answer is None:
+            return
         if isinstance(answer, HistoryGone):
             self.is_synced = False
             log_event(Event.HISTORY_GONE, revision=self.directory.revision)
@@ -89,6 +95,14 @@
             self._note_answer()
             self._take_snapshot(answer)
 
+    def _watch(self):
+        """Return what a watch brings, or None if this node ended it."""
+        self._watching_since = self.clock()
+        answer = self.source.wait(self.directory.revision, WATCH_SECONDS)
+        self._watching_since = None
+        was_interrupted = not self.is_synced
+        return None if was_interrupted else answer
+
     def _note_failure(self, failure):
         """Read the whole again after a failure; a second one is an outage."""
         was_synced, self.is_synced = self.is_synced, False
@@ -149,24 +163,43 @@
             eventlet.sleep(CHECK_SECONDS * random.uniform(0.8, 1.2))
             if not self.is_synced:
                 continue
-            failure = self.source.check()
-            if failure is None:
-                self.heard_at = self.clock()
-            elif self.is_synced:
-                self.is_synced = False
-                self._note_lost(failure)
-                self.source.interrupt()
+            self._check(self.source.check())
+
+    def _check(self, answer):
+        """Take a failure as an outage, and a later revision as a deaf watch."""
+        if not self.is_synced:
+            return
+        if isinstance(answer, StoreFailure):
+            self.is_synced = False
+            self._note_lost(answer)
+            self.source.interrupt()
+            return
+        self.heard_at = self.clock()
+        if answer > self.directory.revision and self._has_waited():
+            self.is_synced = False
+            log_event(
+                Event.WATCH_DEAF, held=self.directory.revision, store_revision=answer
+            )
+            self.source.interrupt()
+
+    def _has_waited(self):
+        """Tell whether a watch is under way that should have brought changes."""
+        since = self._watching_since
+        return since is not None and self.clock() - since > CHECK_SECONDS / 2
 
     def _ask_peers_often(self):
         while True:
             eventlet.sleep(PEER_SECONDS * random.uniform(0.8, 1.2))
-            if self.store_answers:
-                continue
-            snapshot = self.peers.ask(self.directory)
-            if snapshot is None:
-                continue
-            self.heard_at = self.clock()
-            if snapshot.revision > self.directory.revision:
-                self.directory.adopt(snapshot, self.clock())
-                log_event(Event.LEARNT_FROM_PEER, revision=snapshot.revision)
-                self.publish_changes()
+            if not self.store_answers:
+                self._ask_peer()
+
+    def _ask_peer(self):
+        """Take what another node holds if it leads further."""
+        snapshot = self.peers.ask(self.directory)
+        if snapshot is None:
+            return
+        self.heard_at = self.clock()
+        if snapshot.revision > self.directory.revision:
+            self.directory.adopt(snapshot, self.clock())
+            log_event(Event.LEARNT_FROM_PEER, revision=snapshot.revision)
+            self.publish_changes()
--- a/packages/hingesill-node/hingesill_node/discovery/source.py
+++ b/packages/hingesill-node/hingesill_node/discovery/source.py
@@ -31,7 +31,10 @@
         """Have a call of `wait` that is under way fail."""
 
     def check(self):
-        """Make the cheapest call there is; return None or StoreFailure."""
+        """Return the store's revision, maybe a stale one, or StoreFailure.
+
+        It is the cheapest call there is.
+        """
 
     def enter(self, node, seconds):
         """Enter this node under a lease; return its Held or StoreFailure."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
@@ -0,0 +1,164 @@
+"""Tests of following a store that fails in every way its pages describe."""
+
+import unittest
+from collections import deque
+
+import eventlet
+
+from hingesill_core.discovery.records import (
+    Changes,
+    Declared,
+    DeclaredService,
+    EndpointRecord,
+    HistoryGone,
+    Snapshot,
+)
+from hingesill_core.store import StoreFailure
+from hingesill_node.discovery.follower import Follower
+
+FAILED = StoreFailure("status 503")
+
+
+def build_declared(version):
+    return Declared(version, (DeclaredService("arena", "/health", 9),), ())
+
+
+def build_snapshot(revision, version=1, instances=("i1",)):
+    endpoints = {
+        name: EndpointRecord(name, "arena", "10.0.0.1:80", "a", 3) for name in instances
+    }
+    return Snapshot(revision, build_declared(version), endpoints)
+
+
+class ScriptedSource:
+    """A source whose answers a test lines up; without one a watch waits."""
+
+    def __init__(self, reads=(), waits=()):
+        self.reads = deque(reads)
+        self.waits = deque(waits)
+        self.revision = 0
+        self.interrupted = 0
+        self.waited_from = []
+
+    def read(self):
+        return self.reads.popleft() if self.reads else FAILED
+
+    def wait(self, after, seconds):
+        self.waited_from.append(after)
+        if self.waits:
+            return self.waits.popleft()
+        self.released = eventlet.event.Event()
+        return self.released.wait(timeout=0.2) or FAILED
+
+    def interrupt(self):
+        self.interrupted += 1
+        self.released.send(FAILED)
+
+    def check(self):
+        return self.revision
+
+
+class NoPeers:
+    def ask(self, directory):
+        return None
+
+
+class OnePeer:
+    def __init__(self, snapshot):
+        self.snapshot = snapshot
+
+    def ask(self, directory):
+        return self.snapshot
+
+
+class FollowerTests(unittest.TestCase):
+    def build(self, source, peers=None):
+        self.published = []
+        return Follower(
+            source,
+            peers or NoPeers(),
+            lambda directory: self.published.append(directory.declared.version),
+        )
+
+    def advance(self, follower, times):
+        for _ in range(times):
+            follower._advance()
+
+    def test_a_watch_goes_on_from_what_was_read(self):
+        source = ScriptedSource([build_snapshot(5)], [Changes(7, build_declared(2))])
+        follower = self.build(source)
+        self.advance(follower, 2)
+        self.assertEqual(self.published, [1, 2])
+        self.assertEqual(source.waited_from, [5])
+        self.assertEqual(follower.directory.revision, 7)
+
+    def test_forgotten_history_leads_to_a_whole_read(self):
+        reads = [build_snapshot(5), build_snapshot(9, 4)]
+        follower = self.build(ScriptedSource(reads, [HistoryGone()]))
+        self.advance(follower, 3)
+        self.assertEqual(self.published, [1, 4])
+
+    def test_a_cut_watch_is_no_outage(self):
+        reads = [build_snapshot(5, 1, ("i1", "i2")), build_snapshot(6, 1, ("i1",))]
+        follower = self.build(ScriptedSource(reads, [FAILED]))
+        self.advance(follower, 3)
+        self.assertTrue(follower.store_answers)
+        self.assertEqual(list(follower.directory.endpoints), ["i1"])
+
+    def test_entries_missing_after_an_outage_are_believed_for_a_while(self):
+        reads = [
+            build_snapshot(5, 1, ("i1", "i2")),
+            FAILED,
+            build_snapshot(6, 1, ("i1",)),
+        ]
+        follower = self.build(ScriptedSource(reads, [FAILED]))
+        self.advance(follower, 4)
+        self.assertEqual(sorted(follower.directory.endpoints), ["i1", "i2"])
+
+    def test_a_stale_read_is_not_taken(self):
+        reads = [build_snapshot(5, 3), build_snapshot(4, 2), build_snapshot(6, 4)]
+        follower = self.build(ScriptedSource(reads, [HistoryGone()]))
+        self.advance(follower, 4)
+        self.assertEqual(self.published, [3, 4])
+
+    def test_a_deaf_watch_is_ended_and_all_is_read(self):
+        reads = [build_snapshot(5, 1), build_snapshot(9, 2)]
+        source = ScriptedSource(reads)
+        source.revision = 9
+        follower = self.build(source)
+        self.advance(follower, 1)
+        waiting = eventlet.spawn(self.advance, follower, 2)
+        eventlet.sleep(0.01)
+        follower._watching_since -= 1.0
+        follower._check(source.check())
+        waiting.wait()
+        self.assertEqual(source.interrupted, 1)
+        self.assertEqual(self.published, [1, 2])
+        self.assertTrue(follower.store_answers)
+
+    def test_a_check_that_fails_ends_the_watch_as_an_outage(self):
+        source = ScriptedSource([build_snapshot(5, 1)])
+        follower = self.build(source)
+        self.advance(follower, 1)
+        waiting = eventlet.spawn(self.advance, follower, 1)
+        eventlet.sleep(0.01)
+        follower._check(FAILED)
+        waiting.wait()
+        self.assertFalse(follower.store_answers)
+        self.assertEqual(source.interrupted, 1)
+
+    def test_another_node_tells_while_the_store_is_away(self):
+        peers = OnePeer(build_snapshot(12, 8))
+        follower = self.build(ScriptedSource([build_snapshot(5, 1)]), peers)
+        self.advance(follower, 1)
+        follower.store_answers = False
+        follower._ask_peer()
+        self.assertEqual(self.published, [1, 8])
+
+    def test_another_node_that_is_behind_changes_nothing(self):
+        peers = OnePeer(build_snapshot(4, 1, ()))
+        follower = self.build(ScriptedSource([build_snapshot(5, 1)]), peers)
+        self.advance(follower, 1)
+        follower.store_answers = False
+        follower._ask_peer()
+        self.assertEqual(list(follower.directory.endpoints), ["i1"])
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -5,8 +5,6 @@
 import signal
 from typing import Protocol
 
-import eventlet
-
 from hingesill_core.routing.dispatcher import FleetView
 from hingesill_node.admin import AdminApplication
 from hingesill_node.blackboard import Blackboard
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -4,11 +4,12 @@
 """
 
 import logging
-import sys
 from enum import Enum
 
 from pythonjsonlogger.json import JsonFormatter
 
+from hingesill_node.telemetry.output import BoundedHandler
+
 __all__ = ["Event", "log_event", "start_logging"]
 
 LOGGER = logging.getLogger("hingesill")
@@ -41,7 +42,9 @@
     LIST_UNAVAILABLE = (3006, logging.WARNING, "the list of VMs cannot be read")
     ISOLATED = (3007, logging.ERROR, "neither the store nor any node answers")
     WATCH_CUT = (3008, logging.INFO, "a watch of the store ended early")
+    WATCH_DEAF = (3013, logging.WARNING, "a watch did not tell of changes")
     PEER_SILENT = (3009, logging.INFO, "another node did not answer")
+    FOLLOWER_FAULT = (3012, logging.ERROR, "following the store met a fault")
     NODE_ENTERED = (3010, logging.INFO, "the node's entry is in the store")
     NODE_ENTRY_LOST = (3011, logging.WARNING, "the node's entry has lapsed")
     ENDPOINT_DRAINING = (4001, logging.INFO, "an endpoint is leaving")
@@ -50,6 +53,12 @@
     ENDPOINT_GONE = (4004, logging.INFO, "an endpoint's entry stayed away")
     PROBE_SHARE_HELD = (5001, logging.INFO, "a share of the probe budget is held")
     PROBE_SHARE_LOST = (5002, logging.INFO, "a share of the probe budget has lapsed")
+    REQUEST_ANSWERED = (6002, logging.INFO, "a request was answered")
+    REQUEST_IN_TROUBLE = (
+        6003,
+        logging.WARNING,
+        "a request was refused, late, lost or sent more than once",
+    )
     REQUEST_FAULT = (6001, logging.ERROR, "a request ended by a fault of the node")
 
     @property
@@ -69,7 +78,7 @@
 
 
 def start_logging(node, level):
-    """Write events as JSON lines to the standard error.
+    """Write events as JSON lines to the standard output.
 
     Parameters
     ----------
@@ -78,7 +87,7 @@
     level : str
         Name of the lowest level that is written.
     """
-    handler = logging.StreamHandler(sys.stderr)
+    handler = BoundedHandler()
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(message)s", static_fields={"node": node}
--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -23,7 +23,7 @@
 EVENTS_HEAD = """# Log events
 
 Made from `hingesill_node/telemetry/events.py` by `make docs`; CI compares. Logs are
-JSON lines on the standard error; `event` is the number, which never changes its
+JSON lines on the standard output; `event` is the number, which never changes its
 meaning.
 
 | number | level | event |
