A restarted node takes the place of its old entry; a stop looks at what is in flight last

Change: entries go by the VM; a node whose entry is missing enters again; the stop looks at the requests in flight after its last sleep.

--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -110,7 +110,7 @@
     Parameters
     ----------
     name : str
-        Unique to the process.
+        Of the VM; a process that starts anew there keeps it.
     address : str
         Where it tells other nodes what it holds.
     data_centre : str
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -63,10 +63,11 @@
             queue_limit=settings.queue_limit,
         )
         source = open_source(settings.directory)
-        peers = PeerClient(settings.name, settings.data_centre)
+        vm = settings.vm or settings.name
+        peers = PeerClient(vm, settings.data_centre)
         self.follower = Follower(source, peers, self.publish)
-        entry = NodeRecord(settings.name, self.address, settings.data_centre)
-        self.registration = Registration(source, entry)
+        entry = NodeRecord(vm, self.address, settings.data_centre)
+        self.registration = Registration(source, entry, self._lists)
         self._version = None
         self._routes = RouteTable(())
 
@@ -104,6 +105,10 @@
         )
         self.blackboard.write("configuration", configuration)
 
+    def _lists(self, node):
+        """Tell whether the directory holds a node's entry."""
+        return self.follower.directory.nodes.get(node.name) == node
+
     def _build_fleet(self, directory):
         nodes = max(1, len(directory.nodes))
         return FleetView(self.settings.data_centre, nodes, ROOM_FOR_NODES * nodes)
--- a/packages/hingesill-node/hingesill_node/discovery/registration.py
+++ b/packages/hingesill-node/hingesill_node/discovery/registration.py
@@ -25,11 +25,15 @@
         The store.
     node : NodeRecord
         The entry.
+    is_listed : callable
+        Tells whether the directory holds an entry. One of the process that ran
+        here before may take the entry with it when its lease ends.
     """
 
-    def __init__(self, source, node):
+    def __init__(self, source, node, is_listed):
         self.source = source
         self.node = node
+        self.is_listed = is_listed
         self.lease = None
 
     def run(self):
@@ -41,7 +45,7 @@
 
     def _step(self):
         """Enter or renew; return whether the lease is held."""
-        if self.lease is None:
+        if self.lease is None or not self.is_listed(self.node):
             answer = self.source.enter(self.node, LEASE_SECONDS)
         else:
             answer = self.source.renew(self.lease)
--- a/packages/hingesill-node/hingesill_node/lifecycle.py
+++ b/packages/hingesill-node/hingesill_node/lifecycle.py
@@ -87,14 +87,25 @@
         self.control.leave()
         eventlet.sleep(self.settings.balancer_lag_s)
         listener.close()
+        is_quiet = self._wait_until_quiet()
+        ended = Event.STOP_ENDED if is_quiet else Event.STOP_BOUND_REACHED
+        log_event(ended, in_flight=self.blackboard.in_flight)
+        return is_quiet
+
+    def _wait_until_quiet(self):
+        """Return True once no request was in flight for a while.
+
+        Notes
+        -----
+        What is in flight is looked at last, with no other green thread in
+        between: a request that was read before the end is waited for.
+        """
         bound = self.clock() + self.settings.stop_bound_s
         quiet_since = self.clock()
-        while self.clock() - quiet_since < QUIET_SECONDS:
+        while self.clock() <= bound:
+            eventlet.sleep(DRAIN_CHECK_SECONDS)
             if self.blackboard.in_flight:
                 quiet_since = self.clock()
-            if self.clock() > bound:
-                log_event(Event.STOP_BOUND_REACHED, in_flight=self.blackboard.in_flight)
-                return False
-            eventlet.sleep(DRAIN_CHECK_SECONDS)
-        log_event(Event.STOP_ENDED)
-        return True
+            elif self.clock() - quiet_since >= QUIET_SECONDS:
+                return True
+        return False
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -60,6 +60,13 @@
         pattern=r"^[A-Za-z0-9._-]{1,100}$",
         description="The node's name; no two processes ever share one.",
     )
+    vm: str = Field(
+        default="",
+        pattern=r"^[A-Za-z0-9._-]{0,100}$",
+        description="With a directory: the VM's name, under which the node is "
+        "entered; a node that starts anew there takes the old one's place. Empty for "
+        "the node's name.",
+    )
     team: str = Field(
         default="hingesill",
         pattern=NAME,
