Requests wait in one line a service; late ones take what is left over; the knee is learnt

Change: no request queues at an endpoint. Those of one service wait in a line at the node; each good reply goes to the first by rank, then to those that can still meet their target. A late one, or one whose caller has less time than callers of its route usually have (a later try), takes only an endpoint with two free slots. Refused at 0.45 of its time. Whether the last slot is worth its while is learnt from the answers. Slowness counts against the median.

--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -1,18 +1,18 @@
-"""Choosing by fresh evidence: ask a few endpoints, send to one that is free.
+"""Choosing by fresh evidence: which endpoint's reply will do for which request.
 
 An endpoint's load shifts in milliseconds, so a report that came with an earlier
-answer says little. Here a request first asks a few endpoints for their load and
-goes to one that has a free slot at this moment. If none has, it waits at the
-node for some milliseconds and asks others, as a place in an endpoint's own
-queue cannot be given up again for a better one.
+answer says little. Here a request waits at the node until an endpoint that was
+just asked has a free slot: a place in an endpoint's own queue could not be given
+up again for a better one.
 """
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from enum import IntEnum
 
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd
 
-__all__ = ["Ask", "AskPlan", "AskRules", "Reply", "judge_reply", "rank_reply"]
+__all__ = ["Ask", "AskRules", "Reply", "Stage", "is_good_enough"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,49 +22,62 @@
     Attributes
     ----------
     at_once : int
-        Endpoints asked in one round. Source: rounds on the users' bench, where
-        a third one cost more probes and won nothing.
-    pause : float
-        Time between two rounds. Source: as above, 15 ms against none.
+        Endpoints asked for a new request. Source: rounds on the users' bench,
+        where a third one cost more probes and won nothing.
+    most_at_once : int
+        Endpoints asked in a later round, for all waiting requests together.
+    choosy : float
+        For so long a request takes only an endpoint with two free slots, as the
+        last one is often gone when the request arrives. Source: two replies.
     patience : float
-        Longest time in which only a free slot will do, as a share of the
-        route's target.
+        Share of a route's target in which only a free slot of an endpoint that
+        is not slow will do.
+    longest_wait : float
+        Share of a request's time after which it is refused, so that its caller
+        still has more than half of it to try again.
     default_target : float
         Taken for a route without a declared target.
-    longest_patience : float
-        Bound of the patience for routes with a far target.
     most_slowness : float
-        An endpoint that works slower than this is passed by while others are
-        asked. Source: slow spells on shared VMs are a factor of five, and
-        ordinary spread stays below two.
-    most_waiting : int
-        Requests waiting at an endpoint beyond which it is not worth a send:
-        it would be turned away there.
+        An endpoint that works slower than usual by this factor is passed by.
+        Source: slow spells on shared VMs are a factor of five, and ordinary
+        spread stays below two.
     """
 
     at_once: int = 2
-    pause: float = 0.015
-    patience: float = 0.6
+    most_at_once: int = 4
+    choosy: float = 0.02
+    patience: float = 0.7
+    longest_wait: float = 0.45
     default_target: float = 0.5
-    longest_patience: float = 0.3
     most_slowness: float = 2.0
-    most_waiting: int = 3
+
+
+class Stage(IntEnum):
+    """Which endpoints a waiting request takes.
+
+    Notes
+    -----
+    A late request takes only what is left over by those that can still be in
+    time, at this node and at others: under overload each slot that it took
+    would make another request late, and the endpoints would never recover.
+    """
+
+    CHOOSY = 0
+    PATIENT = 1
+    LATE = 2
 
 
 @dataclass(frozen=True, slots=True)
 class Ask:
-    """Ask these endpoints for their load.
+    """Ask these endpoints for their load; the request waits meanwhile.
 
     Parameters
     ----------
     endpoints : tuple of str
-        Identities.
-    pause : float
-        Seconds to wait first.
+        Identities; none if the budget allows no question now.
     """
 
     endpoints: tuple[str, ...]
-    pause: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,64 +99,28 @@
     report: LoadReport | None = None
 
 
-@dataclass(slots=True)
-class AskPlan:
-    """How far one request has come with asking.
-
-    Attributes
-    ----------
-    started : float
-        When it began, in seconds of the node's clock.
-    until : float
-        From then on the best endpoint seen will do.
-    rounds : int
-        Rounds of questions so far.
-    asked : set of str
-        Endpoints asked in the rounds so far.
-    best : Reply or None
-        The best reply that was not good enough.
-    """
-
-    started: float
-    until: float
-    rounds: int = 0
-    asked: set[str] = field(default_factory=set)
-    best: Reply | None = None
-
-    def note(self, reply):
-        """Keep a reply if it is the best so far."""
-        if self.best is None or rank_reply(reply) < rank_reply(self.best):
-            self.best = reply
-
-
-def judge_reply(reply, rounds, rules):
-    """Tell whether a request may go to the endpoint that replied.
+def is_good_enough(report, stage, has_knee, most_slowness):
+    """Tell whether an endpoint will do for a request.
 
     Parameters
     ----------
-    reply : Reply
-        With a report.
-    rounds : int
-        Rounds of questions so far; the first one asks for two free slots, as
-        the last free one is often gone by the time the request arrives, and
-        some endpoints slow down when nearly full.
-    rules : AskRules
-        The service's.
+    report : LoadReport
+        Just received.
+    stage : Stage
+        Of the request.
+    has_knee : bool
+        Work takes so much longer at a full endpoint that its last slot is
+        worth less than nothing.
+    most_slowness : float
+        An endpoint that works slower is passed by.
     """
-    report = reply.report
-    if report is None or report.slowness >= rules.most_slowness:
-        return False
     slots = report.slots or 1
-    free = slots - report.running
-    wanted = 2 if rounds <= 1 and slots > 1 else 1
-    return free >= wanted
-
-
-def rank_reply(reply):
-    """Return a number that is less for an endpoint that should answer sooner."""
-    report = reply.report
-    if report is None:
-        return float("inf")
-    slots = report.slots or 1
-    occupied = (report.running + 1) / slots
-    return max(1.0, occupied) * report.slowness
+    usable = slots - 1 if has_knee and slots > 1 else slots
+    free = usable - report.running
+    if report.slowness >= most_slowness:
+        return False
+    if stage is Stage.LATE:
+        return free >= min(usable, 2)
+    if stage is Stage.CHOOSY and slots > 1:
+        return free >= 1 and slots - report.running >= 2
+    return free >= 1
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -154,10 +154,10 @@
         return self.dispatch_unasked(ticket, now)
 
     def _begin_asking(self, ticket, now):
-        """Return the first Ask, or None if this service does not ask."""
+        """Return an Ask or a Refusal, or None if this service does not ask."""
         if self.service.policy != ASKING_POLICY:
             return None
-        return self.fresh.begin(ticket, now)
+        return self.fresh.enter(ticket, now)
 
     def dispatch_unasked(self, ticket, now):
         """Choose by what is known already; return Send, Hold or Refusal."""
@@ -312,6 +312,8 @@
         seconds = now - send.started
         state.learn(result, seconds, send.expected, now)
         self._learn_pace(send, result, seconds)
+        if result.end is SendEnd.ANSWERED:
+            self.fresh.note_answer(send, seconds)
         if result.end is SendEnd.CONNECT_FAILED:
             send.ticket.sends -= 1
         came_back = state.health.note(result.end, now, self._may_eject(now))
@@ -347,6 +349,9 @@
         if isinstance(verdict, Denied):
             return self._give_up(ticket, end), verdict.reason
         ask = self._begin_asking(ticket, now)
+        if isinstance(ask, Refusal):
+            self.retries.give_back()
+            return self._give_up(ticket, end), RetryReason.DENIED_NO_ENDPOINT
         if ask is not None:
             return ask, verdict
         send = self._assign(ticket, now)
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -104,6 +104,8 @@
         The endpoint is leaving; the sign holds until then.
     suspicion, suspected_at : float
         What other nodes told of overdue answers, and when it was reckoned.
+    asked_at : float
+        When it was last asked for its load.
     distance : float
         Way to its data centre and back, in typical answers' times.
     """
@@ -125,6 +127,7 @@
     cold_since: float | None = None
     last_heard: float | None = None
     last_probe: float = 0.0
+    asked_at: float = float("-inf")
     health: Health = field(default_factory=Health)
     reach: Health = field(default_factory=build_reach)
 
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -1,20 +1,58 @@
-"""The choices of one service whose requests ask endpoints before they go."""
+"""The requests of one service that wait for an endpoint with a free slot."""
+
+from dataclasses import dataclass
 
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.reasons import RefusalReason
-from hingesill_core.routing.asking import (
-    Ask,
-    AskPlan,
-    AskRules,
-    judge_reply,
-)
+from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
+from hingesill_core.routing.knee import Knee, Median
 from hingesill_core.routing.messages import SendEnd
 
 __all__ = ["FreshChoice"]
 
+ROOM_FOR_WAITING = 2
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A request that waits for a reply that will do; times of the node's clock.
+
+    Attributes
+    ----------
+    ticket : Ticket
+        The request.
+    since : float
+        When it began to wait.
+    late_at : float
+        From then on its answer cannot be in time for its target.
+    until : float
+        From then on it waits no longer.
+    """
+
+    ticket: object
+    since: float
+    late_at: float
+    until: float
+
+    def get_stage(self, now, rules):
+        """Return how much the request puts up with."""
+        if now >= self.late_at:
+            return Stage.LATE
+        return Stage.CHOOSY if now < self.since + rules.choosy else Stage.PATIENT
+
+    def get_order(self, now):
+        """Return the key by which requests take what becomes free.
+
+        Notes
+        -----
+        The more urgent rank goes first, within it those that can still be in
+        time, and of these the one with the least time left.
+        """
+        return (self.ticket.route.rank, now >= self.late_at, self.late_at)
+
 
 class FreshChoice:
-    """Decides whom to ask, whether a reply will do, and when to stop asking.
+    """Decides whom to ask and which waiting request a reply is good for.
 
     Parameters
     ----------
@@ -31,7 +69,10 @@
         self.pool = pool
         self.rules = rules or AskRules()
         self.budget = AskBudget()
+        self.knee = Knee()
+        self.slowness = Median()
         self.has_reports = True
+        self.waiting = {}
 
     def configure(self, service, fleet):
         """Put a declaration and a view of the fleet in force."""
@@ -39,38 +80,64 @@
             self.budget = self.pool
         self.budget.set_part(service.name, service.probes, fleet.nodes)
 
-    def begin(self, ticket, now):
-        """Return the first Ask of a request, or None if nobody may be asked."""
-        if not self.has_reports:
-            return None
-        target = ticket.route.target or self.rules.default_target
-        patience = min(self.rules.longest_patience, self.rules.patience * target)
-        ticket.plan = AskPlan(now, min(now + patience, ticket.deadline))
-        return self._ask(ticket, now, 0.0)
+    def enter(self, ticket, now):
+        """Let a request wait.
 
-    def _ask(self, ticket, now, pause):
-        candidates = self._list_candidates(ticket, now)
-        if not candidates:
+        Returns
+        -------
+        Ask, Refusal or None
+            Whom to ask for it; None if this service's endpoints tell no load or
+            nothing may be asked.
+        """
+        if not self.has_reports or self.budget.rate <= 0:
             return None
-        count = min(self.rules.at_once, len(candidates))
-        count = self.budget.take(count, now)
-        if count == 0:
+        if not self.dispatcher.states:
+            return self.dispatcher.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
+        if len(self.waiting) >= self.dispatcher.service.queue_limit:
+            return self.dispatcher.refuse(ticket, RefusalReason.QUEUE_FULL, now)
+        self.waiting[ticket] = self._build_waiting(ticket, now)
+        return Ask(self._choose(self.rules.at_once, now))
+
+    def _build_waiting(self, ticket, now):
+        pace = self.dispatcher.get_pace(ticket.route)
+        target = ticket.route.target or self.rules.default_target
+        longest = self.rules.longest_wait * (ticket.deadline - ticket.arrived)
+        return Waiting(
+            ticket,
+            since=now,
+            late_at=ticket.arrived + self.rules.patience * target - ticket.spent,
+            until=min(ticket.deadline - pace.quick, ticket.arrived + longest),
+        )
+
+    def leave(self, ticket):
+        """Forget a request whose caller is gone."""
+        self.waiting.pop(ticket, None)
+
+    def ask_again(self, now):
+        """Return the next Ask for all waiting requests together, or None."""
+        if not self.waiting:
             return None
-        plan = ticket.plan
+        wanted = len(self.waiting) // ROOM_FOR_WAITING + self.rules.at_once
+        endpoints = self._choose(min(wanted, self.rules.most_at_once), now)
+        return Ask(endpoints) if endpoints else None
+
+    def _choose(self, wanted, now):
+        """Return the identities of endpoints to ask, as the budget allows."""
+        candidates = self._list_candidates(now)
+        count = self.budget.take(min(wanted, len(candidates)), now)
         chosen = self._sample(candidates, count)
-        plan.rounds += 1
-        plan.asked.update(state.identity for state in chosen)
         for state in chosen:
+            state.asked_at = now
             if state.reach.needs_trial(now):
                 state.reach.on_trial = True
-        return Ask(tuple(state.identity for state in chosen), pause)
+        return tuple(state.identity for state in chosen)
 
     def _sample(self, candidates, count):
         """Return endpoints at random, one of them of the own data centre.
 
         Notes
         -----
-        Its reply comes first, so the request stays near if there is room, and
+        Its reply comes first, so a request stays near if there is room, and
         what is full here still finds room elsewhere in the same round.
         """
         rng = self.dispatcher.rng
@@ -81,68 +148,89 @@
         others = [state for state in candidates if state is not first]
         return [first, *rng.sample(others, count - 1)]
 
-    def _list_candidates(self, ticket, now):
-        """Return the endpoints worth asking, those not asked yet if there are any."""
-        usable = [s for s in self.dispatcher.states.values() if can_ask(s, ticket, now)]
+    def _list_candidates(self, now):
+        """Return the endpoints worth asking, those not just asked if there are any."""
+        usable = [s for s in self.dispatcher.states.values() if can_get_work(s, now)]
+        just_now = now - self.rules.choosy
         for keep in (
-            lambda s: s.identity not in ticket.tried,
             lambda s: s.reach.is_open() or s.reach.needs_trial(now),
-            lambda s: s.identity not in ticket.plan.asked,
+            lambda s: s.asked_at < just_now,
         ):
             usable = [state for state in usable if keep(state)] or usable
         return usable
 
-    def take(self, ticket, reply, now):
-        """Take a reply; return the Send if it is good enough, else None."""
+    def take(self, reply, now):
+        """Take a reply; return the Send that it is good for, or None."""
         state = self.note_reply(reply, now)
-        if state is None or reply.report is None:
+        if state is None or reply.report is None or not can_get_work(state, now):
             return None
-        if not can_ask(state, ticket, now):
+        fitting = [
+            waiting
+            for waiting in self.waiting.values()
+            if self._fits(waiting, state, reply.report, now)
+        ]
+        if not fitting:
             return None
-        if judge_reply(reply, ticket.plan.rounds, self.rules):
-            return self.dispatcher.start_send(ticket, state, now)
-        ticket.plan.note(reply)
-        return None
+        first = min(fitting, key=lambda waiting: waiting.get_order(now))
+        self.waiting.pop(first.ticket)
+        send = self.dispatcher.start_send(first.ticket, state, now)
+        send.occupied = reply.report.running + 1
+        return send
+
+    def _fits(self, waiting, state, report, now):
+        """Tell whether a request may go to an endpoint that just replied."""
+        ticket = waiting.ticket
+        if state.identity in ticket.tried and len(self.dispatcher.states) > 1:
+            return False
+        if not state.health.is_open() and not state.accepts_trial(ticket, now):
+            return False
+        stage = waiting.get_stage(now, self.rules)
+        most = self.rules.most_slowness * max(1.0, self.slowness.value)
+        return is_good_enough(report, stage, self.knee.is_there, most)
 
     def note_reply(self, reply, now):
-        """Learn from a reply; return the endpoint's state, or None if it is gone."""
+        """Learn from a reply; return the endpoint's state, or None if it is gone.
+
+        Notes
+        -----
+        How slow endpoints are counts against their median: if most are slow,
+        requests must not wait for one that is not.
+        """
         state = self.dispatcher.states.get(reply.endpoint)
         if state is None:
             return None
         state.reach.note(reply.end, now, may_eject=True)
         if reply.end is SendEnd.ANSWERED:
             self.has_reports = reply.report is not None
-            state.report = reply.report or state.report
+            if reply.report is not None:
+                state.report = reply.report
+                self.slowness.note(reply.report.slowness)
         return state
 
-    def proceed(self, ticket, now):
-        """Return what follows a round that brought no Send.
-
-        Returns
-        -------
-        Ask, Send, Hold or Refusal
-        """
-        plan = ticket.plan
-        if now < plan.until:
-            ask = self._ask(ticket, now, self.rules.pause)
-            if ask is not None:
-                return ask
-        if plan.best is None:
-            return self.dispatcher.dispatch_unasked(ticket, now)
-        state = self.dispatcher.states.get(plan.best.endpoint)
-        usable = state is not None and can_ask(state, ticket, now)
-        if usable and self._is_worth_sending(plan.best):
-            return self.dispatcher.start_send(ticket, state, now)
-        return self.dispatcher.refuse(ticket, RefusalReason.QUEUE_FULL, now)
-
-    def _is_worth_sending(self, reply):
-        report = reply.report
-        waiting = report.running - (report.slots or 1)
-        return waiting < self.rules.most_waiting
-
-
-def can_ask(state, ticket, now):
-    """Tell whether an endpoint may get the request, as far as known before."""
+    def note_answer(self, send, seconds):
+        """Learn from an answer how much a full endpoint slows work down."""
+        state = self.dispatcher.states.get(send.endpoint)
+        if send.occupied and state is not None:
+            typical = self.dispatcher.get_pace(send.ticket.route).typical
+            self.knee.note(send.occupied, state.slots, seconds / typical)
+
+    def expire(self, now):
+        """Yield (ticket, decision) for each request that waits no longer."""
+        for waiting in list(self.waiting.values()):
+            ticket = waiting.ticket
+            if not self.has_reports:
+                self.waiting.pop(ticket)
+                yield ticket, self.dispatcher.dispatch_unasked(ticket, now)
+            elif now >= waiting.until or not self.dispatcher.states:
+                self.waiting.pop(ticket)
+                reason = RefusalReason.DEADLINE_UNREACHABLE
+                if not self.dispatcher.states:
+                    reason = RefusalReason.NO_ENDPOINT
+                yield ticket, self.dispatcher.refuse(ticket, reason, now)
+
+
+def can_get_work(state, now):
+    """Tell whether an endpoint may get new work, as far as known."""
     if state.is_draining(now) or now < state.refused_until:
         return False
-    return state.health.is_open() or state.accepts_trial(ticket, now)
+    return state.health.is_open() or state.health.needs_trial(now)
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -34,8 +34,8 @@
         False if a layer nearer to the caller sends again.
     replayable : bool
         False once its body cannot be sent a second time.
-    plan : AskPlan or None
-        How far it has come with asking endpoints for their load.
+    spent : float
+        Seconds that its caller seems to have spent on earlier tries.
     """
 
     route: Route
@@ -47,7 +47,7 @@
     sends: int = 0
     exposed: bool = False
     waiting: bool = False
-    plan: object = None
+    spent: float = 0.0
 
 
 @dataclass(slots=True, eq=False)
@@ -68,6 +68,9 @@
         How many times longer than unloaded it should take.
     hedge : bool
         Another send of the request is still under way.
+    occupied : int
+        Requests at the endpoint with this one, by its own fresh word; 0 if
+        that was not asked for.
     """
 
     ticket: Ticket
@@ -76,6 +79,7 @@
     expected: float
     load: float = 1.0
     hedge: bool = False
+    occupied: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -3,6 +3,7 @@
 import random
 import time
 
+from hingesill_core.limits.spent import SpentTime
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal, Ticket
 from hingesill_node.blackboard import Phase
@@ -60,6 +61,7 @@
         self.request_drops = HOP_BY_HOP | self.wire.request_drops
         self.answer_drops = HOP_BY_HOP | self.wire.answer_drops
         self.rng = random.Random()
+        self.spent = SpentTime()
         self.clock = clock
 
     def __call__(self, environ, start_response):
@@ -123,8 +125,12 @@
         route = configuration.routes.find(environ["REQUEST_METHOD"], path, host)
         if route is None:
             return self._explain_no_route(configuration)
-        limit = self._read_time_limit(environ, route)
-        if limit is None or not is_sound_id(request_id):
+        try:
+            left = self.wire.read_time_left(environ)
+        except ValueError:
+            return Refusal(RefusalReason.BAD_HEADER, Outcome.NOT_RUN)
+        limit = route.timeout if left is None else min(left, route.timeout)
+        if not is_sound_id(request_id):
             return Refusal(RefusalReason.BAD_HEADER, Outcome.NOT_RUN)
         if limit == 0:
             return Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
@@ -138,6 +144,7 @@
             arrived,
             arrived + limit,
             may_retry=self.wire.may_retry(environ),
+            spent=0.0 if left is None else self.spent.estimate(route, left),
         )
         return CallerRequest(
             request_id,
@@ -156,14 +163,6 @@
             return Refusal(reason, Outcome.NOT_RUN, retry_after=1.0)
         return Refusal(RefusalReason.NO_ROUTE, Outcome.NOT_RUN)
 
-    def _read_time_limit(self, environ, route):
-        """Return the seconds left for the request, or None if it says nonsense."""
-        try:
-            remaining = self.wire.read_time_left(environ)
-        except ValueError:
-            return None
-        return route.timeout if remaining is None else min(remaining, route.timeout)
-
     def _read_body(self, environ):
         """Return the Body, or the Refusal of one that is too long or ends early."""
         source = environ["wsgi.input"]
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -1,118 +1,138 @@
-"""Carrying out questions: each in a green thread, the replies in one queue."""
+"""Carrying out questions, and handing each good reply to a waiting request."""
 
 import eventlet
-from eventlet.queue import Empty, LightQueue
+from eventlet import event as green_event
 
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.asking import Reply
-from hingesill_core.routing.messages import SendEnd
+from hingesill_core.routing.messages import Refusal, SendEnd
+from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed
+from hingesill_node.datapath.messages import Found
 from hingesill_node.datapath.transport import TRANSPORT_ERRORS
 
-__all__ = ["Questions"]
+__all__ = ["WaitingRoom"]
 
 # A reply that takes longer says that the endpoint, or the way to it, is in
 # trouble. Source: a round trip between data centres is 3 ms, a reply 6 ms.
 REPLY_SECONDS = 0.25
+# Between two rounds of questions. Source: rounds on the users' bench.
+ROUND_SECONDS = 0.015
+CALLER_CHECK_SECONDS = 0.05
 LONGEST_BODY = 64 * 1024
 
 
-class Questions:
-    """The questions of one request, and the connections that brought replies.
+class WaitingRoom:
+    """The requests of one service that wait for a reply that will do.
 
     Parameters
     ----------
     runner : ServiceRunner
         The service.
-    host : str
-        The ``Host`` header of the questions.
     wire : OwnFormat
         The dialect.
     counters : Counters
         Gets ``probes``.
     """
 
-    def __init__(self, runner, host, wire, counters):
+    def __init__(self, runner, wire, counters):
         self.runner = runner
-        self.host = host
         self.wire = wire
         self.counters = counters
-        self.open = 0
-        self._replies = LightQueue()
-        self._connections = {}
-        self._closed = False
-
-    def ask(self, endpoints):
-        """Ask endpoints for their load."""
-        for endpoint in endpoints:
+        self.fresh = runner.dispatcher.fresh
+        self._events = {}
+        self._host = ""
+        self._keeper = None
+
+    def wait(self, request, ask):
+        """Carry out an Ask and wait; return what was Found.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            Its ticket waits.
+        ask : Ask
+            The first questions for it.
+        """
+        ticket = request.ticket
+        event = self._events[ticket] = green_event.Event()
+        self._host = request.host
+        self._ask(ask)
+        if self._keeper is None:
+            self._keeper = eventlet.spawn(self._keep)
+        while True:
+            found = event.wait(timeout=CALLER_CHECK_SECONDS)
+            if found is not None:
+                return found
+            if is_caller_gone(request.caller_socket) and not event.ready():
+                self._events.pop(ticket, None)
+                self.fresh.leave(ticket)
+                outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
+                return Found(Refusal(RefusalReason.CALLER_GONE, outcome))
+
+    def _keep(self):
+        """Ask again and again, and give up in time, while requests wait."""
+        while self._events:
+            eventlet.sleep(ROUND_SECONDS)
+            now = self.runner.clock()
+            for ticket, decision in self.fresh.expire(now):
+                self._hand(ticket, Found(decision))
+            ask = self.fresh.ask_again(now)
+            if ask is not None:
+                self._ask(ask)
+        self._keeper = None
+
+    def _hand(self, ticket, found):
+        """Wake a waiting request; tell whether it was still there."""
+        event = self._events.pop(ticket, None)
+        if event is not None:
+            event.send(found)
+        return event is not None
+
+    def _ask(self, ask):
+        for endpoint in ask.endpoints:
             pool = self.runner.find_pool(endpoint)
             if pool is not None:
-                self.open += 1
-                eventlet.spawn_n(self._ask, endpoint, pool)
+                eventlet.spawn_n(self._ask_one, endpoint, pool)
 
-    def _ask(self, endpoint, pool):
+    def _ask_one(self, endpoint, pool):
         connection = None
-        keep = None
+        response = None
         try:
             connection = pool.take()
-            reply, keep = self._call(endpoint, connection)
+            reply, response = self._call(endpoint, connection)
         except ConnectFailed:
             reply = Reply(endpoint, SendEnd.CONNECT_FAILED)
         except TRANSPORT_ERRORS:
             reply = Reply(endpoint, SendEnd.LOST)
-        self._finish(reply, pool, connection, keep)
+        if connection is not None and response is None:
+            pool.discard(connection)
+            connection = None
+        self._take(reply, pool, connection, response)
 
     def _call(self, endpoint, connection):
         """Return the reply, and the response if the connection can be kept."""
-        self.counters.add("probes", self.runner.dispatcher.service.name)
+        service = self.runner.dispatcher.service
+        self.counters.add("probes", service.name)
         connection.set_time_limit(REPLY_SECONDS)
         connection.collect()
-        connection.begin("GET", self.runner.dispatcher.service.probes.path)
-        connection.putheader("Host", self.host)
+        connection.begin("GET", service.probes.path)
+        connection.putheader("Host", self._host)
         connection.endheaders()
         connection.flush()
         response = connection.read_head()
         response.read_short(LONGEST_BODY)
         if not self.wire.is_answer_of(response, endpoint):
             return Reply(endpoint, SendEnd.LOST), None
-        runner = self.runner
-        own = runner.count_in_flight(endpoint)
-        signals = self.wire.read_signals(response, runner.clock(), own)
+        own = self.runner.count_in_flight(endpoint)
+        signals = self.wire.read_signals(response, self.runner.clock(), own)
         reply = Reply(endpoint, SendEnd.ANSWERED, signals.report)
         return reply, response if response.can_keep else None
 
-    def _finish(self, reply, pool, connection, keep):
-        """Queue the reply; keep its connection for a send that may follow."""
-        if connection is not None and keep is None:
-            pool.discard(connection)
-            connection = None
-        if connection is not None and self._closed:
-            pool.give_back(connection, keep.idle_seconds)
-        elif connection is not None:
-            self._connections[reply.endpoint] = (pool, connection, keep)
-        if self._closed:
-            self.runner.note_late_reply(reply)
-        else:
-            self._replies.put(reply)
-
-    def wait(self, seconds):
-        """Return the next reply, or None if none comes in time."""
-        if not self.open:
-            return None
-        try:
-            reply = self._replies.get(timeout=max(seconds, 0.0))
-        except Empty:
-            return None
-        self.open -= 1
-        return reply
-
-    def take_connection(self, endpoint):
-        """Return the connection that brought an endpoint's reply, or None."""
-        held = self._connections.pop(endpoint, None)
-        return held[1] if held is not None else None
-
-    def close(self):
-        """Give back the connections that no send needs."""
-        self._closed = True
-        for pool, connection, response in self._connections.values():
+    def _take(self, reply, pool, connection, response):
+        """Give the reply, and the connection that brought it, to a request."""
+        send = self.fresh.take(reply, self.runner.clock())
+        if send is not None and self._hand(send.ticket, Found(send, connection)):
+            return
+        if connection is not None:
             pool.give_back(connection, response.idle_seconds)
-        self._connections.clear()
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -5,19 +5,15 @@
 
 import time
 
-import eventlet
-
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.asking import Ask
 from hingesill_core.routing.messages import (
     Denied,
     Hold,
     Refusal,
-    Send,
     SendEnd,
     SendResult,
 )
-from hingesill_node.datapath.asking import Questions
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed
 from hingesill_node.datapath.messages import Answer, LiveSend
@@ -32,9 +28,6 @@
 
 __all__ = ["Exchange"]
 
-# Longest time for one round of questions; later replies still count in the
-# next round. Source: four times a usual reply.
-ROUND_SECONDS = 0.04
 WHOLE_BYTES = 64 * 1024
 READ_SECONDS = 30.0
 
@@ -64,7 +57,7 @@
         self.wire = wire
         self.clock = clock
         self.service = runner.dispatcher.service.name
-        self.questions = Questions(runner, request.host, wire, counters)
+        self.proven = None
         self.lives = []
         self.fault_answer = None
         self.pending_result = None
@@ -77,7 +70,7 @@
         try:
             while True:
                 if isinstance(decision, Ask):
-                    decision = self._ask(decision)
+                    decision = self._wait_for_reply(decision)
                 elif isinstance(decision, Hold):
                     self._tell(StepKind.HELD)
                     decision = self.runner.wait_held(self.request)
@@ -89,7 +82,6 @@
                         return outcome
                     decision = self._decide_after(outcome)
         finally:
-            self.questions.close()
             self._cancel_all()
 
     def _decide_after(self, end):
@@ -106,26 +98,12 @@
         """Add a step to the request's story."""
         self.story.add(kind, self.clock(), endpoint, detail)
 
-    def _ask(self, ask):
-        """Carry out one round of questions; return what to do next."""
-        if ask.pause:
-            eventlet.sleep(ask.pause)
-        if is_caller_gone(self.request.caller_socket):
-            return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
-        fresh = self.runner.dispatcher.fresh
-        self.questions.ask(ask.endpoints)
+    def _wait_for_reply(self, ask):
+        """Wait until an endpoint's reply will do; return what to do then."""
         self._tell(StepKind.ASKED, ",".join(ask.endpoints))
-        until = self.clock() + ROUND_SECONDS
-        while True:
-            reply = self.questions.wait(until - self.clock())
-            now = self.clock()
-            if reply is None:
-                return fresh.proceed(self.ticket, now)
-            told = describe_report(reply.report) if reply.report else reply.end.value
-            self._tell(StepKind.REPLIED, reply.endpoint, told)
-            send = fresh.take(self.ticket, reply, now)
-            if isinstance(send, Send):
-                return send
+        found = self.runner.get_room(self.wire, self.counters).wait(self.request, ask)
+        self.proven = found.connection
+        return found.decision
 
     def _carry_out(self, send):
         """Return an Answer, a Refusal, or the SendEnd to decide on."""
@@ -140,12 +118,15 @@
         """Send the request; return the LiveSend, a SendEnd, or None."""
         pool = self.runner.find_pool(send.endpoint)
         live = LiveSend(send, pool)
+        proven, self.proven = self.proven, None
         if pool is None:
+            if proven is not None:
+                proven.close()
             return self._end(live, SendResult(SendEnd.CONNECT_FAILED))
         self.counters.add("sends", self.service)
         kind = StepKind.HEDGED if send.hedge else StepKind.SENT
         self._tell(kind, send.endpoint, self._describe_evidence(send))
-        live.connection = self.questions.take_connection(send.endpoint)
+        live.connection = proven
         self.lives.append(live)
         try:
             send_request(live, self.request, self.clock(), self.wire)
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -4,7 +4,7 @@
 
 from hingesill_core.routing.messages import Send, Ticket
 
-__all__ = ["Answer", "Body", "CallerRequest", "LiveSend"]
+__all__ = ["Answer", "Body", "CallerRequest", "Found", "LiveSend"]
 
 
 @dataclass(slots=True)
@@ -65,6 +65,22 @@
     live: object = None
 
 
+@dataclass(frozen=True, slots=True)
+class Found:
+    """What a waiting request got.
+
+    Parameters
+    ----------
+    decision : Send, Hold or Refusal
+        What to do.
+    connection : EndpointConnection or None
+        That of the reply which the Send goes by: it was alive just now.
+    """
+
+    decision: object
+    connection: object = None
+
+
 @dataclass(slots=True, eq=False)
 class LiveSend:
     """A send on its way, with the connection that carries it."""
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -10,6 +10,7 @@
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.dispatcher import Dispatcher
 from hingesill_core.routing.messages import Refusal
+from hingesill_node.datapath.asking import WaitingRoom
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import Pool
 from hingesill_node.telemetry.events import Event, log_event
@@ -49,6 +50,7 @@
         self.pools = {}
         self.held = {}
         self.keeper = None
+        self.room = None
         self._limit_pools(service, fleet)
 
     def configure(self, service, fleet):
@@ -82,9 +84,11 @@
         state = self.dispatcher.states.get(identity)
         return state.in_flight if state is not None else 1
 
-    def note_late_reply(self, reply):
-        """Take a reply to a question whose request has gone on without it."""
-        self.dispatcher.fresh.note_reply(reply, self.clock())
+    def get_room(self, wire, counters):
+        """Return where the service's requests wait for replies."""
+        if self.room is None:
+            self.room = WaitingRoom(self, wire, counters)
+        return self.room
 
     def settle(self, send, result):
         """Hand a send's end to the dispatcher and start what can go now."""
