--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -85,6 +85,10 @@
         """See `node.Control`."""
         return self.thread.state.get_confirmed_age_ms() / 1000
 
+    def apply(self, settings):
+        """See `node.Control`; flags and variables do not change while it runs."""
+        return []
+
     def leave(self):
         """Other nodes see it in the list of VMs and in this node's silence."""
 
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -7,7 +7,7 @@
 from hingesill_core.routing.asking import Reply
 from hingesill_core.routing.messages import Refusal, SendEnd
 from hingesill_node.datapath.callers import is_caller_gone
-from hingesill_node.datapath.connections import ConnectFailed
+from hingesill_node.datapath.connections import ConnectFailed, PoolFull
 from hingesill_node.datapath.messages import Found
 from hingesill_node.datapath.transport import TRANSPORT_ERRORS
 
@@ -101,6 +101,9 @@
         try:
             connection = pool.take()
             reply, response = self._call(endpoint, connection)
+        except PoolFull:
+            self.counters.add("probes_left_out", self.runner.dispatcher.service.name)
+            return
         except ConnectFailed:
             reply = Reply(endpoint, SendEnd.CONNECT_FAILED)
         except TRANSPORT_ERRORS:
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -10,7 +10,7 @@
 
 from hingesill_node.datapath.responses import EndpointResponse
 
-__all__ = ["ConnectFailed", "EndpointConnection", "Pool"]
+__all__ = ["ConnectFailed", "EndpointConnection", "Pool", "PoolFull"]
 
 CONNECT_SECONDS = 0.25
 IDLE_SECONDS = 5.0
@@ -21,6 +21,10 @@
     """No connection came about, so nothing was sent."""
 
 
+class PoolFull(ConnectFailed):
+    """This node's connections to an endpoint are used up; it says nothing of it."""
+
+
 class EndpointConnection(HTTPConnection):
     """A connection whose socket yields to the hub.
 
@@ -148,7 +152,7 @@
 
     def _open(self):
         if self.opened >= self.limit:
-            raise ConnectFailed(f"{self.address}: the node's connections are used up")
+            raise PoolFull(f"{self.address}: the node's connections are used up")
         self.opened += 1
         connection = EndpointConnection(self.address)
         try:
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -125,6 +125,15 @@
         """See `node.Control`."""
         return self.follower.get_silence()
 
+    def apply(self, settings):
+        """See `node.Control`; the store may move, the rest needs a new start."""
+        if settings.directory == self.settings.directory:
+            return []
+        self.settings = settings
+        self.follower.move(open_source(settings.directory))
+        self.registration.source = self.follower.source
+        return ["directory"]
+
     def leave(self):
         """See `node.Control`."""
         self.registration.leave()
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -60,6 +60,12 @@
         eventlet.spawn(self._check_often)
         eventlet.spawn(self._ask_peers_often)
 
+    def move(self, source):
+        """Follow another address of the store from now on."""
+        old, self.source = self.source, source
+        self.is_synced = False
+        old.interrupt()
+
     def is_settled(self):
         """Tell whether requests can be served by what is known."""
         return self.directory.declared is not None and bool(self.directory.endpoints)
--- a/packages/hingesill-node/hingesill_node/main.py
+++ b/packages/hingesill-node/hingesill_node/main.py
@@ -6,8 +6,8 @@
 import fire
 
 from hingesill_core.findings import Findings
+from hingesill_node.environment import load_settings
 from hingesill_node.node import Node
-from hingesill_node.settings import load_settings
 from hingesill_node.telemetry.events import start_logging
 
 __all__ = ["choose_control", "run", "serve"]
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -3,8 +3,11 @@
 import gc
 import random
 import signal
+import sys
 from typing import Protocol
 
+import eventlet
+
 from hingesill_core.routing.dispatcher import FleetView
 from hingesill_node.admin import AdminApplication
 from hingesill_node.blackboard import Blackboard
@@ -12,6 +15,7 @@
 from hingesill_node.datapath.runner import RunnerTable
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.lifecycle import Lifecycle
+from hingesill_node.reload import Reloader
 from hingesill_node.telemetry.counters import Counters
 from hingesill_node.telemetry.events import Event, log_event
 
@@ -40,6 +44,9 @@
     def get_confirmed_age(self):
         """Return the seconds since what is known was last confirmed."""
 
+    def apply(self, settings):
+        """Put changed settings in force; return the names of these."""
+
     def leave(self):
         """Tell others that a planned stop has begun."""
 
@@ -58,10 +65,13 @@
         Returns the Control for settings, blackboard and counters.
     wire : OwnFormat or None
         The dialect; hingesill's own if None.
+    load : callable or None
+        Reads the settings again; None if they cannot change.
     """
 
-    def __init__(self, settings, build_control, wire=None):
+    def __init__(self, settings, build_control, wire=None, load=None):
         self.settings = settings
+        self.load = load or (lambda: settings)
         self.counters = Counters()
         fleet = FleetView(settings.data_centre, 1, settings.fleet_limit)
         self.blackboard = Blackboard(fleet)
@@ -87,17 +97,18 @@
         """Serve until a planned stop has ended; return the exit code."""
         listeners = self._listen()
         if isinstance(listeners, str):
-            log_event(Event.PORT_UNAVAILABLE, error=listeners)
-            return EXIT_NO_ADDRESS
+            return refuse_address(listeners)
         callers, admin = listeners
         error = self.control.start(self.runners)
         if error:
-            log_event(Event.PORT_UNAVAILABLE, error=error)
-            return EXIT_NO_ADDRESS
+            return refuse_address(error)
         start_server(callers, self.application)
         start_server(admin, self._build_admin())
         signal.signal(signal.SIGTERM, self.lifecycle.ask_stop)
         signal.signal(signal.SIGINT, self.lifecycle.ask_stop)
+        reloader = Reloader(self.settings, self.load, self.control.apply)
+        signal.signal(signal.SIGHUP, reloader.ask)
+        eventlet.spawn(reloader.run)
         freeze_start_objects()
         log_event(
             Event.NODE_STARTED,
@@ -127,6 +138,13 @@
             return f"admin_address {self.settings.admin_address}: {error.strerror}"
 
 
+def refuse_address(error):
+    """Tell operator and log why the node does not start; return the exit code."""
+    log_event(Event.PORT_UNAVAILABLE, error=error)
+    print(f"hingesilld: {error}", file=sys.stderr)
+    return EXIT_NO_ADDRESS
+
+
 def freeze_start_objects():
     """Keep the collector from walking through all modules again and again."""
     gc.collect()
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -1,23 +1,18 @@
-"""The node's settings: flags first, then environment variables, then defaults."""
+"""The node's settings, checked; `environment` reads them."""
 
 import os
 import socket
 import uuid
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, Field, ValidationError, model_validator
-from pydantic_settings import BaseSettings, SettingsConfigDict
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
 
 from hingesill_core.configuration.declaration import NAME, check_address
-from hingesill_core.findings import Findings
 from hingesill_node.control.authorisation import AUTHORISERS
-from hingesill_node.control.vmlist import LISTS
 from hingesill_node.discovery.source import SOURCES
-from hingesill_node.store.registry import STORES
 
-__all__ = ["ENVIRONMENT_PREFIX", "Settings", "load_settings"]
+__all__ = ["Settings"]
 
-ENVIRONMENT_PREFIX = "HINGESILL_"
 Address = Annotated[str, AfterValidator(check_address)]
 
 
@@ -30,12 +25,22 @@
     return check_address(value)
 
 
-def check_scheme(registry):
-    """Return a check that a value's scheme is registered."""
+def check_scheme(find_registry):
+    """Return a check that a value's scheme is registered.
+
+    Parameters
+    ----------
+    find_registry : callable
+        Returns the registry. It is called for a value only, so that a node
+        without one does not load the adapters.
+    """
 
     def check(value):
+        if not value:
+            return value
+        registry = find_registry()
         scheme = value.partition("://")[0]
-        if value and registry.get(scheme) is None:
+        if registry.get(scheme) is None:
             known = ", ".join(registry.list_names())
             raise ValueError(f"the scheme is one of {known}")
         return value
@@ -48,12 +53,24 @@
     return f"{socket.gethostname()}-{uuid.uuid4().hex[:8]}"
 
 
-class Settings(BaseSettings):
+def find_stores():
+    """Return the registry of stores."""
+    from hingesill_node.store.registry import STORES
+
+    return STORES
+
+
+def find_lists():
+    """Return the registry of lists of VMs."""
+    from hingesill_node.control.vmlist import LISTS
+
+    return LISTS
+
+
+class Settings(BaseModel):
     """Everything that a node is told; each field is a flag and a variable."""
 
-    model_config = SettingsConfigDict(
-        env_prefix=ENVIRONMENT_PREFIX, extra="forbid", frozen=True
-    )
+    model_config = ConfigDict(extra="forbid", frozen=True)
 
     name: str = Field(
         default_factory=make_name,
@@ -85,14 +102,14 @@
     admin_address: Annotated[str, AfterValidator(check_listening)] = Field(
         default="127.0.0.1:8082", description="Where /ready and /metrics are."
     )
-    store: Annotated[str, AfterValidator(check_scheme(STORES))] = Field(
+    store: Annotated[str, AfterValidator(check_scheme(find_stores))] = Field(
         default="http://127.0.0.1:8500",
         description="The platform's key-value service.",
     )
-    vm_list: Annotated[str, AfterValidator(check_scheme(LISTS))] = Field(
+    vm_list: Annotated[str, AfterValidator(check_scheme(find_lists))] = Field(
         default="", description="The platform's list of VMs; empty for none."
     )
-    directory: Annotated[str, AfterValidator(check_scheme(SOURCES))] = Field(
+    directory: Annotated[str, AfterValidator(check_scheme(lambda: SOURCES))] = Field(
         default="",
         description="A store that holds declarations and endpoints; empty to follow "
         "hingesill's own change log in `store`.",
@@ -206,42 +223,3 @@
         if self.authoriser == "tokens" and not self.authors_file:
             raise ValueError("authors_file is needed for the authoriser tokens")
         return self
-
-
-def load_settings(flags):
-    """Return the settings, or every finding.
-
-    Parameters
-    ----------
-    flags : dict
-        By setting's name; they go before environment variables.
-
-    Returns
-    -------
-    Settings or Findings
-    """
-    findings = Findings()
-    for name in flags:
-        if name not in Settings.model_fields:
-            findings.add(f"--{name}", "there is no such setting")
-    for variable in os.environ:
-        name = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
-        is_ours = variable.startswith(ENVIRONMENT_PREFIX)
-        if is_ours and name not in Settings.model_fields:
-            findings.add(variable, "there is no such setting")
-    if findings:
-        return findings
-    try:
-        return Settings(**{name: str(value) for name, value in flags.items()})
-    except ValidationError as error:
-        for item in error.errors():
-            findings.add(name_place(item["loc"], flags), item["msg"])
-        return findings
-
-
-def name_place(location, flags):
-    """Return the flag or variable that a finding is about."""
-    if not location:
-        return "settings"
-    name = str(location[0])
-    return f"--{name}" if name in flags else f"{ENVIRONMENT_PREFIX}{name.upper()}"
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -14,6 +14,7 @@
     "retries": "Requests sent again, or not, by service and reason.",
     "sends": "Sends to endpoints by service.",
     "probes": "Probes sent by service.",
+    "probes_left_out": "Probes not sent as the connections were used up.",
     "store_calls": "Calls to the platform's key-value service by kind.",
     "peer_bytes": "Bytes between nodes by direction.",
     "suspicions": "Overdue answers told to other nodes, and heard of.",
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -24,6 +24,8 @@
     STOP_BEGUN = (1004, logging.INFO, "a planned stop has begun")
     STOP_ENDED = (1005, logging.INFO, "a planned stop has ended")
     STOP_BOUND_REACHED = (1006, logging.WARNING, "requests outlived the stop's bound")
+    RELOADED = (1009, logging.INFO, "the settings were read again")
+    RELOAD_REFUSED = (1010, logging.ERROR, "changed settings are not valid")
     PORT_UNAVAILABLE = (1008, logging.ERROR, "an address cannot be listened on")
     CONFIGURATION_IN_FORCE = (2001, logging.INFO, "a configuration is in force")
     HISTORY_GONE = (2008, logging.WARNING, "the store forgot what had changed")
--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -4,7 +4,8 @@
 
 from pydantic_core import PydanticUndefined
 
-from hingesill_node.settings import ENVIRONMENT_PREFIX, Settings
+from hingesill_node.environment import ENVIRONMENT_PREFIX
+from hingesill_node.settings import Settings
 from hingesill_node.telemetry.events import Event
 
 DOCS = Path(__file__).parent.parent / "docs"
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -9,7 +9,7 @@
 
 ROOT = Path(__file__).parent.parent
 FOLDERS = ("packages/hingesill-core", "packages/hingesill-node")
-FOLDERS += ("packages/hingesill-cli", "tests")
+FOLDERS += ("packages/hingesill-cli", "platform", "tests")
 MOST_KNOWN = 3
 
 
--- a/tests/test_access.py
+++ b/tests/test_access.py
@@ -80,7 +80,7 @@
 
 class ClosedSettingsTests(unittest.TestCase):
     def test_unreadable_certificate(self):
-        from hingesill_node.settings import load_settings
+        from hingesill_node.environment import load_settings
 
         findings = load_settings({"tls_certificate": "no-such.pem", "tls_key": KEY})
         self.assertIn("tls_certificate", str(next(iter(findings))))
