--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -23,8 +23,8 @@
     ----------
     at_once : int
         Endpoints asked for a new request, all but one in its data centre.
-        Source: rounds on the users' bench, where a second near one saved more
-        bytes between data centres than its probe cost.
+        Source: rounds on the users' bench, where a second near one cost more
+        probes and late answers than it saved.
     most_at_once : int
         Endpoints asked in a later round, for all waiting requests together.
     choosy : float
@@ -44,7 +44,7 @@
         spread stays below two.
     """
 
-    at_once: int = 3
+    at_once: int = 2
     most_at_once: int = 4
     choosy: float = 0.02
     patience: float = 0.7
