--- a/packages/hingesill-core/hingesill_core/configuration/services.py
+++ b/packages/hingesill-core/hingesill_core/configuration/services.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "MOST_SENDS",
+    "Bursts",
     "Endpoint",
     "Part",
     "ProbeBudget",
@@ -123,6 +124,14 @@
     pooled: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Bursts:
+    """How many extra sends of each kind a node may save up."""
+
+    hedges: float
+    retries: float
+
+
 @dataclass(frozen=True, slots=True)
 class SendBudget:
     """Extra sends a request, as shares of the first sends.
@@ -140,8 +149,8 @@
     retry_share: float
     fleet_burst: float = 0.0
 
-    def compute_burst(self, nodes):
-        """Return how many extra sends a node may save up.
+    def compute_bursts(self, nodes):
+        """Return the Bursts of a node.
 
         Parameters
         ----------
@@ -149,8 +158,11 @@
             Nodes that share what the fleet may send at once.
         """
         if not self.fleet_burst:
-            return BURST
-        return max(1.0, self.fleet_burst / max(1, nodes))
+            return Bursts(BURST, BURST)
+        share = self.fleet_burst / max(1, nodes)
+        if not self.hedge_share:
+            return Bursts(0.0, max(1.0, share))
+        return Bursts(max(1.0, share / 2), max(1.0, share / 2))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -92,9 +92,9 @@
         self.fleet = fleet
         self.choose = POLICIES.get(service.policy)
         self.queue.limit = service.queue_limit
-        burst = service.sends.compute_burst(fleet.nodes)
-        self.hedges.set_share(service.sends.hedge_share, burst / 2)
-        self.retries.set_share(service.sends.retry_share, burst / 2)
+        bursts = service.sends.compute_bursts(fleet.nodes)
+        self.hedges.set_share(service.sends.hedge_share, bursts.hedges)
+        self.retries.set_share(service.sends.retry_share, bursts.retries)
         self.fresh.configure(service, fleet)
         self.states = {
             endpoint.identity: self._build_state(endpoint)
