--- a/packages/hingesill-cli/hingesill_cli/commands.py
+++ b/packages/hingesill-cli/hingesill_cli/commands.py
@@ -10,6 +10,7 @@
 
 from hingesill_api.generated import hingesill_pb2 as pb
 from hingesill_cli.client import CallFailed, Client
+from hingesill_cli.trace import find_story, read_lines, write_story
 from hingesill_core.configuration.files import load_declarations
 
 __all__ = ["Commands"]
@@ -81,6 +82,32 @@
             print(f"{declaration.service}: valid")
         return EXIT_OK
 
+    def trace(self, request, *files):
+        """Tell what became of a request, from nodes' log files.
+
+        Parameters
+        ----------
+        request : str
+            Its id, as the caller gave it.
+        files : str
+            Log files of one or more nodes.
+        """
+        if not files:
+            complain("trace: name at least one log file")
+            return EXIT_INVALID
+        try:
+            stories = list(find_story(read_lines(map(str, files)), str(request)))
+        except OSError as error:
+            complain(f"trace: {error.filename}: {error.strerror}")
+            return EXIT_INVALID
+        if not stories:
+            complain(f"trace: no line tells of the request {request}")
+            return EXIT_NO_ANSWER
+        for story in stories:
+            for line in write_story(story):
+                print(line)
+        return EXIT_OK
+
     def apply(self, f, dry_run=False, operation="", author="", remove=""):
         """Put declarations in force.
 
--- /dev/null
+++ b/packages/hingesill-cli/hingesill_cli/tests/test_trace.py
@@ -0,0 +1,63 @@
+"""Tests of telling a request's story from log files."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from hingesill_cli.commands import EXIT_INVALID, EXIT_NO_ANSWER, EXIT_OK, Commands
+
+
+def build_line(event, text, time="2026-12-02 10:00:00,000", node="n1", **fields):
+    content = {"asctime": time, "node": node, "message": text, "event": event}
+    return json.dumps({**content, **fields})
+
+
+class TraceTests(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "n1.log"
+        steps = ["0ms asked i-1,i-2", "9ms sent i-2 1/3 x1 0ms old", "80ms ended i-2"]
+        self.file.write_text(
+            "\n".join(
+                [
+                    build_line(3001, "the store does not answer", detail="status 503"),
+                    build_line(4002, "an endpoint was ejected", endpoint="i-2"),
+                    build_line(4002, "an endpoint was ejected", endpoint="i-9"),
+                    "  12.5 prefix " + build_line(6003, "trouble", **self.end(steps)),
+                    "no JSON {",
+                ]
+            )
+        )
+
+    def end(self, steps):
+        return {"request": "abc", "service": "arena", "ms": 80, "steps": steps}
+
+    def trace(self, *arguments):
+        out, err = io.StringIO(), io.StringIO()
+        with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+            code = Commands().trace(*arguments)
+        return code, out.getvalue(), err.getvalue()
+
+    def test_story_with_what_was_known(self):
+        code, out, _ = self.trace("abc", self.file)
+        self.assertEqual(code, EXIT_OK)
+        for words in ("9ms sent i-2", "does not answer", "endpoint=i-2"):
+            self.assertIn(words, out)
+        self.assertNotIn("i-9", out)
+
+    def test_unknown_request(self):
+        code, _, err = self.trace("xyz", self.file)
+        self.assertEqual(code, EXIT_NO_ANSWER)
+        self.assertIn("xyz", err)
+
+    def test_file_that_is_not_there(self):
+        code, _, err = self.trace("abc", "/nowhere.log")
+        self.assertEqual(code, EXIT_INVALID)
+        self.assertIn("/nowhere.log: No such file", err)
+
+    def test_without_a_file(self):
+        self.assertEqual(self.trace("abc")[0], EXIT_INVALID)
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/scene.py
@@ -0,0 +1,142 @@
+"""The processes of one soak: nodes and endpoints, with proxies between them."""
+
+import time
+from pathlib import Path
+
+import yaml
+
+from demo.load import Caller
+from soak.proxy import Proxy
+from standins.fleet import EXAMPLES, Fleet
+
+__all__ = ["Scene"]
+
+REQUESTS = [
+    ("GET", "/arena/boards/7", True),
+    ("POST", "/ledger/moves", False),
+    ("GET", "/arena/clocks/7", True),
+]
+SERVICES = ("arena", "ledger")
+ENDPOINTS_EACH = 3
+# Many retries, so that a rule on them that is broken shows.
+SENDS = {"hedge_share": 0.1, "retry_share": 0.5}
+NODES = 3
+CALLERS = 4
+CALLER_PAUSE = 0.02
+STOP_SECONDS = 15.0
+
+
+class Scene:
+    """A fleet whose store and endpoints are reached through proxies.
+
+    Parameters
+    ----------
+    folder : Path
+        For files and logs.
+    seed : int
+        Of the proxies' choices.
+    mutation : str
+        A rule that nodes leave out, to show that the checkers see it.
+    """
+
+    def __init__(self, folder, seed, mutation=""):
+        self.fleet = Fleet(Path(folder))
+        self.seed = seed
+        self.mutation = mutation
+        self.usable = []
+        self.leaving = set()
+        self.unplanned = []
+        self.exit_codes = []
+        self.endpoint_proxies = []
+        self.callers = []
+        self._number = 0
+
+    def start(self):
+        """Start everything and put the declarations in force."""
+        self.fleet.start_platform()
+        store = self.fleet.store.removeprefix("http://")
+        self.store_proxy = Proxy(store, self.seed)
+        self.store_url = self.fleet.store
+        files = self._write_declarations()
+        for _ in range(NODES):
+            self.add_node()
+        first = next(iter(self.fleet.nodes.values()))
+        applied = self.fleet.run_cli(first, "apply", "-f", files)
+        if applied.returncode:
+            raise RuntimeError(applied.stdout + applied.stderr)
+        waited = self.fleet.run_cli(first, "status", "--wait=10")
+        if waited.returncode:
+            raise RuntimeError(waited.stdout + waited.stderr)
+        self.callers = [
+            Caller(lambda: self.usable, REQUESTS, CALLER_PAUSE).start()
+            for _ in range(CALLERS)
+        ]
+
+    def _write_declarations(self):
+        folder = self.fleet.folder / "declarations"
+        folder.mkdir()
+        for service in SERVICES:
+            file = EXAMPLES / "zugzwang" / f"{service}.yaml"
+            content = yaml.safe_load(file.read_text())
+            content["endpoints"] = [
+                {"address": address, "data_centre": "lsn-a"}
+                for address in self._start_endpoints()
+            ]
+            content["sends"] = SENDS
+            (folder / file.name).write_text(yaml.safe_dump(content))
+        return folder
+
+    def _start_endpoints(self):
+        """Start endpoints; return the addresses of the proxies before them."""
+        addresses = []
+        for address in self.fleet.start_endpoints(ENDPOINTS_EACH):
+            proxy = Proxy(address, f"{self.seed} {len(self.endpoint_proxies)}")
+            self.endpoint_proxies.append(proxy)
+            addresses.append(proxy.address)
+        return addresses
+
+    def add_node(self):
+        """Start a node that reaches the store through the proxy."""
+        self._number += 1
+        store = f"http://{self.store_proxy.address}"
+        node = self.fleet.start_node(
+            f"n{self._number}", store=store, mutation=self.mutation
+        )
+        self.usable.append(node.address)
+
+    def choose_node(self, rng):
+        """Return a node that may get a fault; None while too few are well."""
+        well = [
+            node
+            for node in self.fleet.nodes.values()
+            if node.address in self.usable and node.name not in self.leaving
+        ]
+        return rng.choice(well) if len(well) == NODES else None
+
+    def note_unplanned(self, node):
+        """Take note that a node's connections are cut from now on."""
+        self.unplanned.append((node.address, time.monotonic()))
+        self.stop_using(node)
+
+    def stop_using(self, node):
+        """Have callers use other nodes."""
+        if node.address in self.usable:
+            self.usable.remove(node.address)
+
+    def replace(self, node):
+        """Start a node in the place of one that has ended."""
+        self.fleet.forget(node)
+        self.add_node()
+
+    def end_stop(self, node):
+        """Wait for the end of a planned stop; start another node."""
+        self.exit_codes.append(node.process.wait(STOP_SECONDS))
+        self.replace(node)
+
+    def close(self):
+        """End callers, proxies and processes."""
+        for caller in self.callers:
+            caller.stop()
+        for proxy in (self.store_proxy, *self.endpoint_proxies):
+            proxy.close()
+        self.fleet.close()
