Latency histograms; reports without slots; one reader of remaining time

Two formats read milliseconds with the same lines.

Change: buckets as plain integers, shown by a collector when asked; a report without slots gets the declared ones; read_milliseconds.

--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -1,6 +1,6 @@
 """The requests of one service that wait for an endpoint with a free slot."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.reasons import RefusalReason
@@ -165,7 +165,7 @@
         fitting = [
             waiting
             for waiting in self.waiting.values()
-            if self._fits(waiting, state, reply.report, now)
+            if self._fits(waiting, state, now)
         ]
         if not fitting:
             return None
@@ -175,7 +175,7 @@
         send.occupied = reply.report.running + 1
         return send
 
-    def _fits(self, waiting, state, report, now):
+    def _fits(self, waiting, state, now):
         """Tell whether a request may go to an endpoint that just replied."""
         ticket = waiting.ticket
         if state.identity in ticket.tried and len(self.dispatcher.states) > 1:
@@ -184,7 +184,7 @@
             return False
         stage = waiting.get_stage(now, self.rules)
         most = self.rules.most_slowness * max(1.0, self.slowness.value)
-        return is_good_enough(report, stage, self.knee.is_there, most)
+        return is_good_enough(state.report, stage, self.knee.is_there, most)
 
     def note_reply(self, reply, now):
         """Learn from a reply; return the endpoint's state, or None if it is gone.
@@ -201,7 +201,7 @@
         if reply.end is SendEnd.ANSWERED:
             self.has_reports = reply.report is not None
             if reply.report is not None:
-                state.report = reply.report
+                state.report = complete_report(reply.report, state)
                 self.slowness.note(reply.report.slowness)
         return state
 
@@ -227,6 +227,11 @@
                 yield ticket, self.dispatcher.refuse(ticket, reason, now)
 
 
+def complete_report(report, state):
+    """Return a report with the slots that were declared, if it tells none."""
+    return report if report.slots else replace(report, slots=state.slots)
+
+
 def can_get_work(state, now):
     """Tell whether an endpoint may get new work, as far as known."""
     if state.is_draining(now) or now < state.refused_until:
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -57,6 +57,10 @@
         self.assertIs(send.ticket, self.ticket)
         self.assertEqual((send.endpoint, send.occupied), ("i1", 2))
 
+    def test_a_report_without_slots_is_read_with_the_declared_ones(self):
+        self.dispatcher.submit(self.ticket, 0.0)
+        self.assertIsInstance(self.fresh.take(reply("i1", 1, slots=0), 0.01), Send)
+
     def test_a_reply_nobody_waits_for_is_only_noted(self):
         self.assertIsNone(self.fresh.take(reply("i1", 0), 0.01))
         self.assertEqual(self.dispatcher.states["i1"].report.running, 0)
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -101,6 +101,8 @@
         seconds = self.clock() - ticket.arrived
         refused = isinstance(answer, Refusal)
         target = ticket.route.target or ticket.route.timeout
+        if not refused:
+            self.counters.latencies[service].note(seconds)
         plain = not refused and ticket.sends <= 1 and seconds <= target
         log_event(
             Event.REQUEST_ANSWERED if plain else Event.REQUEST_IN_TROUBLE,
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -4,7 +4,7 @@
     "HOP_BY_HOP",
     "Names",
     "filter_headers",
-    "parse_milliseconds",
+    "read_milliseconds",
 ]
 
 
@@ -56,6 +56,7 @@
     }
 )
 LARGEST_MILLISECONDS = 86_400_000
+MOST_DIGITS = 9
 
 
 def list_connection_options(pairs):
@@ -86,8 +87,24 @@
             yield name, value
 
 
-def parse_milliseconds(text):
-    """Return seconds for a header's milliseconds, or None if it is malformed."""
-    if not text.isascii() or not text.isdigit() or len(text) > 9:
+def read_milliseconds(environ, name):
+    """Return the seconds that a header gives in milliseconds, None if it is absent.
+
+    Parameters
+    ----------
+    environ : dict
+        Of the request.
+    name : str
+        As the environment spells the header.
+
+    Raises
+    ------
+    ValueError
+        If the header is no plain number.
+    """
+    text = environ.get(name)
+    if text is None:
         return None
+    if not text.isascii() or not text.isdigit() or len(text) > MOST_DIGITS:
+        raise ValueError(f"not a number of milliseconds: {text!r}")
     return min(int(text), LARGEST_MILLISECONDS) / 1000
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -13,7 +13,7 @@
     OWN_OF_ENDPOINT,
     SET_BY_NODE,
     Names,
-    parse_milliseconds,
+    read_milliseconds,
 )
 from hingesill_node.datapath.refusals import build_refusal_answer
 
@@ -66,13 +66,7 @@
         ValueError
             If what it gave is not understood.
         """
-        text = environ.get("HTTP_HINGESILL_REMAINING_MS")
-        if text is None:
-            return None
-        seconds = parse_milliseconds(text)
-        if seconds is None:
-            raise ValueError(f"not a number of milliseconds: {text!r}")
-        return seconds
+        return read_milliseconds(environ, "HTTP_HINGESILL_REMAINING_MS")
 
     def may_retry(self, environ):
         """Tell whether no layer nearer to the caller sends again."""
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -4,9 +4,10 @@
 asked, so that a request pays for no exporter.
 """
 
-from collections import Counter
+from bisect import bisect_left
+from collections import Counter, defaultdict
 
-__all__ = ["Counters", "COUNTER_TEXTS", "GAUGE_TEXTS"]
+__all__ = ["Counters", "COUNTER_TEXTS", "GAUGE_TEXTS", "LATENCY_BOUNDS"]
 
 COUNTER_TEXTS = {
     "requests": "Requests by service and outcome.",
@@ -28,11 +29,30 @@
 }
 
 
+# Upper bounds of the buckets of answers' times, in seconds; targets of the
+# users' routes lie between 0.2 and 1.
+LATENCY_BOUNDS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 5.0)
+
+
+class Latencies:
+    """How long the answers of one service took, in buckets."""
+
+    def __init__(self):
+        self.buckets = [0] * (len(LATENCY_BOUNDS) + 1)
+        self.total = 0.0
+
+    def note(self, seconds):
+        """Take one answer."""
+        self.buckets[bisect_left(LATENCY_BOUNDS, seconds)] += 1
+        self.total += seconds
+
+
 class Counters:
-    """Counts by (counter, service or kind, reason)."""
+    """Counts by (counter, service or kind, reason), and answers' times."""
 
     def __init__(self):
         self.counts = Counter()
+        self.latencies = defaultdict(Latencies)
 
     def add(self, name, subject, reason="", amount=1):
         """Add to one count; safe between threads under the interpreter's lock."""
--- a/packages/hingesill-node/hingesill_node/telemetry/metrics.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/metrics.py
@@ -4,15 +4,48 @@
 the start of a process that many nodes never need.
 """
 
+from itertools import accumulate
+
 from opentelemetry.exporter.prometheus import PrometheusMetricReader
 from opentelemetry.metrics import Observation
 from opentelemetry.sdk.metrics import MeterProvider
+from prometheus_client import REGISTRY
+from prometheus_client.core import HistogramMetricFamily
 
-from hingesill_node.telemetry.counters import COUNTER_TEXTS, GAUGE_TEXTS
+from hingesill_node.telemetry.counters import (
+    COUNTER_TEXTS,
+    GAUGE_TEXTS,
+    LATENCY_BOUNDS,
+)
 
 __all__ = ["start_metrics"]
 
 
+class LatencyCollector:
+    """Shows the answers' times as a histogram a service.
+
+    Parameters
+    ----------
+    counters : Counters
+        Read on each collection. OpenTelemetry's own histograms take each value
+        at once, which would load its libraries into every process.
+    """
+
+    def __init__(self, counters):
+        self.counters = counters
+
+    def collect(self):
+        """Yield the histograms."""
+        family = HistogramMetricFamily(
+            "hingesill_latency_seconds", "Times of answers.", labels=["service"]
+        )
+        bounds = [str(bound) for bound in LATENCY_BOUNDS] + ["+Inf"]
+        for service, latencies in list(self.counters.latencies.items()):
+            counts = accumulate(latencies.buckets)
+            family.add_metric([service], list(zip(bounds, counts)), latencies.total)
+        yield family
+
+
 def observe(counters, name):
     """Yield the observations of one counter."""
     for subject, reason, amount in counters.list_counts(name):
@@ -43,4 +76,5 @@
             callbacks=[lambda options, name=name: [Observation(gauges()[name])]],
             description=text,
         )
+    REGISTRY.register(LatencyCollector(counters))
     return provider
