Few nodes watch the store for all others; lighter start; near endpoints first

Now the strongest node of each data centre watches and streams changes to the others (discovery/relays, feed, relayclient). A follower whose relay ends its stream, falls silent for 1.2 s or loses the store turns to another relay and then to the store. Entries live 120 s and a process that starts anew goes on with the old one; entries that lapse all at once no longer hand each node the whole retry and probe budgets (fleetsize). First reads may be stale.

--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/discovery/difference.py
@@ -0,0 +1,31 @@
+"""What changed between two snapshots of a directory."""
+
+from hingesill_core.discovery.records import Changes
+
+__all__ = ["find_changes"]
+
+
+def find_changes(before, after):
+    """Return the Changes that lead from one Snapshot to a later one.
+
+    Notes
+    -----
+    Records are compared by identity: a directory replaces a record only if it
+    has changed.
+    """
+    declared = after.declared if after.declared is not before.declared else None
+    return Changes(
+        after.revision,
+        declared,
+        find_changed_records(before.endpoints, after.endpoints),
+        find_changed_records(before.nodes, after.nodes),
+    )
+
+
+def find_changed_records(before, after):
+    """Return the records that are new or other, and None for those that are gone."""
+    changed = {
+        name: record for name, record in after.items() if before.get(name) is not record
+    }
+    changed.update((name, None) for name in before.keys() - after.keys())
+    return changed
--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -42,7 +42,7 @@
 
     def note_return(self, now):
         """Take note that the store answers again after it did not."""
-        self.returned_at = now
+        self.returned_at = max(self.returned_at, now)
 
     def adopt(self, snapshot, now):
         """Take everything at a revision; return whether it leads further.
@@ -93,7 +93,7 @@
 
     def _replace_nodes(self, nodes):
         if nodes != self.nodes:
-            self.nodes = dict(nodes)
+            self.nodes = keep_known(self.nodes, nodes)
             self.generation += 1
 
     def _put_endpoint(self, record):
@@ -129,8 +129,21 @@
         """Return when `expire` has something to do, or None."""
         return min(self.doubtful.values(), default=None)
 
+    def get_return_age(self, now):
+        """Return the seconds since the store's last return; None if none was seen."""
+        age = now - self.returned_at
+        return None if age == float("inf") else age
+
     def build_snapshot(self):
         """Return all that is believed, for another node."""
         return Snapshot(
             self.revision, self.declared, dict(self.endpoints), dict(self.nodes)
         )
+
+
+def keep_known(known, nodes):
+    """Return records by name, the known ones where nothing has changed."""
+    return {
+        name: known[name] if known.get(name) == record else record
+        for name, record in nodes.items()
+    }
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/discovery/fleetsize.py
@@ -0,0 +1,33 @@
+"""How many nodes share the fleet's budgets, counted with care."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+__all__ = ["FleetSize"]
+
+# Entries may lapse all at once while the store is away, and their nodes live on.
+# Each node must not take the whole budget then. Source: an outage of some seconds
+# and the time in which nodes enter themselves again, with room.
+HOLD_SECONDS = 30.0
+
+
+@dataclass(slots=True)
+class FleetSize:
+    """The largest count of the last while.
+
+    Attributes
+    ----------
+    counts : deque of tuple
+        Time and count, the largest first; a later and larger one replaces others.
+    """
+
+    counts: deque = field(default_factory=deque)
+
+    def note(self, count, now):
+        """Take a count; return the size to reckon with."""
+        while self.counts and self.counts[0][0] < now - HOLD_SECONDS:
+            self.counts.popleft()
+        while self.counts and self.counts[-1][1] <= count:
+            self.counts.pop()
+        self.counts.append((now, count))
+        return max(1, self.counts[0][1])
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -115,11 +115,15 @@
         Where it tells other nodes what it holds.
     data_centre : str
         Where it runs.
+    strength : float
+        Processor time that it may use, in cores; the strongest nodes watch the
+        store for others.
     """
 
     name: str
     address: str
     data_centre: str
+    strength: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/discovery/relays.py
@@ -0,0 +1,96 @@
+"""Which nodes watch the store for others: the relays, worked out by each node."""
+
+from dataclasses import dataclass, field
+
+__all__ = ["RelayChoice", "list_relays"]
+
+# Streams that one relay serves. Source: a relay writes a heartbeat of a few bytes
+# to each 2.5 times a second, some 0.1 ms of processor time each.
+NODES_A_RELAY = 80
+# A relay that failed is passed over for so long, in seconds, and twice as long
+# after each further failure. A process starts anew within about a second.
+FIRST_REST = 0.3
+LONGEST_REST = 1.2
+
+
+def list_relays(nodes):
+    """Return the relays among nodes, those of all data centres.
+
+    Parameters
+    ----------
+    nodes : iterable of NodeRecord
+        All that are entered.
+
+    Notes
+    -----
+    All nodes work out the same from the same entries, so nothing has to be
+    agreed. The strongest of each data centre are taken; those that are equally
+    strong by their names.
+    """
+    by_data_centre = {}
+    for node in nodes:
+        by_data_centre.setdefault(node.data_centre, []).append(node)
+    relays = []
+    for members in by_data_centre.values():
+        members.sort(key=lambda node: (-node.strength, node.name))
+        relays.extend(members[: 1 + len(members) // NODES_A_RELAY])
+    return relays
+
+
+@dataclass(slots=True)
+class RelayChoice:
+    """Whom one node follows.
+
+    Parameters
+    ----------
+    own : NodeRecord
+        The node's own entry.
+    rng : random.Random
+        Spreads nodes over equally good relays.
+
+    Attributes
+    ----------
+    resting_until : dict
+        Until when a relay that failed is passed over, by name, in seconds of the
+        node's clock.
+    failures : dict
+        Failures in a row by name.
+    """
+
+    own: object
+    rng: object
+    resting_until: dict = field(default_factory=dict)
+    failures: dict = field(default_factory=dict)
+
+    def is_relay(self, nodes):
+        """Tell whether this node watches the store for others."""
+        return any(relay.name == self.own.name for relay in list_relays(nodes))
+
+    def choose(self, nodes, now):
+        """Return the relay to follow now, or None to watch the store oneself.
+
+        Notes
+        -----
+        One in the own data centre goes before all others. A relay follows
+        nobody, so that no two nodes ever follow each other.
+        """
+        relays = list_relays(nodes)
+        if any(relay.name == self.own.name for relay in relays):
+            return None
+        usable = [
+            relay for relay in relays if self.resting_until.get(relay.name, now) <= now
+        ]
+        near = [r for r in usable if r.data_centre == self.own.data_centre]
+        choices = near or usable
+        return self.rng.choice(choices) if choices else None
+
+    def note_failure(self, relay, now):
+        """Pass a relay over for a while."""
+        failures = self.failures.get(relay.name, 0)
+        self.failures[relay.name] = failures + 1
+        rest = min(LONGEST_REST, FIRST_REST * 2**failures)
+        self.resting_until[relay.name] = now + rest
+
+    def note_success(self, relay):
+        """Forget the failures of a relay that serves this node."""
+        self.failures.pop(relay.name, None)
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -22,11 +22,16 @@
     Attributes
     ----------
     at_once : int
-        Endpoints asked for a new request, all but one in its data centre.
+        Endpoints asked for a new request, all but one in its data centre, or all
+        of them where there are many.
         Source: rounds on the users' bench, where a second near one cost more
         probes and late answers than it saved.
     most_at_once : int
         Endpoints asked in a later round, for all waiting requests together.
+    many_near : int
+        With so many endpoints in its data centre, a new request asks there only.
+        Source: with three, the second one is too often slow or full as well; a
+        quarter of them is slow at a time.
     choosy : float
         For so long a request takes only an endpoint with two free slots, as the
         last one is often gone when the request arrives. Source: two replies.
@@ -46,6 +51,7 @@
 
     at_once: int = 2
     most_at_once: int = 4
+    many_near: int = 6
     choosy: float = 0.02
     patience: float = 0.7
     longest_wait: float = 0.45
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -96,7 +96,7 @@
         if len(self.waiting) >= self.dispatcher.service.queue_limit:
             return self.dispatcher.refuse(ticket, RefusalReason.QUEUE_FULL, now)
         self.waiting[ticket] = self._build_waiting(ticket, now)
-        return Ask(self._choose(self.rules.at_once, now))
+        return Ask(self._choose(self.rules.at_once, now, is_first=True))
 
     def _build_waiting(self, ticket, now):
         pace = self.dispatcher.get_pace(ticket.route)
@@ -121,28 +121,31 @@
         endpoints = self._choose(min(wanted, self.rules.most_at_once), now)
         return Ask(endpoints) if endpoints else None
 
-    def _choose(self, wanted, now):
+    def _choose(self, wanted, now, is_first=False):
         """Return the identities of endpoints to ask, as the budget allows."""
         candidates = self._list_candidates(now)
         count = self.budget.take(min(wanted, len(candidates)), now)
-        chosen = self._sample(candidates, count)
+        chosen = self._sample(candidates, count, is_first)
         for state in chosen:
             state.asked_at = now
             if state.reach.needs_trial(now):
                 state.reach.on_trial = True
         return tuple(state.identity for state in chosen)
 
-    def _sample(self, candidates, count):
+    def _sample(self, candidates, count, is_first):
         """Return endpoints at random, all but one of the own data centre.
 
         Notes
         -----
         Their replies come first, so a request stays near if there is room, and
-        what is full here still finds room elsewhere in the same round.
+        what is full here still finds room elsewhere in the same round. Where many
+        are near, the first round asks only them: bytes between data centres and
+        new connections are saved, and the next round is milliseconds away.
         """
         rng = self.dispatcher.rng
         near = [state for state in candidates if state.is_near]
-        chosen = rng.sample(near, min(len(near), max(0, count - 1)))
+        stays = is_first and len(near) >= self.rules.many_near
+        chosen = rng.sample(near, min(len(near), max(0, count - (not stays))))
         others = [state for state in candidates if state not in chosen]
         return [*chosen, *rng.sample(others, count - len(chosen))]
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -201,6 +201,17 @@
         near = [name for name in ask.endpoints if int(name[1:]) % 2 == 0]
         self.assertGreaterEqual(len(near), AskRules().at_once - 1)
 
+    def test_where_many_are_near_a_new_request_asks_only_them(self):
+        endpoints = tuple(
+            Endpoint(f"10.0.0.{n}:80", "ab"[n % 2], 3, 100, f"i{n}")
+            for n in range(2 * AskRules().many_near)
+        )
+        service = replace(build_service(), endpoints=endpoints)
+        for seed in range(20):
+            dispatcher = Dispatcher(service, FLEET, random.Random(seed))
+            ask = dispatcher.submit(Ticket(ROUTE, 0.0, 2.0), 0.0)
+            self.assertFalse([name for name in ask.endpoints if int(name[1:]) % 2])
+
     def test_without_near_ones_others_are_asked(self):
         dispatcher = Dispatcher(build_service(), FleetView("z", 4, 8), random.Random(1))
         ask = dispatcher.submit(Ticket(ROUTE, 0.0, 2.0), 0.0)
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -1,12 +1,15 @@
-"""Connections to endpoints: urllib3's, on green sockets, pooled an endpoint."""
+"""Connections to endpoints: the standard library's, on green sockets, pooled.
+
+urllib3, on which they stood before, adds pools, redirects and TLS that are not used
+here; to import it took a tenth of a node's start.
+"""
 
 import socket
 import time
 from collections import deque
+from http.client import HTTPConnection
 
 from eventlet.green import socket as green_socket
-from urllib3.connection import HTTPConnection
-from urllib3.util.wait import wait_for_read
 
 from hingesill_node.datapath.responses import EndpointResponse
 
@@ -34,8 +37,6 @@
     ``collect`` is set, and ``flush`` sends what was collected.
     """
 
-    default_socket_options = [(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)]
-
     def __init__(self, address):
         host, _, port = address.rpartition(":")
         super().__init__(host.strip("[]"), int(port), timeout=CONNECT_SECONDS)
@@ -45,20 +46,15 @@
         self.method = ""
         self._collected = None
 
-    def _new_conn(self):
+    def open(self):
+        """Connect; ConnectFailed if that does not succeed in time."""
         try:
-            sock = green_socket.create_connection(
+            self.sock = green_socket.create_connection(
                 (self.host, self.port), timeout=CONNECT_SECONDS
             )
         except OSError as error:
             raise ConnectFailed(f"{self.address}: {error}") from error
-        for option in self.default_socket_options:
-            sock.setsockopt(*option)
-        return sock
-
-    def open(self):
-        """Connect; ConnectFailed if that does not succeed in time."""
-        self.connect()
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def collect(self):
         """Keep what is sent until ``flush``."""
@@ -107,7 +103,13 @@
 
     def is_stale(self):
         """Tell whether the other side closed it or sent what nobody asked for."""
-        return wait_for_read(self.sock, timeout=0.0)
+        try:
+            self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
+        return True
 
 
 class Pool:
--- a/packages/hingesill-node/hingesill_node/discovery/codec.py
+++ b/packages/hingesill-node/hingesill_node/discovery/codec.py
@@ -1,4 +1,4 @@
-"""Snapshots of a directory as bytes, for other nodes."""
+"""Directories and their changes as bytes, for other nodes."""
 
 import json
 import zlib
@@ -6,6 +6,7 @@
 
 from hingesill_core.configuration.services import Part, Route
 from hingesill_core.discovery.records import (
+    Changes,
     Declared,
     DeclaredService,
     EndpointRecord,
@@ -14,14 +15,15 @@
     Snapshot,
 )
 
-__all__ = ["decode_snapshot", "encode_snapshot"]
+__all__ = ["decode_changes", "decode_snapshot", "encode"]
 
+# Of zlib: what goes to many nodes is encoded once, and links may be narrow.
 COMPRESSION = 6
 
 
-def encode_snapshot(snapshot):
-    """Return a Snapshot as compressed JSON."""
-    text = json.dumps(asdict(snapshot), separators=(",", ":"))
+def encode(content):
+    """Return a Snapshot or Changes as compressed JSON."""
+    text = json.dumps(asdict(content), separators=(",", ":"))
     return zlib.compress(text.encode(), COMPRESSION)
 
 
@@ -33,19 +35,34 @@
     ValueError
         If they hold none.
     """
+    return decode(encoded, Snapshot)
+
+
+def decode_changes(encoded):
+    """Return the Changes that bytes hold; ValueError if they hold none."""
+    return decode(encoded, Changes)
+
+
+def decode(encoded, kind):
+    """Return the content of one kind; ValueError if there is none."""
     try:
         raw = json.loads(zlib.decompress(encoded))
-        return Snapshot(
+        return kind(
             revision=int(raw["revision"]),
             declared=decode_declared(raw["declared"]),
-            endpoints={
-                name: EndpointRecord(**record)
-                for name, record in raw["endpoints"].items()
-            },
-            nodes={name: NodeRecord(**record) for name, record in raw["nodes"].items()},
+            endpoints=decode_records(raw["endpoints"], EndpointRecord),
+            nodes=decode_records(raw["nodes"], NodeRecord),
         )
     except (zlib.error, TypeError, ValueError, LookupError, AttributeError) as error:
-        raise ValueError(f"not a snapshot: {error}") from error
+        name = kind.__name__.lower()
+        raise ValueError(f"not a {name}: {error}") from error
+
+
+def decode_records(raw, kind):
+    """Return records by name; None stands for one that is gone."""
+    return {
+        name: None if record is None else kind(**record) for name, record in raw.items()
+    }
 
 
 def decode_declared(raw):
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -1,17 +1,23 @@
 """The control of a node that follows a directory in the platform's store."""
 
+import random
+import time
+
 import eventlet
 
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.configuration.services import SendBudget
 from hingesill_core.discovery.assembly import ServiceRules, build_services
+from hingesill_core.discovery.fleetsize import FleetSize
 from hingesill_core.discovery.records import NodeRecord
+from hingesill_core.discovery.relays import RelayChoice
 from hingesill_core.routing.dispatcher import FleetView
 from hingesill_node.blackboard import Configuration
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.discovery.follower import Follower
 from hingesill_node.discovery.peers import PeerApplication, PeerClient
 from hingesill_node.discovery.registration import Registration
+from hingesill_node.discovery.relayclient import RelayClient
 from hingesill_node.discovery.source import open_source
 from hingesill_node.telemetry.events import Event, log_event
 
@@ -65,9 +71,11 @@
         source = open_source(settings.directory)
         vm = settings.vm or settings.name
         peers = PeerClient(vm, settings.data_centre)
-        self.follower = Follower(source, peers, self.publish)
-        entry = NodeRecord(vm, self.address, settings.data_centre)
+        entry = NodeRecord(vm, self.address, settings.data_centre, settings.strength)
+        choice = RelayChoice(entry, random.Random())
+        self.follower = Follower(source, peers, self.publish, choice, RelayClient())
         self.registration = Registration(source, entry, self._lists)
+        self.fleet_size = FleetSize()
         self._version = None
         self._routes = RouteTable(())
 
@@ -77,7 +85,8 @@
             listener = listen(self.address, False)
         except OSError as error:
             return f"control_address {self.address}: {error.strerror}"
-        start_server(listener, PeerApplication(lambda: self.follower.directory))
+        follower = self.follower
+        start_server(listener, PeerApplication(follower.directory, follower.feed))
         self.follower.start()
         eventlet.spawn(self.registration.run)
         return ""
@@ -110,7 +119,7 @@
         return self.follower.directory.nodes.get(node.name) == node
 
     def _build_fleet(self, directory):
-        nodes = max(1, len(directory.nodes))
+        nodes = self.fleet_size.note(len(directory.nodes), time.monotonic())
         return FleetView(self.settings.data_centre, nodes, ROOM_FOR_NODES * nodes)
 
     def is_settled(self):
@@ -136,7 +145,7 @@
 
     def leave(self):
         """See `node.Control`."""
-        self.registration.leave()
+        self.follower.leave()
 
     def stop(self):
         """Green threads end with the process."""
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -1,4 +1,9 @@
-"""Keeps a node's directory up to date: from the store, or else from peers."""
+"""Following the store: by a watch, by a relay's stream, or by asking other nodes.
+
+Each change of the store wakes all who watch it, and each call has its price. So a
+few nodes of each data centre, the relays, watch for all others. A follower that
+loses its relay turns to another one, and to the store if there is none.
+"""
 
 import random
 import time
@@ -10,48 +15,81 @@
 from hingesill_core.discovery.records import Changes, HistoryGone
 from hingesill_core.store import StoreFailure
 from hingesill_node.control.backoff import Backoff
+from hingesill_node.discovery.feed import Feed
+from hingesill_node.discovery.frames import FrameKind
+from hingesill_node.discovery.relayclient import RelayLost
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["Follower"]
 
 # A waiting watch is one call, so long waits are cheap; the store allows 30 s.
 WATCH_SECONDS = 25.0
-# Changes come in series; one call then brings several. Two fifths of the time
+# A node that should follow a relay, but found none, looks for one so often.
+LOOK_SECONDS = 3.0
+# Changes come in series; one call then brings several. A fifth of the time
 # within which a change has to be in force.
-SERIES_SECONDS = 0.8
+SERIES_SECONDS = 0.4
 # A watch on a path that was cut says nothing, so a cheap call tells of cuts.
 CHECK_SECONDS = 1.0
+# A relay's checks are also its heartbeats.
+RELAY_CHECK_SECONDS = 0.4
 FIRST_PAUSE = 0.1
 LONGEST_PAUSE = 1.0
+# For a node that has relays to tell it of the store's return.
+LONGEST_FOLLOWER_PAUSE = 3.0
+# Without a relay's word for so long a node asks the store itself. Together with
+# a relay's silence, a change is still in force within 2 s.
+PATIENCE_SECONDS = 1.4
+RELAY_PAUSE = 0.05
+# Between two tries of relays that have lost the store as well.
+OUTAGE_PAUSE = 0.6
+# A node that starts reads until its own entry and those of others are there.
+START_SECONDS = 1.5
+START_PAUSE = 0.4
 # While the store does not answer other nodes are asked so often.
 PEER_SECONDS = 0.5
 
 
 class Follower:
-    """Reads, watches and publishes what the store holds.
+    """Follows, holds and publishes what the store holds.
 
     Parameters
     ----------
     source : DirectorySource
         The store.
     peers : PeerClient
-        Asked while the store does not answer.
+        Asked while neither the store nor a relay answers.
     publish : callable
         Called with the directory after each change.
+    choice : RelayChoice or None
+        Whom to follow; None to watch the store always.
+    relays : RelayClient or None
+        Reads a relay's stream.
     clock : callable
         Monotonic seconds.
     """
 
-    def __init__(self, source, peers, publish, clock=time.monotonic):
+    def __init__(
+        self, source, peers, publish, choice=None, relays=None, clock=time.monotonic
+    ):
         self.source = source
         self.peers = peers
         self.publish = publish
+        self.choice = choice
+        self.relays = relays
         self.clock = clock
         self.directory = Directory()
+        self.feed = Feed(self.directory, clock)
         self.store_answers = True
         self.is_synced = False
+        self.follows = ""
         self.heard_at = clock()
-        self._backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, random.Random())
+        self._started_at = clock()
+        self._has_begun = choice is None
+        rng = random.Random()
+        self._backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, rng)
+        self._long_backoff = Backoff(FIRST_PAUSE, LONGEST_FOLLOWER_PAUSE, rng)
+        self._store_from = float("-inf")
         self._published = 0
         self._watching_since = None
         self._watching = None
@@ -67,24 +105,127 @@
         self.source = source
         self._interrupt()
 
+    def leave(self):
+        """Serve no other node any more: a planned stop has begun."""
+        self.feed.end("the node stops")
+
     def is_settled(self):
         """Tell whether requests can be served by what is known."""
         return self.directory.declared is not None and bool(self.directory.endpoints)
 
     def get_silence(self):
-        """Return the seconds since the store or a peer was last heard."""
+        """Return the seconds since the store, a relay or a peer was last heard."""
         return self.clock() - self.heard_at
 
     def _follow(self):
         while True:
             try:
-                self._advance()
+                self._step()
             except Exception as error:
                 # A fault here must not leave the node with what it knows now.
                 self.is_synced = False
                 log_event(Event.FOLLOWER_FAULT, error=repr(error))
                 eventlet.sleep(self._backoff.get_pause())
 
+    def _step(self):
+        """Follow a relay as long as there is one, else make a call to the store."""
+        if not self._has_begun:
+            self._begin()
+            return
+        relay = self._choose_relay()
+        if relay is not None:
+            self._follow_relay(relay)
+        elif self._should_wait():
+            eventlet.sleep(RELAY_PAUSE)
+        else:
+            self._advance()
+
+    def _begin(self):
+        """Read, maybe stale, until it is known which nodes there are.
+
+        Notes
+        -----
+        A read that may be stale costs a tenth. What it lacks is told by the
+        relay or the watch that follows it.
+        """
+        if self.clock() < self._store_from:
+            eventlet.sleep(RELAY_PAUSE)
+            return
+        answer = self.source.read(may_be_stale=True)
+        if isinstance(answer, StoreFailure):
+            self._note_lost(answer)
+            self._pause()
+            return
+        self.heard_at = self.clock()
+        if self.directory.adopt(answer, self.clock()):
+            self.publish_changes()
+        waited = self.clock() - self._started_at
+        if self.choice.own.name in self.directory.nodes or waited > START_SECONDS:
+            self._has_begun = True
+        else:
+            eventlet.sleep(START_PAUSE * random.uniform(0.8, 1.2))
+
+    def _choose_relay(self):
+        if self.choice is None:
+            return None
+        return self.choice.choose(self.directory.nodes.values(), self.clock())
+
+    def _is_relay(self):
+        """Tell whether this node watches the store for others, or for itself alone."""
+        return self.choice is None or self.choice.is_relay(
+            self.directory.nodes.values()
+        )
+
+    def _should_wait(self):
+        """Tell whether the store is not to be asked yet."""
+        if self.clock() < self._store_from:
+            return True
+        may_find_relay = not self.is_synced and not self._is_relay()
+        if may_find_relay and self.store_answers:
+            return self.get_silence() < PATIENCE_SECONDS
+        return False
+
+    def _follow_relay(self, relay):
+        """Take a relay's word until it fails or this node is a relay itself."""
+        self.is_synced = False
+        self.feed.close("the node follows a relay")
+        try:
+            for frame in self.relays.follow(relay):
+                self._take_frame(relay, frame)
+                if self._is_relay():
+                    return
+        except RelayLost as error:
+            self.choice.note_failure(relay, self.clock())
+            if self.follows:
+                log_event(Event.RELAY_LOST, relay=relay.name, detail=str(error))
+            elif not self.store_answers:
+                eventlet.sleep(OUTAGE_PAUSE * random.uniform(0.5, 1.5))
+        finally:
+            self.follows = ""
+
+    def _take_frame(self, relay, frame):
+        now = self.clock()
+        self.heard_at = now
+        if frame.return_age is not None:
+            self.directory.note_return(now - frame.return_age)
+        if frame.kind is FrameKind.WHOLE:
+            self._begin_stream(relay, frame.content)
+        elif frame.kind is FrameKind.CHANGES:
+            self.directory.apply(frame.content, now)
+        self.publish_changes()
+
+    def _begin_stream(self, relay, snapshot):
+        held = self.directory.revision
+        log_event(
+            Event.RELAY_FOUND, relay=relay.name, held=held, told=snapshot.revision
+        )
+        self.follows = relay.name
+        self.choice.note_success(relay)
+        self.store_answers = True
+        self._long_backoff.reset()
+        # One that is behind is no fault: its next changes lead past both.
+        self.directory.adopt(snapshot, self.clock())
+
     def _advance(self):
         """Make one call to the store and act on its answer."""
         answer = self._watch() if self.is_synced else self.source.read()
@@ -104,9 +245,10 @@
 
     def _watch(self):
         """Return what a watch brings, or None if this node ended it."""
+        seconds = WATCH_SECONDS if self._is_relay() else LOOK_SECONDS
         self._watching_since = self.clock()
         self._watching = eventlet.spawn(
-            self.source.wait, self.directory.revision, WATCH_SECONDS
+            self.source.wait, self.directory.revision, seconds
         )
         try:
             answer = self._watching.wait()
@@ -136,17 +278,24 @@
             log_event(Event.WATCH_CUT, detail=failure.reason)
             return
         self._note_lost(failure)
-        eventlet.sleep(self._backoff.get_pause())
+        self._pause()
+
+    def _pause(self):
+        """Leave the store alone for a while; relays may be tried meanwhile."""
+        backoff = self._backoff if self._is_relay() else self._long_backoff
+        self._store_from = self.clock() + backoff.get_pause()
 
     def _note_lost(self, failure):
         if self.store_answers:
             log_event(Event.STORE_LOST, detail=failure.reason)
         self.store_answers = False
+        self.feed.close("the store does not answer")
 
     def _note_answer(self):
         now = self.clock()
         self.heard_at = now
         self._backoff.reset()
+        self._long_backoff.reset()
         if not self.store_answers:
             self.store_answers = True
             self.directory.note_return(now)
@@ -163,16 +312,19 @@
         if not self.directory.adopt(snapshot, self.clock()):
             known = self.directory.revision
             log_event(Event.STORE_BEHIND, held=known, read=snapshot.revision)
-            eventlet.sleep(self._backoff.get_pause())
+            self._pause()
             return
         self.is_synced = True
         self.publish_changes()
+        if self._is_relay():
+            self.feed.open()
 
     def publish_changes(self):
         """Publish the directory if it has changed; watch what is in doubt."""
         if self.directory.generation != self._published:
             self._published = self.directory.generation
             self.publish(self.directory)
+            self.feed.tell()
         expiry = self.directory.get_next_expiry()
         if expiry is not None:
             delay = max(0.0, expiry - self.clock())
@@ -186,10 +338,10 @@
     def _check_often(self):
         """Find out within a second or two that the store is out of reach."""
         while True:
-            eventlet.sleep(CHECK_SECONDS * random.uniform(0.8, 1.2))
-            if not self.is_synced:
-                continue
-            self._check(self.source.check())
+            pause = RELAY_CHECK_SECONDS if self.feed.is_open else CHECK_SECONDS
+            eventlet.sleep(pause * random.uniform(0.8, 1.2))
+            if self.is_synced:
+                self._check(self.source.check())
 
     def _check(self, answer):
         """Take a failure as an outage, and a later revision as a deaf watch."""
@@ -205,6 +357,8 @@
                 Event.WATCH_DEAF, held=self.directory.revision, store_revision=answer
             )
             self._interrupt()
+            return
+        self.feed.beat()
 
     def _has_waited(self):
         """Tell whether a watch is under way that should have brought changes."""
--- a/packages/hingesill-node/hingesill_node/discovery/peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/peers.py
@@ -7,7 +7,8 @@
     EndpointConnection,
 )
 from hingesill_node.datapath.transport import TRANSPORT_ERRORS
-from hingesill_node.discovery.codec import decode_snapshot, encode_snapshot
+from hingesill_node.discovery.codec import decode_snapshot, encode
+from hingesill_node.discovery.relayclient import FEED_PATH
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["PeerApplication", "PeerClient"]
@@ -24,24 +25,39 @@
 
     Parameters
     ----------
-    get_directory : callable
-        Returns the Directory.
+    directory : Directory
+        What it holds.
+    feed : Feed
+        Its streams to followers.
     """
 
-    def __init__(self, get_directory):
-        self.get_directory = get_directory
+    def __init__(self, directory, feed):
+        self.directory = directory
+        self.feed = feed
 
     def __call__(self, environ, start_response):
         """Answer one request; see PEP 3333."""
+        if environ["PATH_INFO"] == FEED_PATH:
+            return self._follow(environ, start_response)
         if environ["PATH_INFO"] != PATH:
             start_response("404 Not Found", [])
             return [b""]
-        directory = self.get_directory()
+        directory = self.directory
         if directory.revision <= read_revision(environ.get("QUERY_STRING", "")):
             start_response("204 No Content", [])
             return [b""]
         start_response("200 OK", BINARY)
-        return [encode_snapshot(directory.build_snapshot())]
+        return [encode(directory.build_snapshot())]
+
+    def _follow(self, environ, start_response):
+        """Answer with frames that go on until the feed closes."""
+        subscription = self.feed.subscribe()
+        if subscription is None:
+            start_response("503 Service Unavailable", [])
+            return [b""]
+        environ["eventlet.minimum_write_chunk_size"] = 1
+        start_response("200 OK", BINARY)
+        return subscription
 
 
 def read_revision(query):
--- a/packages/hingesill-node/hingesill_node/discovery/registration.py
+++ b/packages/hingesill-node/hingesill_node/discovery/registration.py
@@ -1,19 +1,24 @@
 """Keeps this node's own entry in the store, by lease."""
 
 import random
+import time
 
 import eventlet
 
-from hingesill_core.store import Held
+from hingesill_core.store import Held, LeaseLost
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["Registration"]
 
-# Long enough that renewals cost little, short enough that nodes which ended
-# without a word are not counted for long.
-LEASE_SECONDS = 20.0
-RENEW_SECONDS = 6.0
-RETRY_SECONDS = 1.0
+# Long enough that renewals cost little, that an outage does not end it and that a
+# process which starts anew finds it; nodes that ended for good are counted so long.
+LEASE_SECONDS = 120.0
+RENEW_SECONDS = 30.0
+RETRY_SECONDS = 2.0
+# How often it is looked at whether the entry is still there; this costs no call.
+LOOK_SECONDS = 1.0
+# A new entry is in the directory within so long, unless it was lost.
+LISTED_SECONDS = 4.0
 
 
 class Registration:
@@ -28,36 +33,58 @@
     is_listed : callable
         Tells whether the directory holds an entry. One of the process that ran
         here before may take the entry with it when its lease ends.
+    clock : callable
+        Monotonic seconds.
     """
 
-    def __init__(self, source, node, is_listed):
+    def __init__(self, source, node, is_listed, clock=time.monotonic):
         self.source = source
         self.node = node
         self.is_listed = is_listed
+        self.clock = clock
         self.lease = None
+        self.call_at = float("-inf")
+        self.entered_at = float("-inf")
 
     def run(self):
         """Work until the process ends."""
+        self._resume()
         while True:
-            held = self._step()
-            pause = RENEW_SECONDS if held else RETRY_SECONDS
-            eventlet.sleep(pause * random.uniform(0.7, 1.3))
+            if self._is_due():
+                self._step()
+            eventlet.sleep(LOOK_SECONDS * random.uniform(0.7, 1.3))
 
-    def _step(self):
-        """Enter or renew; return whether the lease is held."""
-        if self.lease is None or not self.is_listed(self.node):
-            answer = self.source.enter(self.node, LEASE_SECONDS)
-        else:
-            answer = self.source.renew(self.lease)
+    def _resume(self):
+        """Go on with the entry of the process that ran here before."""
+        answer = self.source.resume(self.node)
+        if isinstance(answer, Held):
+            self.entered_at = self.clock()
+            self._note(answer)
+
+    def _is_due(self):
+        """Tell whether the store is to be called: to enter, renew or try again."""
+        now = self.clock()
+        if self.lease is not None and not self.is_listed(self.node):
+            return now - self.entered_at > LISTED_SECONDS
+        return now >= self.call_at
+
+    def _note(self, answer):
+        """Take the store's answer, and set when to call it again."""
         was_held = self.lease is not None
-        self.lease = answer.lease if isinstance(answer, Held) else None
+        if isinstance(answer, Held):
+            self.lease = answer.lease
+        elif isinstance(answer, LeaseLost):
+            self.lease = None
+        pause = RENEW_SECONDS if isinstance(answer, Held) else RETRY_SECONDS
+        self.call_at = self.clock() + pause * random.uniform(0.7, 1.3)
         if was_held != (self.lease is not None):
             event = Event.NODE_ENTERED if self.lease else Event.NODE_ENTRY_LOST
             log_event(event, detail=str(answer))
-        return self.lease is not None
 
-    def leave(self):
-        """End the lease in a planned stop."""
-        if self.lease is not None:
-            self.source.leave(self.lease)
-            self.lease = None
+    def _step(self):
+        """Enter or renew."""
+        if self.lease is None or not self.is_listed(self.node):
+            self.entered_at = self.clock()
+            self._note(self.source.enter(self.node, LEASE_SECONDS))
+        else:
+            self._note(self.source.renew(self.lease))
--- a/packages/hingesill-node/hingesill_node/discovery/source.py
+++ b/packages/hingesill-node/hingesill_node/discovery/source.py
@@ -17,8 +17,11 @@
 class DirectorySource(Protocol):
     """What a follower asks of the store."""
 
-    def read(self):
-        """Return a Snapshot of everything, or StoreFailure."""
+    def read(self, may_be_stale=False):
+        """Return a Snapshot of everything, or StoreFailure.
+
+        One that may be seconds old is cheaper.
+        """
 
     def wait(self, after, seconds):
         """Return the Changes after a revision as soon as there are any.
@@ -37,12 +40,16 @@
     def enter(self, node, seconds):
         """Enter this node under a lease; return its Held or StoreFailure."""
 
+    def resume(self, node):
+        """Prolong the lease of the entry that an earlier process here made.
+
+        Returns Held, LeaseLost if there is no such entry or it says something
+        else, or StoreFailure.
+        """
+
     def renew(self, lease):
         """Prolong the lease; return Held, LeaseLost or StoreFailure."""
 
-    def leave(self, lease):
-        """End the lease, so that the node's entry goes with it."""
-
 
 def open_source(url):
     """Return the source behind an address.
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
@@ -39,7 +39,7 @@
         self.revision = 0
         self.waited_from = []
 
-    def read(self):
+    def read(self, may_be_stale=False):
         return self.reads.popleft() if self.reads else FAILED
 
     def wait(self, after, seconds):
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
@@ -0,0 +1,194 @@
+"""Tests of following a relay, over real connections."""
+
+import random
+import time
+import unittest
+from dataclasses import replace
+
+import eventlet
+
+from hingesill_core.discovery.records import Changes, NodeRecord
+from hingesill_core.discovery.relays import RelayChoice
+from hingesill_core.store import StoreFailure
+from hingesill_node.datapath.server import listen, start_server
+from hingesill_node.discovery.follower import Follower
+from hingesill_node.discovery.frames import FrameKind, FrameReader, build_frame
+from hingesill_node.discovery.peers import PeerApplication
+from hingesill_node.discovery.relayclient import RelayClient, RelayLost
+from hingesill_node.discovery.tests.test_follower import (
+    FAILED,
+    NoPeers,
+    ScriptedSource,
+    build_snapshot,
+)
+
+
+class Relay:
+    """A relay that serves followers; a test changes what it holds."""
+
+    def __init__(self, snapshot):
+        listener = listen("127.0.0.1:0", False)
+        address = "127.0.0.1:%d" % listener.getsockname()[1]
+        self.node = NodeRecord("relay", address, "a", 2.0)
+        self.source = ScriptedSource([self.with_nodes(snapshot)])
+        choice = RelayChoice(self.node, random.Random(1))
+        self.follower = Follower(
+            self.source, NoPeers(), lambda directory: None, choice, RelayClient()
+        )
+        self.follower._has_begun = True
+        application = PeerApplication(self.follower.directory, self.follower.feed)
+        self.server = start_server(listener, application)
+        self.follower._advance()
+
+    def with_nodes(self, snapshot):
+        nodes = {"relay": self.node, "own": NodeRecord("own", "10.0.0.9:1", "a")}
+        return replace(snapshot, nodes=nodes)
+
+    def change(self, changes):
+        self.follower.directory.apply(changes, time.monotonic())
+        self.follower.publish_changes()
+
+    def close(self):
+        self.follower.feed.close("the test ends")
+        self.server.kill()
+
+
+class RelayingTests(unittest.TestCase):
+    def setUp(self):
+        self.relay = Relay(build_snapshot(5, 1, ("i1", "i2")))
+        self.addCleanup(self.relay.close)
+        own = NodeRecord("own", "10.0.0.9:1", "a")
+        self.source = ScriptedSource([self.relay.with_nodes(build_snapshot(4))])
+        self.published = []
+        self.follower = Follower(
+            self.source,
+            NoPeers(),
+            lambda directory: self.published.append(directory.declared.version),
+            RelayChoice(own, random.Random(1)),
+            RelayClient(),
+        )
+
+    def start(self):
+        thread = eventlet.spawn(self.follower._follow)
+        self.addCleanup(thread.kill)
+        self.wait_for(lambda: self.follower.follows == "relay")
+        self.wait_for(lambda: len(self.follower.directory.endpoints) == 2)
+
+    def wait_for(self, condition, seconds=2.0):
+        with eventlet.Timeout(seconds):
+            while not condition():
+                eventlet.sleep(0.01)
+
+    def test_a_follower_learns_all_and_then_what_changes(self):
+        self.start()
+        self.assertEqual(self.follower.directory.revision, 5)
+        gone = {"i1": None}
+        self.relay.change(Changes(7, build_snapshot(7, 3).declared, gone))
+        self.wait_for(lambda: self.published[-1] == 3)
+        self.assertEqual(list(self.follower.directory.endpoints), ["i2"])
+        self.assertEqual(self.source.waited_from, [])
+
+    def test_a_relay_that_lost_the_store_is_left_at_once(self):
+        self.start()
+        self.source.reads.append(build_snapshot(9, 4))
+        self.relay.follower._check(FAILED)
+        self.wait_for(lambda: self.published[-1] == 4, 1.9)
+
+    def test_a_relay_that_falls_silent_is_left_in_time(self):
+        self.start()
+        begun = time.monotonic()
+        self.source.reads.append(build_snapshot(9, 4))
+        self.wait_for(lambda: self.published[-1] == 4, 1.95)
+        self.assertGreater(time.monotonic() - begun, 0.8)
+
+    def test_heartbeats_keep_a_follower(self):
+        self.start()
+        for _ in range(8):
+            eventlet.sleep(0.25)
+            self.relay.follower._check(5)
+        self.assertEqual(self.follower.follows, "relay")
+
+    def test_a_relay_that_is_behind_takes_nothing_back(self):
+        self.follower.directory.adopt(build_snapshot(6, 2, ("i2", "i3")), 0.0)
+        self.follower._has_begun = True
+        self.follower.directory.nodes = {"relay": self.relay.node}
+        thread = eventlet.spawn(self.follower._follow)
+        self.addCleanup(thread.kill)
+        self.wait_for(lambda: self.follower.follows == "relay")
+        self.assertEqual(sorted(self.follower.directory.endpoints), ["i2", "i3"])
+        changes = Changes(8, build_snapshot(8, 5).declared, {"i1": None, "i2": None})
+        self.relay.change(changes)
+        self.wait_for(lambda: self.follower.directory.declared.version == 5)
+        self.assertEqual(sorted(self.follower.directory.endpoints), ["i3"])
+
+    def test_what_a_relay_saw_of_an_outage_is_passed_on(self):
+        self.relay.follower.directory.note_return(time.monotonic() - 1.0)
+        self.start()
+        age = self.follower.directory.get_return_age(time.monotonic())
+        self.assertAlmostEqual(age, 1.0, delta=0.5)
+
+    def test_a_stopping_relay_ends_its_streams_and_takes_no_more(self):
+        self.start()
+        self.source.reads.append(build_snapshot(9, 4))
+        self.relay.follower.leave()
+        self.wait_for(lambda: not self.relay.follower.feed.followers, 0.5)
+        self.wait_for(lambda: self.published[-1] == 4, 1.9)
+
+    def test_a_follower_that_is_gone_is_forgotten(self):
+        self.start()
+        for thread in list(self.relay.follower.feed._followers):
+            self.assertIsNotNone(thread)
+        self.follower.choice.own = self.relay.node
+        self.relay.follower._check(5)
+        self.wait_for(lambda: self.follower.follows == "")
+        for _ in range(20):
+            self.relay.follower._check(5)
+            eventlet.sleep(0.01)
+        self.wait_for(lambda: not self.relay.follower.feed.followers)
+
+
+class RelayClientTests(unittest.TestCase):
+    def test_a_relay_that_takes_nobody(self):
+        relay = Relay(build_snapshot(5))
+        self.addCleanup(relay.close)
+        relay.follower.feed.end("the node stops")
+        with self.assertRaises(RelayLost):
+            list(RelayClient().follow(relay.node))
+
+    def test_nobody_listens(self):
+        with self.assertRaises(RelayLost):
+            list(RelayClient().follow(NodeRecord("x", "127.0.0.1:1", "a")))
+
+
+class FrameTests(unittest.TestCase):
+    def test_frames_may_come_in_any_pieces(self):
+        data = build_frame(FrameKind.HEARTBEAT, None) * 2
+        reader = FrameReader()
+        frames = [f for byte in data for f in reader.feed(bytes([byte]))]
+        self.assertEqual([f.kind for f in frames], [FrameKind.HEARTBEAT] * 2)
+        self.assertIsNone(frames[0].return_age)
+
+    def test_what_is_no_frame_is_an_error(self):
+        with self.assertRaises(ValueError):
+            list(FrameReader().feed(b"x" * 40))
+
+
+class StartTests(unittest.TestCase):
+    def test_a_store_that_does_not_answer_is_not_stormed(self):
+        class CountingSource(ScriptedSource):
+            calls = 0
+
+            def read(self, may_be_stale=False):
+                self.calls += 1
+                return StoreFailure("status 503")
+
+        source = CountingSource()
+        own = NodeRecord("own", "10.0.0.9:1", "a")
+        choice = RelayChoice(own, random.Random(1))
+        follower = Follower(
+            source, NoPeers(), lambda directory: None, choice, RelayClient()
+        )
+        thread = eventlet.spawn(follower._follow)
+        self.addCleanup(thread.kill)
+        eventlet.sleep(2.0)
+        self.assertLess(source.calls, 9)
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -165,6 +165,13 @@
         le=100_000,
         description="The most node processes that ever run at once.",
     )
+    strength: float = Field(
+        default=1.0,
+        gt=0,
+        le=1024,
+        description="With a directory: processor time that the node may use, in cores. "
+        "The strongest nodes of a data centre watch the store for the others.",
+    )
     reuse_port: bool = Field(
         default=False, description="Share the callers' port with other nodes."
     )
