Hedges where endpoints are asked; callers wait for a node that starts

It takes only an endpoint with two free slots that nobody waits for, and never more endpoints than the operator allows (a check that hedges lacked).

After a restart callers met a closed port for the half second in which libraries load, and then a refusal for the milliseconds until the first read. Now the socket is opened first, and read once a configuration is known, within 0.4 s.

--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -38,6 +38,9 @@
     patience : float
         Share of a route's target in which only a free slot of an endpoint that
         is not slow will do.
+    hedge_wait : float
+        For so long a hedge looks for an endpoint. Source: some rounds of
+        questions; what is not found by then is a sign of load.
     longest_wait : float
         Share of a request's time after which it is refused, so that its caller
         still has more than half of it to try again.
@@ -54,6 +57,7 @@
     many_near: int = 6
     choosy: float = 0.02
     patience: float = 0.7
+    hedge_wait: float = 0.06
     longest_wait: float = 0.45
     default_target: float = 0.5
     most_slowness: float = 2.0
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -7,7 +7,7 @@
 from hingesill_core.limits.queue import RequestQueue
 from hingesill_core.limits.shares import compute_send_limit
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
-from hingesill_core.retries.budget import BURST, TokenBudget
+from hingesill_core.retries.budget import TokenBudget
 from hingesill_core.retries.decision import (
     classify_refusal,
     judge_retry,
@@ -29,6 +29,11 @@
 OTHER_DATA_CENTRE = 0.003
 EARLIEST_HEDGE = 1.8
 LATEST_HEDGE = 4.5
+# With asked endpoints, in typical answers' times: what a hedge itself takes, with
+# its questions, and what an answer may take before it counts as overdue. Source:
+# nine in ten answers of an endpoint that is not slow take less than 1.4.
+HEDGE_NEEDS = 1.25
+EARLIEST_ASKED_HEDGE = 1.4
 ASKING_POLICY = "fresh_report"
 
 
@@ -131,12 +136,26 @@
         -----
         While much of the budget is left that is soon. As it runs out only the
         answers that take longest are worth it, so that the budget goes where it
-        shortens the tail.
+        shortens the tail. Where endpoints are asked, it goes to answers that are
+        about to miss their target, as late as a second send still helps.
         """
-        spent = 1 - self.hedges.tokens / BURST
+        if self.service.policy == ASKING_POLICY:
+            return self._compute_last_chance(send)
+        spent = 1 - self.hedges.tokens / self.hedges.burst
         factor = EARLIEST_HEDGE + (LATEST_HEDGE - EARLIEST_HEDGE) * spent
         return factor * self.get_pace(send.ticket.route).typical
 
+    def _compute_last_chance(self, send):
+        """Return the seconds after which a second send can just meet the target."""
+        typical = self.get_pace(send.ticket.route).typical
+        ticket = send.ticket
+        waited = send.started - ticket.arrived
+        left = ticket.route.target - ticket.spent - waited
+        chance = left - HEDGE_NEEDS * typical
+        if chance < EARLIEST_ASKED_HEDGE * typical:
+            return LATEST_HEDGE * typical
+        return chance
+
     def submit(self, ticket, now):
         """Take a new request.
 
@@ -265,12 +284,15 @@
 
         Returns
         -------
-        Send or Denied
-            Denied with the rule that forbids it.
+        Ask, Send or Denied
+            Whom to ask first, where to send it, or the rule that forbids it. One
+            that asked and found nothing is told to `end_hedge`.
         """
         denial = self._find_hedge_denial(ticket, now)
         if denial is not None:
             return Denied(denial)
+        if self.service.policy == ASKING_POLICY:
+            return self._begin_hedge(ticket, now)
         free = [
             state
             for state in self.states.values()
@@ -283,7 +305,24 @@
         state = self.choose(free, now, self.rng)
         return self.start_send(ticket, state, now, hedge=True)
 
+    def _begin_hedge(self, ticket, now):
+        """Return an Ask for a second endpoint, or Denied."""
+        if not self.hedges.spend():
+            return Denied(RetryReason.DENIED_BUDGET)
+        ask = self.fresh.enter_hedge(ticket, now)
+        if ask is None:
+            self.hedges.give_back()
+            return Denied(RetryReason.DENIED_NO_ENDPOINT)
+        return ask
+
+    def end_hedge(self, ticket):
+        """Take back a hedge that was not sent."""
+        self.fresh.leave(ticket)
+        self.hedges.give_back()
+
     def _find_hedge_denial(self, ticket, now):
+        if ticket.sends >= ticket.route.most_sends:
+            return RetryReason.DENIED_BUDGET
         if not ticket.route.repeatable or not ticket.replayable:
             return RetryReason.DENIED_NOT_REPEATABLE
         if not ticket.may_retry:
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -27,15 +27,20 @@
         From then on its answer cannot be in time for its target.
     until : float
         From then on it waits no longer.
+    hedge : bool
+        Another send of it is under way.
     """
 
     ticket: object
     since: float
     late_at: float
     until: float
+    hedge: bool = False
 
     def get_stage(self, now, rules):
         """Return how much the request puts up with."""
+        if self.hedge:
+            return Stage.CHOOSY
         if now >= self.late_at:
             return Stage.LATE
         return Stage.CHOOSY if now < self.since + rules.choosy else Stage.PATIENT
@@ -46,9 +51,11 @@
         Notes
         -----
         The more urgent rank goes first, within it those that can still be in
-        time, and of these the one with the least time left.
+        time, and of these the one with the least time left. Hedges take what
+        nobody else waits for.
         """
-        return (self.ticket.route.rank, now >= self.late_at, self.late_at)
+        is_late = now >= self.late_at
+        return (self.hedge, self.ticket.route.rank, is_late, self.late_at)
 
 
 class FreshChoice:
@@ -109,8 +116,26 @@
             until=min(ticket.deadline - pace.quick, ticket.arrived + longest),
         )
 
+    def enter_hedge(self, ticket, now):
+        """Let a request that is under way wait for a second endpoint.
+
+        Returns
+        -------
+        Ask or None
+            Whom to ask; None while requests wait that have no endpoint at all,
+            or if nothing may be asked.
+        """
+        if not self.has_reports or self.waiting:
+            return None
+        endpoints = self._choose(self.rules.at_once, now)
+        if not endpoints:
+            return None
+        until = now + self.rules.hedge_wait
+        self.waiting[ticket] = Waiting(ticket, now, until, until, hedge=True)
+        return Ask(endpoints)
+
     def leave(self, ticket):
-        """Forget a request whose caller is gone."""
+        """Forget a request that no longer waits."""
         self.waiting.pop(ticket, None)
 
     def ask_again(self, now):
@@ -174,7 +199,7 @@
             return None
         first = min(fitting, key=lambda waiting: waiting.get_order(now))
         self.waiting.pop(first.ticket)
-        send = self.dispatcher.start_send(first.ticket, state, now)
+        send = self.dispatcher.start_send(first.ticket, state, now, first.hedge)
         send.occupied = reply.report.running + 1
         return send
 
@@ -219,7 +244,7 @@
         """Yield (ticket, decision) for each request that waits no longer."""
         for waiting in list(self.waiting.values()):
             ticket = waiting.ticket
-            if not self.has_reports:
+            if not self.has_reports and not waiting.hedge:
                 self.waiting.pop(ticket)
                 yield ticket, self.dispatcher.dispatch_unasked(ticket, now)
             elif now >= waiting.until or not self.dispatcher.states:
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -17,7 +17,14 @@
 from hingesill_core.routing.dispatcher import Dispatcher, FleetView
 from hingesill_core.routing.knee import Knee
 from hingesill_core.routing.load_report import LoadReport
-from hingesill_core.routing.messages import Refusal, Send, SendEnd, SendResult, Ticket
+from hingesill_core.routing.messages import (
+    Denied,
+    Refusal,
+    Send,
+    SendEnd,
+    SendResult,
+    Ticket,
+)
 
 ROUTE = Route("arena", "", "/a/", True, True, 2.0, target=0.25, most_sends=2)
 ONCE = Route("arena", "", "/b/", False, True, 2.0, target=0.25, most_sends=2)
@@ -190,6 +197,65 @@
         self.assertIsInstance(self.fresh.take(reply("i1", 0), 0.11), Send)
 
 
+class HedgeTests(unittest.TestCase):
+    def setUp(self):
+        service = replace(build_service(), sends=SendBudget(0.5, 0.5, 0.0))
+        self.dispatcher = Dispatcher(service, FLEET, random.Random(1))
+        self.dispatcher.hedges.tokens = 1.0
+        self.fresh = self.dispatcher.fresh
+        self.ticket = Ticket(ROUTE, 0.0, 2.0)
+        self.dispatcher.submit(self.ticket, 0.0)
+        self.first = self.fresh.take(reply("i1", 0), 0.01)
+
+    def test_a_hedge_asks_and_goes_elsewhere(self):
+        ask = self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.assertIsInstance(ask, Ask)
+        self.assertIsNone(self.fresh.take(reply("i1", 0), 0.21))
+        hedge = self.fresh.take(reply("i2", 0), 0.21)
+        self.assertTrue(hedge.hedge)
+        self.assertEqual(self.ticket.sends, 2)
+
+    def test_a_hedge_never_takes_a_last_slot(self):
+        self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.assertIsNone(self.fresh.take(reply("i2", 2), 0.25))
+
+    def test_those_without_an_endpoint_go_first(self):
+        self.dispatcher.start_hedge(self.ticket, 0.2)
+        other = Ticket(ROUTE, 0.2, 2.2)
+        self.dispatcher.submit(other, 0.2)
+        self.assertIs(self.fresh.take(reply("i2", 0), 0.21).ticket, other)
+
+    def test_no_hedge_while_others_wait(self):
+        self.dispatcher.submit(Ticket(ROUTE, 0.2, 2.2), 0.2)
+        tokens = self.dispatcher.hedges.tokens
+        denied = self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.assertIsInstance(denied, Denied)
+        self.assertEqual(self.dispatcher.hedges.tokens, tokens)
+
+    def test_the_operators_number_of_endpoints_holds(self):
+        self.ticket.sends = ROUTE.most_sends
+        denied = self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.assertIsInstance(denied, Denied)
+
+    def test_a_hedge_that_finds_nothing_ends_and_costs_nothing(self):
+        tokens = self.dispatcher.hedges.tokens
+        self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.fresh.has_reports = False
+        expired = list(self.fresh.expire(0.2 + AskRules().hedge_wait))
+        self.assertIsInstance(expired[0][1], Refusal)
+        self.dispatcher.end_hedge(self.ticket)
+        self.assertEqual(self.dispatcher.hedges.tokens, tokens)
+
+    def test_a_hedge_waits_as_long_as_it_can_still_be_in_time(self):
+        pace = self.dispatcher.get_pace(ROUTE)
+        pace.typical = 0.08
+        at_once = self.dispatcher.get_overdue_time(self.first)
+        self.assertAlmostEqual(at_once, 0.25 - 0.01 - 1.25 * 0.08)
+        pace.typical = 0.2
+        late = self.dispatcher.get_overdue_time(self.first)
+        self.assertGreater(late, 0.8)
+
+
 class NearTests(unittest.TestCase):
     def test_all_but_one_of_those_asked_are_near(self):
         endpoints = tuple(
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -70,6 +70,11 @@
                 outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
                 return Found(Refusal(RefusalReason.CALLER_GONE, outcome))
 
+    def withdraw(self, ticket):
+        """Let a request wait no longer; its green thread goes on with nothing."""
+        self.fresh.leave(ticket)
+        self._hand(ticket, Found(None))
+
     def _keep(self):
         """Ask again and again, and give up in time, while requests wait."""
         while self._events:
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -5,12 +5,15 @@
 
 import time
 
+import eventlet
+
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.asking import Ask
 from hingesill_core.routing.messages import (
     Denied,
     Hold,
     Refusal,
+    Send,
     SendEnd,
     SendResult,
 )
@@ -30,6 +33,54 @@
 
 WHOLE_BYTES = 64 * 1024
 READ_SECONDS = 30.0
+# While a hedge looks for an endpoint, how often it is looked at whether it was sent.
+HEDGE_LOOK_SECONDS = 0.01
+
+
+class AskedHedge:
+    """A second send that first looks for an endpoint, beside the one under way.
+
+    Parameters
+    ----------
+    exchange : Exchange
+        Of the request.
+    room : WaitingRoom
+        Of the service.
+    """
+
+    def __init__(self, exchange, room):
+        self.exchange = exchange
+        self.room = room
+        self.is_waiting = True
+        self.is_wanted = True
+
+    def run(self, ask):
+        """Wait for an endpoint and send, unless withdrawn meanwhile."""
+        exchange = self.exchange
+        found = self.room.wait(exchange.request, ask)
+        self.is_waiting = False
+        if not isinstance(found.decision, Send):
+            exchange.runner.dispatcher.end_hedge(exchange.ticket)
+        elif self.is_wanted:
+            exchange._start(found.decision, found.connection)
+        else:
+            self._give_back(found)
+        if exchange.hedge is self:
+            exchange.hedge = None
+
+    def _give_back(self, found):
+        """Leave an endpoint that was found too late as it is."""
+        runner = self.exchange.runner
+        pool = runner.find_pool(found.decision.endpoint)
+        runner.settle(found.decision, SendResult(SendEnd.CANCELLED))
+        if found.connection is not None and pool is not None:
+            pool.give_back(found.connection)
+
+    def withdraw(self):
+        """Send nothing any more."""
+        self.is_wanted = False
+        if self.is_waiting:
+            self.room.withdraw(self.exchange.ticket)
 
 
 class Exchange:
@@ -58,6 +109,7 @@
         self.clock = clock
         self.service = runner.dispatcher.service.name
         self.proven = None
+        self.hedge = None
         self.lives = []
         self.fault_answer = None
         self.pending_result = None
@@ -107,18 +159,18 @@
 
     def _carry_out(self, send):
         """Return an Answer, a Refusal, or the SendEnd to decide on."""
-        live = self._start(send)
+        proven, self.proven = self.proven, None
+        live = self._start(send, proven)
         if isinstance(live, SendEnd):
             return live
         if live is None:
             return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
         return self._await_first(live)
 
-    def _start(self, send):
+    def _start(self, send, proven=None):
         """Send the request; return the LiveSend, a SendEnd, or None."""
         pool = self.runner.find_pool(send.endpoint)
         live = LiveSend(send, pool)
-        proven, self.proven = self.proven, None
         if pool is None:
             if proven is not None:
                 proven.close()
@@ -130,6 +182,8 @@
         self.lives.append(live)
         try:
             send_request(live, self.request, self.clock(), self.wire)
+            if live.settled:
+                live.pool.discard(live.connection)
             return live
         except ConnectFailed:
             return self._end(live, SendResult(SendEnd.CONNECT_FAILED))
@@ -174,6 +228,7 @@
         while True:
             racing = [live for live in self.lives if not live.settled]
             if not racing:
+                self._withdraw_hedge()
                 return last
             now = self.clock()
             if now >= self.ticket.deadline:
@@ -208,11 +263,15 @@
         LiveSend, CallerRequest or None
             The request itself if its caller's connection can be read.
         """
-        by_socket = {live.connection.sock: live for live in racing}
+        by_socket = {
+            live.connection.sock: live for live in racing if live.connection is not None
+        }
         if self.caller_watched:
             by_socket[self.request.caller_socket] = self.request
         now = self.clock()
         waits = [self.runner.get_time_to_suspicion(live.send, now) for live in racing]
+        if self.hedge is not None:
+            waits.append(HEDGE_LOOK_SECONDS)
         ready = wait_any(by_socket, min(until - now, *waits))
         if ready is None:
             for live in racing:
@@ -238,7 +297,18 @@
             self.counters.add("retries", self.service, decision.reason.value)
             return
         self.counters.add("retries", self.service, RetryReason.HEDGE.value)
-        self._start(decision)
+        if isinstance(decision, Ask):
+            room = self.runner.get_room(self.wire, self.counters)
+            self.hedge = AskedHedge(self, room)
+            eventlet.spawn_n(self.hedge.run, decision)
+        else:
+            self._start(decision)
+
+    def _withdraw_hedge(self):
+        """End a hedge that has not been sent yet."""
+        hedge, self.hedge = self.hedge, None
+        if hedge is not None:
+            hedge.withdraw()
 
     def _read(self, live):
         """Read an answer's head, and its body if it is short."""
@@ -318,4 +388,5 @@
 
     def _cancel_all(self):
         """Cancel what is still under way: its answer is of no use any more."""
+        self._withdraw_hedge()
         self._end_all(self.lives, SendEnd.CANCELLED)
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -71,8 +71,8 @@
 
     Parameters
     ----------
-    decision : Send, Hold or Refusal
-        What to do.
+    decision : Send, Hold, Refusal or None
+        What to do; None if the request no longer waits.
     connection : EndpointConnection or None
         That of the reply which the Send goes by: it was alive just now.
     """
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -6,13 +6,14 @@
 import httptools
 from eventlet import wsgi
 from eventlet.green import socket as green_socket
+from eventlet.greenio import GreenSocket
 
 from hingesill_node.datapath.application import PROTOCOL_KEY
 from hingesill_node.datapath.requests import RequestHead
+from hingesill_node.earlysockets import BACKLOG, split_address, take_early
 
-__all__ = ["CallerProtocol", "listen", "split_address", "start_server"]
+__all__ = ["CallerProtocol", "listen", "start_server"]
 
-BACKLOG = 1024
 MOST_CONNECTIONS = 10_000
 IDLE_SECONDS = 60
 SOCKET_SECONDS = 30
@@ -70,12 +71,6 @@
     error = info
 
 
-def split_address(address):
-    """Return host and port of ``IP:PORT``."""
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
-
-
 def listen(address, reuse_port):
     """Return a listening green socket.
 
@@ -91,6 +86,9 @@
     OSError
         If the address cannot be listened on.
     """
+    early = take_early(address)
+    if early is not None:
+        return GreenSocket(early)
     host, port = split_address(address)
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = green_socket.socket(family, socket.SOCK_STREAM)
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import sys
+import time
 from typing import Protocol
 
 import eventlet
@@ -23,6 +24,10 @@
 
 EXIT_NO_ADDRESS = 3
 EXIT_STOP_BOUND = 4
+# The store answers in milliseconds. If it does not, callers are told so, before the
+# second is over in which they expect their request to be read.
+FIRST_READ_SECONDS = 0.4
+FIRST_READ_PAUSE = 0.005
 GC_THRESHOLDS = (50_000, 50, 100)
 
 
@@ -102,8 +107,9 @@
         error = self.control.start(self.runners)
         if error:
             return refuse_address(error)
-        start_server(callers, self.application)
         start_server(admin, self._build_admin())
+        self._wait_for_configuration()
+        start_server(callers, self.application)
         signal.signal(signal.SIGTERM, self.lifecycle.ask_stop)
         signal.signal(signal.SIGINT, self.lifecycle.ask_stop)
         reloader = Reloader(self.settings, self.load, self.control.apply)
@@ -121,6 +127,12 @@
         self.control.stop()
         return 0 if clean else EXIT_STOP_BOUND
 
+    def _wait_for_configuration(self, clock=time.monotonic):
+        """Leave callers in the accept queue until their requests can be served."""
+        until = clock() + FIRST_READ_SECONDS
+        while not self.control.is_settled() and clock() < until:
+            eventlet.sleep(FIRST_READ_PAUSE)
+
     def _build_admin(self):
         return AdminApplication(
             self.blackboard, self.counters, self.read_gauges, self.settings.ready_path
