Slow is judged by the lower quarter of replies; hedges leave a token for retries

What counts as usual was the median of all replies; slow endpoints stay free, are asked again and again, and lift it. A lower quarter of replies is not lifted so.

Ruled out: too few questions (two a round were answered within milliseconds).

--- a/packages/hingesill-core/hingesill_core/configuration/services.py
+++ b/packages/hingesill-core/hingesill_core/configuration/services.py
@@ -156,16 +156,11 @@
         ----------
         nodes : int
             Nodes that share what the fleet may send at once.
-
-        Notes
-        -----
-        A send takes a whole token. Where there are so many nodes that each has
-        less than two, retries get them all.
         """
         if not self.fleet_burst:
             return Bursts(BURST, BURST)
         share = self.fleet_burst / max(1, nodes)
-        if not self.hedge_share or share < 2.0:
+        if not self.hedge_share:
             return Bursts(0.0, max(1.0, share))
         return Bursts(max(1.0, share / 2), max(1.0, share / 2))
 
--- a/packages/hingesill-core/hingesill_core/retries/budget.py
+++ b/packages/hingesill-core/hingesill_core/retries/budget.py
@@ -37,9 +37,15 @@
         """Take note of a first send."""
         self.tokens = min(self.burst, self.tokens + self.share)
 
-    def spend(self):
-        """Take one token; return whether there was one."""
-        if self.tokens < 1.0:
+    def spend(self, keep=0.0):
+        """Take one token; return whether there was one.
+
+        Parameters
+        ----------
+        keep : float
+            Tokens that are left for what matters more.
+        """
+        if self.tokens < 1.0 + keep:
             return False
         self.tokens -= 1.0
         return True
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -34,6 +34,7 @@
 # nine in ten answers of an endpoint that is not slow take less than 1.4.
 HEDGE_NEEDS = 1.25
 EARLIEST_ASKED_HEDGE = 1.4
+KEPT_FOR_RETRIES = 1.0
 ASKING_POLICY = "fresh_report"
 
 
@@ -306,19 +307,25 @@
         return self.start_send(ticket, state, now, hedge=True)
 
     def _begin_hedge(self, ticket, now):
-        """Return an Ask for a second endpoint, or Denied."""
-        if not self.hedges.spend():
+        """Return an Ask for a second endpoint, or Denied.
+
+        Notes
+        -----
+        A retry saves an answer that is lost, a hedge one that is late; so both
+        draw on the budget of retries, and hedges leave a token for those.
+        """
+        if not self.retries.spend(keep=KEPT_FOR_RETRIES):
             return Denied(RetryReason.DENIED_BUDGET)
         ask = self.fresh.enter_hedge(ticket, now)
         if ask is None:
-            self.hedges.give_back()
+            self.retries.give_back()
             return Denied(RetryReason.DENIED_NO_ENDPOINT)
         return ask
 
     def end_hedge(self, ticket):
-        """Take back a hedge that was not sent."""
+        """Take back a hedge that asked and was not sent."""
         self.fresh.leave(ticket)
-        self.hedges.give_back()
+        self.retries.give_back()
 
     def _find_hedge_denial(self, ticket, now):
         if ticket.sends >= ticket.route.most_sends:
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -5,12 +5,14 @@
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
-from hingesill_core.routing.knee import Knee, Median
+from hingesill_core.routing.knee import Knee, Quantile
 from hingesill_core.routing.messages import SendEnd
 
 __all__ = ["FreshChoice"]
 
 ROOM_FOR_WAITING = 2
+# Share of replies that are less slow than what counts as usual.
+USUAL_SHARE = 0.25
 
 
 @dataclass(slots=True, eq=False)
@@ -77,7 +79,7 @@
         self.rules = rules or AskRules()
         self.budget = AskBudget()
         self.knee = Knee()
-        self.slowness = Median()
+        self.slowness = Quantile(USUAL_SHARE)
         self.has_reports = True
         self.waiting = {}
 
@@ -219,8 +221,9 @@
 
         Notes
         -----
-        How slow endpoints are counts against their median: if most are slow,
-        requests must not wait for one that is not.
+        How slow endpoints are counts against the lower quarter of replies: if
+        nearly all are slow, requests must not wait for one that is not. A median
+        would not do, as those that are slow stay free and are asked most.
         """
         state = self.dispatcher.states.get(reply.endpoint)
         if state is None:
--- a/packages/hingesill-core/hingesill_core/routing/knee.py
+++ b/packages/hingesill-core/hingesill_core/routing/knee.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass, field
 
-__all__ = ["Knee", "Median"]
+__all__ = ["Knee", "Quantile"]
 
 STEP = 0.05
 FEWEST_ANSWERS = 30
@@ -12,17 +12,24 @@
 
 
 @dataclass(slots=True)
-class Median:
-    """Follows the median of what it is told."""
+class Quantile:
+    """Follows a quantile of what it is told.
 
+    Attributes
+    ----------
+    share : float
+        Of the values that are below it.
+    """
+
+    share: float = 0.5
     value: float = 1.0
     count: int = 0
 
     def note(self, value):
         """Take one value."""
         self.count += 1
-        step = STEP * self.value
-        self.value += step if value > self.value else -step
+        step = 2 * STEP * self.value
+        self.value += step * (self.share if value > self.value else self.share - 1)
 
 
 @dataclass(slots=True)
@@ -31,14 +38,14 @@
 
     Attributes
     ----------
-    full, other : Median
-        Times of answers, as multiples of their route's typical time.
+    full, other : Quantile
+        Medians of times of answers, as multiples of their route's typical time.
     slots : int
         Of the endpoints, as last reported.
     """
 
-    full: Median = field(default_factory=Median)
-    other: Median = field(default_factory=Median)
+    full: Quantile = field(default_factory=Quantile)
+    other: Quantile = field(default_factory=Quantile)
     slots: int = 1
 
     def note(self, occupied, slots, ratio):
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -84,6 +84,13 @@
         self.dispatcher.submit(self.ticket, 0.0)
         self.assertIsInstance(self.fresh.take(reply("i0", 0, slowness=5.0), 0.1), Send)
 
+    def test_slow_endpoints_that_are_asked_most_do_not_count_as_usual(self):
+        for _ in range(100):
+            for slowness in (5.0, 5.0, 1.0):
+                self.fresh.take(reply("i1", 0, slowness=slowness), 0.0)
+        self.dispatcher.submit(self.ticket, 0.0)
+        self.assertIsNone(self.fresh.take(reply("i0", 0, slowness=5.0), 0.1))
+
     def test_a_full_endpoint_is_passed_by(self):
         self.dispatcher.submit(self.ticket, 0.0)
         self.assertIsNone(self.fresh.take(reply("i0", 3), 0.1))
@@ -199,9 +206,9 @@
 
 class HedgeTests(unittest.TestCase):
     def setUp(self):
-        service = replace(build_service(), sends=SendBudget(0.5, 0.5, 0.0))
+        service = replace(build_service(), sends=SendBudget(0.0, 0.5, 40.0))
         self.dispatcher = Dispatcher(service, FLEET, random.Random(1))
-        self.dispatcher.hedges.tokens = 1.0
+        self.dispatcher.retries.tokens = 2.0
         self.fresh = self.dispatcher.fresh
         self.ticket = Ticket(ROUTE, 0.0, 2.0)
         self.dispatcher.submit(self.ticket, 0.0)
@@ -227,10 +234,15 @@
 
     def test_no_hedge_while_others_wait(self):
         self.dispatcher.submit(Ticket(ROUTE, 0.2, 2.2), 0.2)
-        tokens = self.dispatcher.hedges.tokens
+        tokens = self.dispatcher.retries.tokens
+        denied = self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.assertIsInstance(denied, Denied)
+        self.assertEqual(self.dispatcher.retries.tokens, tokens)
+
+    def test_a_token_is_left_for_retries(self):
+        self.dispatcher.retries.tokens = 1.9
         denied = self.dispatcher.start_hedge(self.ticket, 0.2)
         self.assertIsInstance(denied, Denied)
-        self.assertEqual(self.dispatcher.hedges.tokens, tokens)
 
     def test_the_operators_number_of_endpoints_holds(self):
         self.ticket.sends = ROUTE.most_sends
@@ -238,13 +250,13 @@
         self.assertIsInstance(denied, Denied)
 
     def test_a_hedge_that_finds_nothing_ends_and_costs_nothing(self):
-        tokens = self.dispatcher.hedges.tokens
+        tokens = self.dispatcher.retries.tokens
         self.dispatcher.start_hedge(self.ticket, 0.2)
         self.fresh.has_reports = False
         expired = list(self.fresh.expire(0.2 + AskRules().hedge_wait))
         self.assertIsInstance(expired[0][1], Refusal)
         self.dispatcher.end_hedge(self.ticket)
-        self.assertEqual(self.dispatcher.hedges.tokens, tokens)
+        self.assertEqual(self.dispatcher.retries.tokens, tokens)
 
     def test_a_hedge_waits_as_long_as_it_can_still_be_in_time(self):
         pace = self.dispatcher.get_pace(ROUTE)
