--- a/packages/hingesill-core/hingesill_core/discovery/assembly.py
+++ b/packages/hingesill-core/hingesill_core/discovery/assembly.py
@@ -8,7 +8,7 @@
     SendBudget,
     Service,
 )
-from hingesill_core.routing.dispatcher import ASKING_POLICY
+from hingesill_core.routing.asking import ASKING_POLICY
 
 __all__ = ["ServiceRules", "build_services"]
 
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -12,7 +12,10 @@
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd
 
-__all__ = ["Ask", "AskRules", "Reply", "Stage", "is_good_enough"]
+__all__ = ["ASKING_POLICY", "Ask", "AskRules", "Reply", "Stage", "is_good_enough"]
+
+# The policy of a declaration whose endpoints are asked before each send.
+ASKING_POLICY = "fresh_report"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -13,8 +13,10 @@
     judge_retry,
     mark_exposure,
 )
+from hingesill_core.routing.asking import ASKING_POLICY
 from hingesill_core.routing.endpoint_state import EndpointState, ServiceView
 from hingesill_core.routing.fresh import FreshChoice
+from hingesill_core.routing.hedging import Hedging
 from hingesill_core.routing.messages import (
     Denied,
     Hold,
@@ -24,18 +26,9 @@
 )
 from hingesill_core.routing.policies import POLICIES
 
-__all__ = ["ASKING_POLICY", "Dispatcher", "FleetView"]
+__all__ = ["Dispatcher", "FleetView"]
 
 OTHER_DATA_CENTRE = 0.003
-EARLIEST_HEDGE = 1.8
-LATEST_HEDGE = 4.5
-# With asked endpoints, in typical answers' times: what a hedge itself takes, with
-# its questions, and what an answer may take before it counts as overdue. Source:
-# nine in ten answers of an endpoint that is not slow take less than 1.4.
-HEDGE_NEEDS = 1.25
-EARLIEST_ASKED_HEDGE = 1.4
-KEPT_FOR_RETRIES = 1.0
-ASKING_POLICY = "fresh_report"
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +74,7 @@
         self._displaced = []
         self.pace = Pace()
         self.paces = {}
-        self.hedges = TokenBudget(service.sends.hedge_share)
+        self.hedging = Hedging(self, service.sends.hedge_share)
         self.retries = TokenBudget(service.sends.retry_share)
         self.fresh = FreshChoice(self, ask_pool or AskBudget())
         self.configure(service, fleet)
@@ -99,7 +92,7 @@
         self.choose = POLICIES.get(service.policy)
         self.queue.limit = service.queue_limit
         bursts = service.sends.compute_bursts(fleet.nodes)
-        self.hedges.set_share(service.sends.hedge_share, bursts.hedges)
+        self.hedging.budget.set_share(service.sends.hedge_share, bursts.hedges)
         self.retries.set_share(service.sends.retry_share, bursts.retries)
         self.fresh.configure(service, fleet)
         self.states = {
@@ -130,33 +123,6 @@
             pace = self.paces[route] = Pace()
         return pace
 
-    def get_overdue_time(self, send):
-        """Return the seconds after which an answer is worth a second send.
-
-        Notes
-        -----
-        While much of the budget is left that is soon. As it runs out only the
-        answers that take longest are worth it, so that the budget goes where it
-        shortens the tail. Where endpoints are asked, it goes to answers that are
-        about to miss their target, as late as a second send still helps.
-        """
-        if self.service.policy == ASKING_POLICY:
-            return self._compute_last_chance(send)
-        spent = 1 - self.hedges.tokens / self.hedges.burst
-        factor = EARLIEST_HEDGE + (LATEST_HEDGE - EARLIEST_HEDGE) * spent
-        return factor * self.get_pace(send.ticket.route).typical
-
-    def _compute_last_chance(self, send):
-        """Return the seconds after which a second send can just meet the target."""
-        typical = self.get_pace(send.ticket.route).typical
-        ticket = send.ticket
-        waited = send.started - ticket.arrived
-        left = ticket.route.target - ticket.spent - waited
-        chance = left - HEDGE_NEEDS * typical
-        if chance < EARLIEST_ASKED_HEDGE * typical:
-            return LATEST_HEDGE * typical
-        return chance
-
     def submit(self, ticket, now):
         """Take a new request.
 
@@ -166,7 +132,7 @@
             Whom to ask first, where to send it, to hold it, or its final answer.
         """
         self.last_submit = now
-        self.hedges.earn()
+        self.hedging.budget.earn()
         self.retries.earn()
         ask = self._begin_asking(ticket, now)
         if ask is not None:
@@ -280,64 +246,6 @@
         """Forget a held request whose caller is gone."""
         self.queue.remove(ticket)
 
-    def start_hedge(self, ticket, now):
-        """Send a request a second time while its first send has no answer.
-
-        Returns
-        -------
-        Ask, Send or Denied
-            Whom to ask first, where to send it, or the rule that forbids it. One
-            that asked and found nothing is told to `end_hedge`.
-        """
-        denial = self._find_hedge_denial(ticket, now)
-        if denial is not None:
-            return Denied(denial)
-        if self.service.policy == ASKING_POLICY:
-            return self._begin_hedge(ticket, now)
-        free = [
-            state
-            for state in self.states.values()
-            if state.identity not in ticket.tried and state.has_place(ticket, now)
-        ]
-        if not free:
-            return Denied(RetryReason.DENIED_NO_ENDPOINT)
-        if not self.hedges.spend():
-            return Denied(RetryReason.DENIED_BUDGET)
-        state = self.choose(free, now, self.rng)
-        return self.start_send(ticket, state, now, hedge=True)
-
-    def _begin_hedge(self, ticket, now):
-        """Return an Ask for a second endpoint, or Denied.
-
-        Notes
-        -----
-        A retry saves an answer that is lost, a hedge one that is late; so both
-        draw on the budget of retries, and hedges leave a token for those.
-        """
-        if not self.retries.spend(keep=KEPT_FOR_RETRIES):
-            return Denied(RetryReason.DENIED_BUDGET)
-        ask = self.fresh.enter_hedge(ticket, now)
-        if ask is None:
-            self.retries.give_back()
-            return Denied(RetryReason.DENIED_NO_ENDPOINT)
-        return ask
-
-    def end_hedge(self, ticket):
-        """Take back a hedge that asked and was not sent."""
-        self.fresh.leave(ticket)
-        self.retries.give_back()
-
-    def _find_hedge_denial(self, ticket, now):
-        if ticket.sends >= ticket.route.most_sends:
-            return RetryReason.DENIED_BUDGET
-        if not ticket.route.repeatable or not ticket.replayable:
-            return RetryReason.DENIED_NOT_REPEATABLE
-        if not ticket.may_retry:
-            return RetryReason.DENIED_LAYER
-        if now + self.get_pace(ticket.route).quick > ticket.deadline:
-            return RetryReason.DENIED_TIME
-        return None
-
     def settle(self, send, result, now):
         """Take the end of a send and learn from it.
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_dispatcher.py
@@ -172,13 +172,13 @@
     def test_hedge_goes_to_another_endpoint(self):
         self.earn()
         ticket, first = self.ask(self.read)
-        hedge = self.dispatcher.start_hedge(ticket, 0.05)
+        hedge = self.dispatcher.hedging.start(ticket, 0.05)
         self.assertNotEqual(first.endpoint, hedge.endpoint)
 
     def test_move_is_never_hedged(self):
         self.earn()
         ticket, _ = self.ask(self.move)
-        denied = self.dispatcher.start_hedge(ticket, 0.05)
+        denied = self.dispatcher.hedging.start(ticket, 0.05)
         self.assertEqual(denied, Denied(RetryReason.DENIED_NOT_REPEATABLE))
 
 
@@ -290,7 +290,7 @@
     @rule(index=st.integers(0, 100))
     def hedge(self, index):
         ticket = self.live[index % len(self.live)].ticket
-        decision = self.dispatcher.start_hedge(ticket, self.now)
+        decision = self.dispatcher.hedging.start(ticket, self.now)
         if isinstance(decision, Send):
             assert ticket.route.repeatable
             self.extra_sends += 1
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -215,7 +215,7 @@
         self.first = self.fresh.take(reply("i1", 0), 0.01)
 
     def test_a_hedge_asks_and_goes_elsewhere(self):
-        ask = self.dispatcher.start_hedge(self.ticket, 0.2)
+        ask = self.dispatcher.hedging.start(self.ticket, 0.2)
         self.assertIsInstance(ask, Ask)
         self.assertIsNone(self.fresh.take(reply("i1", 0), 0.21))
         hedge = self.fresh.take(reply("i2", 0), 0.21)
@@ -223,11 +223,11 @@
         self.assertEqual(self.ticket.sends, 2)
 
     def test_a_hedge_never_takes_a_last_slot(self):
-        self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.dispatcher.hedging.start(self.ticket, 0.2)
         self.assertIsNone(self.fresh.take(reply("i2", 2), 0.25))
 
     def test_those_without_an_endpoint_go_first(self):
-        self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.dispatcher.hedging.start(self.ticket, 0.2)
         other = Ticket(ROUTE, 0.2, 2.2)
         self.dispatcher.submit(other, 0.2)
         self.assertIs(self.fresh.take(reply("i2", 0), 0.21).ticket, other)
@@ -235,36 +235,36 @@
     def test_no_hedge_while_others_wait(self):
         self.dispatcher.submit(Ticket(ROUTE, 0.2, 2.2), 0.2)
         tokens = self.dispatcher.retries.tokens
-        denied = self.dispatcher.start_hedge(self.ticket, 0.2)
+        denied = self.dispatcher.hedging.start(self.ticket, 0.2)
         self.assertIsInstance(denied, Denied)
         self.assertEqual(self.dispatcher.retries.tokens, tokens)
 
     def test_a_token_is_left_for_retries(self):
         self.dispatcher.retries.tokens = 1.9
-        denied = self.dispatcher.start_hedge(self.ticket, 0.2)
+        denied = self.dispatcher.hedging.start(self.ticket, 0.2)
         self.assertIsInstance(denied, Denied)
 
     def test_the_operators_number_of_endpoints_holds(self):
         self.ticket.sends = ROUTE.most_sends
-        denied = self.dispatcher.start_hedge(self.ticket, 0.2)
+        denied = self.dispatcher.hedging.start(self.ticket, 0.2)
         self.assertIsInstance(denied, Denied)
 
     def test_a_hedge_that_finds_nothing_ends_and_costs_nothing(self):
         tokens = self.dispatcher.retries.tokens
-        self.dispatcher.start_hedge(self.ticket, 0.2)
+        self.dispatcher.hedging.start(self.ticket, 0.2)
         self.fresh.has_reports = False
         expired = list(self.fresh.expire(0.2 + AskRules().hedge_wait))
         self.assertIsInstance(expired[0][1], Refusal)
-        self.dispatcher.end_hedge(self.ticket)
+        self.dispatcher.hedging.end(self.ticket)
         self.assertEqual(self.dispatcher.retries.tokens, tokens)
 
     def test_a_hedge_waits_as_long_as_it_can_still_be_in_time(self):
         pace = self.dispatcher.get_pace(ROUTE)
         pace.typical = 0.08
-        at_once = self.dispatcher.get_overdue_time(self.first)
+        at_once = self.dispatcher.hedging.get_overdue_time(self.first)
         self.assertAlmostEqual(at_once, 0.25 - 0.01 - 1.25 * 0.08)
         pace.typical = 0.2
-        late = self.dispatcher.get_overdue_time(self.first)
+        late = self.dispatcher.hedging.get_overdue_time(self.first)
         self.assertGreater(late, 0.8)
 
 
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -13,12 +13,12 @@
     Denied,
     Hold,
     Refusal,
-    Send,
     SendEnd,
     SendResult,
 )
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed
+from hingesill_node.datapath.hedges import AskedHedge
 from hingesill_node.datapath.messages import Answer, LiveSend
 from hingesill_node.datapath.story import StepKind, Story, describe_report
 from hingesill_node.datapath.transport import (
@@ -37,52 +37,6 @@
 HEDGE_LOOK_SECONDS = 0.01
 
 
-class AskedHedge:
-    """A second send that first looks for an endpoint, beside the one under way.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        Of the request.
-    room : WaitingRoom
-        Of the service.
-    """
-
-    def __init__(self, exchange, room):
-        self.exchange = exchange
-        self.room = room
-        self.is_waiting = True
-        self.is_wanted = True
-
-    def run(self, ask):
-        """Wait for an endpoint and send, unless withdrawn meanwhile."""
-        exchange = self.exchange
-        found = self.room.wait(exchange.request, ask)
-        self.is_waiting = False
-        if not isinstance(found.decision, Send):
-            exchange.runner.dispatcher.end_hedge(exchange.ticket)
-        elif self.is_wanted:
-            exchange._start(found.decision, found.connection)
-        else:
-            self._give_back(found)
-        if exchange.hedge is self:
-            exchange.hedge = None
-
-    def _give_back(self, found):
-        """Leave an endpoint that was found too late as it is."""
-        runner = self.exchange.runner
-        pool = runner.find_pool(found.decision.endpoint)
-        runner.settle(found.decision, SendResult(SendEnd.CANCELLED))
-        if found.connection is not None and pool is not None:
-            pool.give_back(found.connection)
-
-    def withdraw(self):
-        """Send nothing any more."""
-        self.is_wanted = False
-        if self.is_waiting:
-            self.room.withdraw(self.exchange.ticket)
-
-
 class Exchange:
     """One request's exchange with the endpoints of its service.
 
@@ -160,14 +114,14 @@
     def _carry_out(self, send):
         """Return an Answer, a Refusal, or the SendEnd to decide on."""
         proven, self.proven = self.proven, None
-        live = self._start(send, proven)
+        live = self.start_send(send, proven)
         if isinstance(live, SendEnd):
             return live
         if live is None:
             return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
         return self._await_first(live)
 
-    def _start(self, send, proven=None):
+    def start_send(self, send, proven=None):
         """Send the request; return the LiveSend, a SendEnd, or None."""
         pool = self.runner.find_pool(send.endpoint)
         live = LiveSend(send, pool)
@@ -252,7 +206,7 @@
     def _compute_hedge_time(self, live):
         if not (self.ticket.route.repeatable and self.ticket.may_retry):
             return float("inf")
-        overdue = self.runner.dispatcher.get_overdue_time(live.send)
+        overdue = self.runner.dispatcher.hedging.get_overdue_time(live.send)
         return live.send.started + overdue
 
     def _wait(self, racing, until):
@@ -292,7 +246,7 @@
 
     def _start_hedge(self):
         """Start a second send if the rules and the budget allow it."""
-        decision = self.runner.dispatcher.start_hedge(self.ticket, self.clock())
+        decision = self.runner.dispatcher.hedging.start(self.ticket, self.clock())
         if isinstance(decision, Denied):
             self.counters.add("retries", self.service, decision.reason.value)
             return
@@ -302,7 +256,7 @@
             self.hedge = AskedHedge(self, room)
             eventlet.spawn_n(self.hedge.run, decision)
         else:
-            self._start(decision)
+            self.start_send(decision)
 
     def _withdraw_hedge(self):
         """End a hedge that has not been sent yet."""
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
@@ -16,7 +16,7 @@
 from hingesill_core.routing.dispatcher import FleetView
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import Send, SendEnd, SendResult, Ticket
-from hingesill_node.datapath.exchange import AskedHedge
+from hingesill_node.datapath.hedges import AskedHedge
 from hingesill_node.datapath.messages import Body, CallerRequest
 from hingesill_node.datapath.runner import ServiceRunner
 from hingesill_node.datapath.wire import OwnFormat
@@ -115,11 +115,11 @@
 
     # What a hedge uses of an exchange.
 
-    def _start(self, send, connection):
+    def start_send(self, send, connection):
         self.started.append(send.endpoint)
 
     def start(self):
-        ask = self.dispatcher.start_hedge(self.ticket, self.runner.clock())
+        ask = self.dispatcher.hedging.start(self.ticket, self.runner.clock())
         self.assertIsInstance(ask, Ask)
         thread = eventlet.spawn(self.hedge.run, Ask(()))
         eventlet.sleep(0)
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -9,7 +9,6 @@
 import time
 
 import eventlet
-from greenlet import GreenletExit
 
 from hingesill_core.discovery.directory import Directory
 from hingesill_core.discovery.records import Changes, HistoryGone
@@ -18,6 +17,7 @@
 from hingesill_node.discovery.feed import Feed
 from hingesill_node.discovery.frames import FrameKind
 from hingesill_node.discovery.relayclient import RelayLost
+from hingesill_node.discovery.storewatch import StoreWatch
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["Follower"]
@@ -31,6 +31,8 @@
 SERIES_SECONDS = 0.4
 # A watch on a path that was cut says nothing, so a cheap call tells of cuts.
 CHECK_SECONDS = 1.0
+# A watch that has waited so long should have brought a change that a check sees.
+DEAF_SECONDS = 0.5
 # A relay's checks are also its heartbeats.
 RELAY_CHECK_SECONDS = 0.4
 FIRST_PAUSE = 0.1
@@ -80,6 +82,7 @@
         self.clock = clock
         self.directory = Directory()
         self.feed = Feed(self.directory, clock)
+        self.watch = StoreWatch(clock)
         self.store_answers = True
         self.is_synced = False
         self.follows = ""
@@ -91,8 +94,6 @@
         self._long_backoff = Backoff(FIRST_PAUSE, LONGEST_FOLLOWER_PAUSE, rng)
         self._store_from = float("-inf")
         self._published = 0
-        self._watching_since = None
-        self._watching = None
 
     def start(self):
         """Begin to follow, in green threads."""
@@ -246,30 +247,14 @@
     def _watch(self):
         """Return what a watch brings, or None if this node ended it."""
         seconds = WATCH_SECONDS if self._is_relay() else LOOK_SECONDS
-        self._watching_since = self.clock()
-        self._watching = eventlet.spawn(
-            self.source.wait, self.directory.revision, seconds
-        )
-        try:
-            answer = self._watching.wait()
-        except GreenletExit:
-            answer = None
-        self._watching = self._watching_since = None
+        answer = self.watch.wait(self.source, self.directory.revision, seconds)
         was_interrupted = not self.is_synced
         return None if was_interrupted else answer
 
     def _interrupt(self):
-        """End the watch that is under way; all is read again then.
-
-        Notes
-        -----
-        Its green thread is ended: closing the socket under it would not wake
-        it, as eventlet tells a waiting thread of that only once the file
-        descriptor is used again.
-        """
+        """End the watch that is under way; all is read again then."""
         self.is_synced = False
-        if self._watching is not None:
-            self._watching.kill()
+        self.watch.interrupt()
 
     def _note_failure(self, failure):
         """Read the whole again after a failure; a second one is an outage."""
@@ -352,7 +337,7 @@
             self._interrupt()
             return
         self.heard_at = self.clock()
-        if answer > self.directory.revision and self._has_waited():
+        if answer > self.directory.revision and self.watch.has_waited(DEAF_SECONDS):
             log_event(
                 Event.WATCH_DEAF, held=self.directory.revision, store_revision=answer
             )
@@ -360,11 +345,6 @@
             return
         self.feed.beat()
 
-    def _has_waited(self):
-        """Tell whether a watch is under way that should have brought changes."""
-        since = self._watching_since
-        return since is not None and self.clock() - since > CHECK_SECONDS / 2
-
     def _ask_peers_often(self):
         while True:
             eventlet.sleep(PEER_SECONDS * random.uniform(0.8, 1.2))
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
@@ -124,7 +124,7 @@
         self.advance(follower, 1)
         waiting = eventlet.spawn(self.advance, follower, 2)
         eventlet.sleep(0.01)
-        follower._watching_since -= 1.0
+        follower.watch.since -= 1.0
         follower._check(source.check())
         with eventlet.Timeout(1.0):
             waiting.wait()
