A send that was settled while it began is closed once; signals are heard early

Cause: reading the diff: a hedge whose exchange ends while its connection comes about closed a connection that was closed already (AttributeError in its green thread, and a connection too few counted).

Tests: two of the three new ones fail without the change.

--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -136,8 +136,7 @@
         self.lives.append(live)
         try:
             send_request(live, self.request, self.clock(), self.wire)
-            if live.settled:
-                live.pool.discard(live.connection)
+            self._close_if_settled(live)
             return live
         except ConnectFailed:
             return self._end(live, SendResult(SendEnd.CONNECT_FAILED))
@@ -147,6 +146,12 @@
         except OSError:
             return self._end(live, SendResult(SendEnd.LOST))
 
+    def _close_if_settled(self, live):
+        """Cancel a send that was settled while its connection came about."""
+        if live.settled and live.connection is not None:
+            live.pool.discard(live.connection)
+            live.connection = None
+
     def _describe_evidence(self, send):
         """Return the report that a send went by, with its age."""
         state = self.runner.dispatcher.states.get(send.endpoint)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
@@ -0,0 +1,67 @@
+"""Tests of an exchange whose sends are settled while they begin."""
+
+import unittest
+from unittest.mock import patch
+
+from hingesill_core.routing.messages import Send, SendEnd, SendResult, Ticket
+from hingesill_node.datapath import exchange as exchange_module
+from hingesill_node.datapath.exchange import Exchange
+from hingesill_node.datapath.messages import Body, CallerRequest
+from hingesill_node.datapath.tests.test_asking import ROUTE, build_runner
+from hingesill_node.datapath.wire import OwnFormat
+from hingesill_node.telemetry.counters import Counters
+
+
+class RecordingPool:
+    """Gives one connection and counts what comes back."""
+
+    def __init__(self):
+        self.discarded = []
+
+    def take(self):
+        return "connection"
+
+    def discard(self, connection):
+        self.discarded.append(connection)
+
+
+class SettledSendTests(unittest.TestCase):
+    def setUp(self):
+        self.runner = build_runner()
+        self.pool = self.runner.pools["i1"] = RecordingPool()
+        now = self.runner.clock()
+        self.ticket = Ticket(ROUTE, now, now + 2.0)
+        request = CallerRequest("r1", "GET", "/a/", [], Body(b"", 0), self.ticket)
+        self.exchange = Exchange(self.runner, request, Counters(), OwnFormat())
+
+    def start(self, settle_before_connecting):
+        """Start a send during which the exchange ends all its sends."""
+
+        def send_request(live, *_):
+            if settle_before_connecting:
+                self.exchange._cancel_all()
+                live.connection = live.pool.take()
+            else:
+                live.connection = live.pool.take()
+                self.exchange._cancel_all()
+
+        send = Send(self.ticket, "i1", self.ticket.arrived, 0.1)
+        with patch.object(exchange_module, "send_request", send_request):
+            return self.exchange.start_send(send)
+
+    def test_a_connection_that_came_too_late_is_closed(self):
+        live = self.start(settle_before_connecting=True)
+        self.assertEqual(self.pool.discarded, ["connection"])
+        self.assertIsNone(live.connection)
+
+    def test_a_connection_that_was_closed_already_is_closed_once(self):
+        self.start(settle_before_connecting=False)
+        self.assertEqual(self.pool.discarded, ["connection"])
+
+    def test_a_send_that_goes_on_keeps_its_connection(self):
+        send = Send(self.ticket, "i1", self.ticket.arrived, 0.1)
+        with patch.object(exchange_module, "send_request", lambda live, *_: None):
+            live = self.exchange.start_send(send)
+        self.assertFalse(live.settled)
+        self.assertEqual(self.pool.discarded, [])
+        self.exchange._end(live, SendResult(SendEnd.CANCELLED))
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -108,13 +108,13 @@
         if error:
             return refuse_address(error)
         start_server(admin, self._build_admin())
-        self._wait_for_configuration()
-        start_server(callers, self.application)
         signal.signal(signal.SIGTERM, self.lifecycle.ask_stop)
         signal.signal(signal.SIGINT, self.lifecycle.ask_stop)
         reloader = Reloader(self.settings, self.load, self.control.apply)
         signal.signal(signal.SIGHUP, reloader.ask)
         eventlet.spawn(reloader.run)
+        self._wait_for_configuration()
+        start_server(callers, self.application)
         freeze_start_objects()
         log_event(
             Event.NODE_STARTED,
