--- a/packages/hingesill-node/hingesill_node/main.py
+++ b/packages/hingesill-node/hingesill_node/main.py
@@ -31,16 +31,24 @@
     return LogControl
 
 
-def serve(**flags):
+def serve(check=False, **flags):
     """Run a node.
 
     Each setting is a flag; ``docs/SETTINGS.md`` lists them.
+
+    Parameters
+    ----------
+    check : bool
+        Only tell what is wrong with the settings, or that nothing is.
     """
     settings = load_settings(flags)
     if isinstance(settings, Findings):
         for finding in settings:
             print(f"hingesilld: {finding}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+    if check:
+        print("hingesilld: the settings are valid")
+        return
     start_logging(settings.name, settings.log_level)
     code = Node(settings, choose_control(settings)).run()
     sys.stdout.flush()
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -99,6 +99,18 @@
     def test_unknown_store(self):
         self.check_refused(run("hingesilld", "--store=ftp://x"), 2, "--store")
 
+    def test_check_tells_all_findings(self):
+        done = run("hingesilld", "--check", "--fleet-limit=many", "--colour=red")
+        self.check_refused(done, 2, "--colour")
+        done = run("hingesilld", "--check", "--fleet-limit=many", "--address=nowhere")
+        self.check_refused(done, 2, "--fleet_limit")
+        self.assertIn("--address", done.stderr)
+
+    def test_check_of_valid_settings_starts_nothing(self):
+        done = run("hingesilld", "--check", "--fleet-limit=18")
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn("valid", done.stdout)
+
     def test_port_in_use(self):
         with socket.socket() as sock:
             sock.bind(("127.0.0.1", 0))
