The store gets its turn however many relays could be tried

With each call of front-lsn-a-6 logged on a scratch copy: after 9.6 s it never asked the store again. A relay rests 1.2 s at most after a failure, and each try takes half a second in an outage; with four relays there was always one to try, and the store was only asked when there was none.

Now the store is asked first when it is due, and what is known from the store stays in force, with its watch, until a relay has told more; before, each try of a relay that took nobody ended the watch.

Tests: both new ones fail without the change, pass with it.

--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -95,6 +95,7 @@
         self._backoff = Backoff(FIRST_PAUSE, LONGEST_PAUSE, rng)
         self._long_backoff = Backoff(FIRST_PAUSE, LONGEST_FOLLOWER_PAUSE, rng)
         self._store_from = float("-inf")
+        self._look_from = float("-inf")
         self._published = 0
 
     def start(self):
@@ -131,17 +132,19 @@
                 eventlet.sleep(self._backoff.get_pause())
 
     def _step(self):
-        """Follow a relay as long as there is one, else make a call to the store."""
+        """Make a call to the store if that is due, else follow a relay."""
         if not self._has_begun:
             self._begin()
             return
-        relay = self._choose_relay()
+        relay = None if self._is_store_due() else self._choose_relay()
         if relay is not None:
             self._follow_relay(relay)
-        elif self._should_wait():
+        elif self.clock() < self._store_from:
             eventlet.sleep(RELAY_PAUSE)
-        else:
+        elif self.is_synced or self._is_store_due():
             self._advance()
+        else:
+            eventlet.sleep(RELAY_PAUSE)
 
     def _begin(self):
         """Read, maybe stale, until it is known which nodes there are.
@@ -179,19 +182,31 @@
             self.directory.nodes.values()
         )
 
-    def _should_wait(self):
-        """Tell whether the store is not to be asked yet."""
-        if self.clock() < self._store_from:
+    def _is_store_due(self):
+        """Tell whether the store is asked now, whatever relays there are.
+
+        Notes
+        -----
+        Relays that have lost the store take nobody, and the store may be back for
+        all but them: so it gets its turn, however many relays could be tried.
+        """
+        now = self.clock()
+        if now < self._store_from:
+            return False
+        if self._is_relay():
             return True
-        may_find_relay = not self.is_synced and not self._is_relay()
-        if may_find_relay and self.store_answers:
-            return self.get_silence() < PATIENCE_SECONDS
-        return False
+        if self.is_synced:
+            return now < self._look_from
+        return self.get_silence() >= PATIENCE_SECONDS
 
     def _follow_relay(self, relay):
-        """Take a relay's word until it fails or this node is a relay itself."""
-        self.is_synced = False
-        self.feed.close("the node follows a relay")
+        """Take a relay's word until it fails or this node is a relay itself.
+
+        Notes
+        -----
+        What is known from the store stays in force until the relay has told more,
+        so that a relay which takes nobody does not end the watch.
+        """
         try:
             for frame in self.relays.follow(relay):
                 self._take_frame(relay, frame)
@@ -199,9 +214,10 @@
                     return
         except RelayLost as error:
             self.choice.note_failure(relay, self.clock())
+            self._look_from = self.clock() + LOOK_SECONDS
             if self.follows:
                 log_event(Event.RELAY_LOST, relay=relay.name, detail=str(error))
-            elif not self.store_answers:
+            elif not self.is_synced and not self.store_answers:
                 eventlet.sleep(OUTAGE_PAUSE * random.uniform(0.5, 1.5))
         finally:
             self.follows = ""
@@ -222,6 +238,8 @@
         log_event(
             Event.RELAY_FOUND, relay=relay.name, held=held, told=snapshot.revision
         )
+        self.is_synced = False
+        self.feed.close("the node follows a relay")
         self.follows = relay.name
         self.choice.note_success(relay)
         self.store_answers = True
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
@@ -211,3 +211,62 @@
         for _ in range(200):
             follower._pause()
             self.assertLessEqual(follower._store_from - 100.0, self.BOUND_SECONDS)
+
+
+class RefusingRelays:
+    """Relays that have lost the store and take nobody."""
+
+    def follow(self, relay):
+        eventlet.sleep(0.005)
+        raise RelayLost("status 503")
+        yield
+
+
+class LostRelaysTests(unittest.TestCase):
+    """The store is back for all but the relays."""
+
+    def setUp(self):
+        self.nodes = {
+            name: NodeRecord(name, f"10.0.0.{number}:1", name[-1], 2.0)
+            for number, name in enumerate(("r-a", "r-b", "r-c", "r-d"))
+        }
+        own = NodeRecord("own", "10.0.0.9:1", "a")
+        self.nodes["own"] = own
+        self.source = ScriptedSource([self.read(5, 1)])
+        self.published = []
+        self.follower = Follower(
+            self.source,
+            NoPeers(),
+            lambda directory: self.published.append(directory.declared.version),
+            RelayChoice(own, random.Random(1)),
+            RefusingRelays(),
+        )
+
+    def read(self, revision, version):
+        return replace(build_snapshot(revision, version), nodes=self.nodes)
+
+    def start(self):
+        thread = eventlet.spawn(self.follower._follow)
+        self.addCleanup(thread.kill)
+
+    def wait_for(self, version, seconds):
+        with eventlet.Timeout(seconds):
+            while version not in self.published:
+                eventlet.sleep(0.01)
+
+    def test_the_store_is_asked_though_relays_could_be(self):
+        self.start()
+        self.wait_for(1, 1.0)
+        eventlet.sleep(4.0)
+        self.assertFalse(self.follower.store_answers)
+        self.source.reads.append(self.read(9, 4))
+        self.wait_for(4, 2.5)
+
+    def test_relays_that_take_nobody_do_not_end_the_watch(self):
+        self.source.reads.append(self.read(9, 4))
+        for revision in (11, 12):
+            declared = build_snapshot(revision, revision).declared
+            self.source.waits.append(Changes(revision, declared))
+        self.start()
+        self.wait_for(12, 4.0)
+        self.assertEqual(self.source.waited_from[:2], [9, 11])
