One function opens listening sockets, one report serves both soaks

The module is called listeners.py, as it now holds all of them.

Ruled out: merging the two scenes; they start different programs.

--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	$(RUN) -W ignore -m soak.main $(if $(SEED),--seed=$(SEED),--seeds=$(or $(SEEDS),10))
 
 platform-soak: $(STAMP) ## Run fresh seeds against the platform's program: SEEDS=20, or SEED=7.
-	cd platform && ../$(RUN) -W ignore -m adapter.tests.platformsoak $(if $(SEED),--seed=$(SEED),--seeds=$(or $(SEEDS),10))
+	PYTHONPATH=platform $(RUN) -W ignore -m adapter.tests.platformsoak $(if $(SEED),--seed=$(SEED),--seeds=$(or $(SEEDS),10))
 
 model-check: $(STAMP) ## Check the specification of the protocol.
 	$(RUN) -m model.main
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -1,16 +1,13 @@
 """eventlet's WSGI server on the callers' address."""
 
-import socket
-
 import eventlet
 import httptools
 from eventlet import wsgi
-from eventlet.green import socket as green_socket
 from eventlet.greenio import GreenSocket
 
 from hingesill_node.datapath.application import PROTOCOL_KEY
 from hingesill_node.datapath.requests import RequestHead
-from hingesill_node.earlysockets import BACKLOG, split_address, take_early
+from hingesill_node.listeners import open_listener, take_early
 
 __all__ = ["CallerProtocol", "listen", "start_server"]
 
@@ -72,7 +69,7 @@
 
 
 def listen(address, reuse_port):
-    """Return a listening green socket.
+    """Return a listening green socket, the one that was opened early if there is one.
 
     Parameters
     ----------
@@ -86,23 +83,7 @@
     OSError
         If the address cannot be listened on.
     """
-    early = take_early(address)
-    if early is not None:
-        return GreenSocket(early)
-    host, port = split_address(address)
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    sock = green_socket.socket(family, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    if reuse_port:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    try:
-        sock.bind((host, port))
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
+    return GreenSocket(take_early(address) or open_listener(address, reuse_port))
 
 
 def start_server(sock, application):
--- a/packages/hingesill-node/hingesill_node/tests/test_earlysockets.py
+++ b/packages/hingesill-node/hingesill_node/tests/test_listeners.py
@@ -4,7 +4,7 @@
 import unittest
 
 from hingesill_node.datapath.server import listen
-from hingesill_node.earlysockets import open_early, take_early
+from hingesill_node.listeners import open_early, take_early
 
 
 def find_free_address():
--- a/soak/main.py
+++ b/soak/main.py
@@ -5,16 +5,16 @@
 import tempfile
 import time
 from collections import Counter
-from dataclasses import dataclass
 
 import fire
 
 from matrix.evidence import Evidence, Violation
 from matrix.promises import PROMISES
 from soak.faults import FAULTS
+from soak.report import Finding, choose_seeds, report_seeds
 from soak.scene import Scene
 
-__all__ = ["Finding", "main", "run_seed"]
+__all__ = ["main", "run_seed"]
 
 SERIES = 6
 FIRST_PAUSE = 0.5
@@ -29,28 +29,6 @@
 REGRESSIONS = {}
 
 
-@dataclass(frozen=True)
-class Finding:
-    """What one seed showed.
-
-    Parameters
-    ----------
-    seed : int
-        It repeats the choice of faults, not their exact times.
-    faults : list of str
-        In order.
-    calls : int
-        Requests sent.
-    violations : list of Violation
-        Promises that were broken.
-    """
-
-    seed: int
-    faults: list
-    calls: int
-    violations: list
-
-
 def run_seed(seed, mutation="", names=None):
     """Run one seed, maybe with a rule left out; return its Finding.
 
@@ -134,20 +112,8 @@
     mutation : str
         A rule that nodes leave out; see `matrix.mutant`.
     """
-    if seed is not None:
-        chosen = [seed]
-    else:
-        start = random.randrange(10**6) if first is None else first
-        chosen = [*REGRESSIONS, *range(start, start + seeds)]
-    failed = 0
-    for number in chosen:
-        finding = run_seed(number, mutation)
-        failed += bool(finding.violations)
-        state = "FAILED" if finding.violations else "held  "
-        print(f"{state} seed {number}: {finding.calls} calls, {finding.faults}")
-        for violation in finding.violations[:5]:
-            print(f"    {violation.place}: {violation.what}", flush=True)
-    print(f"{len(chosen) - failed} passed, {failed} failed")
+    chosen = choose_seeds(REGRESSIONS, seeds, seed, first)
+    failed = report_seeds(chosen, lambda number: run_seed(number, mutation))
     sys.exit(1 if failed else 0)
 
 
