--- a/packages/hingesill-core/hingesill_core/discovery/difference.py
+++ b/packages/hingesill-core/hingesill_core/discovery/difference.py
@@ -8,6 +8,11 @@
 def find_changes(before, after):
     """Return the Changes that lead from one Snapshot to a later one.
 
+    Parameters
+    ----------
+    before, after : Snapshot
+        Of the same directory.
+
     Notes
     -----
     Records are compared by identity: a directory replaces a record only if it
--- a/packages/hingesill-core/hingesill_core/discovery/fleetsize.py
+++ b/packages/hingesill-core/hingesill_core/discovery/fleetsize.py
@@ -24,7 +24,15 @@
     counts: deque = field(default_factory=deque)
 
     def note(self, count, now):
-        """Take a count; return the size to reckon with."""
+        """Take a count; return the size to reckon with.
+
+        Parameters
+        ----------
+        count : int
+            Nodes that are entered now.
+        now : float
+            Seconds of the node's clock; they never go back.
+        """
         while self.counts and self.counts[0][0] < now - HOLD_SECONDS:
             self.counts.popleft()
         while self.counts and self.counts[-1][1] <= count:
--- a/packages/hingesill-core/hingesill_core/discovery/relays.py
+++ b/packages/hingesill-core/hingesill_core/discovery/relays.py
@@ -69,6 +69,13 @@
     def choose(self, nodes, now):
         """Return the relay to follow now, or None to watch the store oneself.
 
+        Parameters
+        ----------
+        nodes : iterable of NodeRecord
+            All that are entered.
+        now : float
+            Seconds of the node's clock.
+
         Notes
         -----
         One in the own data centre goes before all others. A relay follows
@@ -85,7 +92,7 @@
         return self.rng.choice(choices) if choices else None
 
     def note_failure(self, relay, now):
-        """Pass a relay over for a while."""
+        """Pass a relay over from ``now`` on, in seconds of the node's clock."""
         failures = self.failures.get(relay.name, 0)
         self.failures[relay.name] = failures + 1
         rest = min(LONGEST_REST, FIRST_REST * 2**failures)
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -121,6 +121,13 @@
     def enter_hedge(self, ticket, now):
         """Let a request that is under way wait for a second endpoint.
 
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        now : float
+            Seconds of the node's clock.
+
         Returns
         -------
         Ask or None
--- a/packages/hingesill-core/hingesill_core/routing/hedging.py
+++ b/packages/hingesill-core/hingesill_core/routing/hedging.py
@@ -53,6 +53,13 @@
     def start(self, ticket, now):
         """Begin a second send of a request while its first has no answer.
 
+        Parameters
+        ----------
+        ticket : Ticket
+            The request; one send of it is under way.
+        now : float
+            Seconds of the node's clock.
+
         Returns
         -------
         Ask, Send or Denied
--- a/packages/hingesill-node/hingesill_node/discovery/frames.py
+++ b/packages/hingesill-node/hingesill_node/discovery/frames.py
@@ -45,7 +45,17 @@
 
 
 def build_frame(kind, return_age, payload=b""):
-    """Return the bytes of a frame."""
+    """Return the bytes of a frame.
+
+    Parameters
+    ----------
+    kind : FrameKind
+        What it tells.
+    return_age : float or None
+        Seconds since the relay saw the store come back; None if it never did.
+    payload : bytes
+        The encoded content; none with a heartbeat.
+    """
     age = NEVER if return_age is None else return_age
     return HEAD.pack(kind, age, len(payload)) + payload
 
--- a/packages/hingesill-node/hingesill_node/discovery/storewatch.py
+++ b/packages/hingesill-node/hingesill_node/discovery/storewatch.py
@@ -26,7 +26,17 @@
         self._thread = None
 
     def wait(self, source, revision, seconds):
-        """Return what a watch brings, or None if it was interrupted."""
+        """Return what a watch brings, or None if it was interrupted.
+
+        Parameters
+        ----------
+        source : DirectorySource
+            The store; what can go wrong there is a value, see `DirectorySource`.
+        revision : int
+            Changes after it are waited for.
+        seconds : float
+            Longest wait.
+        """
         self.since = self.clock()
         self._thread = eventlet.spawn(source.wait, revision, seconds)
         try:
