--- a/packages/hingesill-core/hingesill_core/findings.py
+++ b/packages/hingesill-core/hingesill_core/findings.py
@@ -34,6 +34,10 @@
         """Add one finding."""
         self.items.append(Finding(place, message))
 
+    def extend(self, others):
+        """Add all findings of another collection."""
+        self.items.extend(others)
+
     def __bool__(self):
         return bool(self.items)
 
--- a/packages/hingesill-node/hingesill_node/environment.py
+++ b/packages/hingesill-node/hingesill_node/environment.py
@@ -2,25 +2,14 @@
 
 import os
 
-from pydantic import ValidationError
-from pydantic_settings import BaseSettings, SettingsConfigDict
-
 from hingesill_core.findings import Findings
-from hingesill_node.settings import Settings
+from hingesill_node.settings import Settings, build_settings
 
 __all__ = ["ENVIRONMENT_PREFIX", "load_settings"]
 
 ENVIRONMENT_PREFIX = "HINGESILL_"
 
 
-class EnvironmentSettings(Settings, BaseSettings):
-    """Settings whose fields may also come from environment variables."""
-
-    model_config = SettingsConfigDict(
-        env_prefix=ENVIRONMENT_PREFIX, extra="forbid", frozen=True
-    )
-
-
 def load_settings(flags):
     """Return the settings, or every finding.
 
@@ -33,30 +22,29 @@
     -------
     Settings or Findings
     """
-    findings = Findings()
-    for name in flags:
-        if name not in Settings.model_fields:
-            findings.add(f"--{name}", "there is no such setting")
-    for variable in os.environ:
-        name = variable.removeprefix(ENVIRONMENT_PREFIX).lower()
-        is_ours = variable.startswith(ENVIRONMENT_PREFIX)
-        if is_ours and name not in Settings.model_fields:
-            findings.add(variable, "there is no such setting")
-    if findings:
-        return findings
-    try:
-        return EnvironmentSettings(
-            **{name: str(value) for name, value in flags.items()}
-        )
-    except ValidationError as error:
-        for item in error.errors():
-            findings.add(name_place(item["loc"], flags), item["msg"])
-        return findings
-
-
-def name_place(location, flags):
+    values = {**read_environment(os.environ), **flags}
+    found = build_settings({name: str(value) for name, value in values.items()})
+    if not isinstance(found, Findings):
+        return found
+    placed = Findings()
+    for finding in found:
+        placed.add(name_place(finding.place, flags), finding.message)
+    return placed
+
+
+def read_environment(environ):
+    """Return the values of all variables that are ours, by setting's name."""
+    return {
+        variable.removeprefix(ENVIRONMENT_PREFIX).lower(): value
+        for variable, value in environ.items()
+        if variable.startswith(ENVIRONMENT_PREFIX)
+    }
+
+
+def name_place(name, flags):
     """Return the flag or variable that a finding is about."""
-    if not location:
+    if name in flags:
+        return f"--{name}"
+    if name == Settings.__name__:
         return "settings"
-    name = str(location[0])
-    return f"--{name}" if name in flags else f"{ENVIRONMENT_PREFIX}{name.upper()}"
+    return f"{ENVIRONMENT_PREFIX}{name.upper()}"
--- a/packages/hingesill-node/hingesill_node/reload.py
+++ b/packages/hingesill-node/hingesill_node/reload.py
@@ -59,7 +59,7 @@
 
 def find_changes(old, new):
     """Return the names of the settings that differ, but for the process's name."""
-    names = type(new).model_fields
+    names = type(new).__struct_fields__
     return [
         name
         for name in names
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -2,18 +2,18 @@
 
 import os
 import socket
-import uuid
 from typing import Annotated, Literal
 
-from pydantic import AfterValidator, BaseModel, ConfigDict, Field, model_validator
+from msgspec import Meta, Struct, field
 
 from hingesill_core.configuration.addresses import NAME, check_address
-from hingesill_node.control.authorisation import AUTHORISERS
+from hingesill_core.findings import Findings
+from hingesill_core.validation import build_model
 from hingesill_node.discovery.source import SOURCES
 
-__all__ = ["Settings"]
+__all__ = ["Settings", "build_settings", "make_suffix"]
 
-Address = Annotated[str, AfterValidator(check_address)]
+SUFFIX_BYTES = 4
 
 
 def check_listening(value):
@@ -48,9 +48,24 @@
     return check
 
 
+def check_authoriser(value):
+    """Check that an authoriser is registered."""
+    from hingesill_node.control.authorisation import AUTHORISERS
+
+    if AUTHORISERS.get(value) is None:
+        known = ", ".join(AUTHORISERS.list_names())
+        raise ValueError(f"it is one of {known}")
+    return value
+
+
+def make_suffix():
+    """Return random characters that tell a process from all others of its name."""
+    return os.urandom(SUFFIX_BYTES).hex()
+
+
 def make_name():
     """Return a name that no other node ever has."""
-    return f"{socket.gethostname()}-{uuid.uuid4().hex[:8]}"
+    return f"{socket.gethostname()}-{make_suffix()}"
 
 
 def find_stores():
@@ -67,159 +82,186 @@
     return LISTS
 
 
-class Settings(BaseModel):
-    """Everything that a node is told; each field is a flag and a variable."""
+class Settings(Struct, frozen=True, kw_only=True):
+    """Everything that a node is told; each field is a flag and a variable.
 
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    Notes
+    -----
+    `build_settings` checks what is given; the class by itself checks no types.
+    """
 
-    name: str = Field(
-        default_factory=make_name,
-        pattern=r"^[A-Za-z0-9._-]{1,100}$",
-        description="The node's name; no two processes ever share one.",
-    )
-    vm: str = Field(
-        default="",
-        pattern=r"^[A-Za-z0-9._-]{0,100}$",
-        description="With a directory: the VM's name, under which the node is "
-        "entered; a node that starts anew there takes the old one's place. Empty for "
-        "the node's name.",
-    )
-    team: str = Field(
-        default="hingesill",
-        pattern=NAME,
-        description="First part of all keys in the store.",
-    )
-    data_centre: str = Field(
-        default="local", pattern=NAME, description="Where the node runs."
-    )
-    address: Annotated[str, AfterValidator(check_listening)] = Field(
-        default="127.0.0.1:8080", description="Where callers connect, as IP:PORT."
-    )
-    control_address: Annotated[str, AfterValidator(check_listening)] = Field(
-        default="127.0.0.1:8081",
-        description="Where operators and other nodes connect.",
-    )
-    admin_address: Annotated[str, AfterValidator(check_listening)] = Field(
-        default="127.0.0.1:8082", description="Where /ready and /metrics are."
-    )
-    store: Annotated[str, AfterValidator(check_scheme(find_stores))] = Field(
-        default="http://127.0.0.1:8500",
-        description="The platform's key-value service.",
-    )
-    vm_list: Annotated[str, AfterValidator(check_scheme(find_lists))] = Field(
-        default="", description="The platform's list of VMs; empty for none."
-    )
-    directory: Annotated[str, AfterValidator(check_scheme(lambda: SOURCES))] = Field(
-        default="",
-        description="A store that holds declarations and endpoints; empty to follow "
-        "hingesill's own change log in `store`.",
-    )
-    ready_path: str = Field(
-        default="/ready",
-        pattern=r"^/[^?#\s]*$",
-        description="Where the platform's balancer asks whether the node is ready.",
-    )
-    probes_per_second: float = Field(
-        default=10.0,
-        ge=0,
-        le=1000,
-        description="With a directory: probes an endpoint and second, over the fleet.",
-    )
-    probe_window_s: float = Field(
-        default=10.0,
-        ge=1,
-        le=300,
-        description="With a directory: seconds over which probes are counted.",
-    )
-    hedge_share: float = Field(
-        default=0.04,
-        ge=0,
-        le=0.5,
-        description="With a directory: hedges that a request earns.",
-    )
-    retry_share: float = Field(
-        default=0.02,
-        ge=0,
-        le=0.5,
-        description="With a directory: retries that a request earns.",
-    )
-    extra_sends: float = Field(
-        default=0.0,
-        ge=0,
-        le=100_000,
-        description="With a directory: hedges and retries that the fleet may make at "
-        "once; 0 for ten a node.",
+    name: Annotated[
+        str,
+        Meta(
+            pattern="^[A-Za-z0-9._-]{1,100}$",
+            description="The node's name; no two processes ever share one.",
+        ),
+    ] = field(default_factory=make_name)
+    vm: Annotated[
+        str,
+        Meta(
+            pattern="^[A-Za-z0-9._-]{0,100}$",
+            description="With a directory: the VM's name, under which the node is "
+            "entered; a node that starts anew there takes the old one's "
+            "place. Empty for the node's name.",
+        ),
+    ] = ""
+    team: Annotated[
+        str, Meta(pattern=NAME, description="First part of all keys in the store.")
+    ] = "hingesill"
+    data_centre: Annotated[
+        str, Meta(pattern=NAME, description="Where the node runs.")
+    ] = "local"
+    address: Annotated[str, Meta(description="Where callers connect, as IP:PORT.")] = (
+        "127.0.0.1:8080"
     )
-    queue_limit: int = Field(
-        default=64,
-        ge=0,
-        le=100_000,
-        description="With a directory: requests of a service that wait at the node.",
+    control_address: Annotated[
+        str, Meta(description="Where operators and other nodes connect.")
+    ] = "127.0.0.1:8081"
+    admin_address: Annotated[
+        str, Meta(description="Where /ready and /metrics are.")
+    ] = "127.0.0.1:8082"
+    store: Annotated[str, Meta(description="The platform's key-value service.")] = (
+        "http://127.0.0.1:8500"
     )
-    services: str = Field(
-        default="", description="Hold only these, by commas; empty for all."
-    )
-    fleet_limit: int = Field(
-        default=18,
-        ge=1,
-        le=100_000,
-        description="The most node processes that ever run at once.",
-    )
-    strength: float = Field(
-        default=1.0,
-        gt=0,
-        le=1024,
-        description="With a directory: processor time that the node may use, in cores. "
-        "The strongest nodes of a data centre watch the store for the others.",
-    )
-    reuse_port: bool = Field(
-        default=False, description="Share the callers' port with other nodes."
-    )
-    max_body_bytes: int = Field(
-        default=64 * 1024 * 1024, ge=0, description="Longest body passed on."
-    )
-    balancer_lag_s: float = Field(
-        default=3.0,
-        ge=0,
-        le=300,
-        description="How long the platform's balancer may still send after /ready "
-        "says no.",
-    )
-    stop_bound_s: float = Field(
-        default=60.0,
-        ge=0,
-        le=3600,
-        description="How long a planned stop waits for requests in flight.",
-    )
-    isolation_s: float = Field(
-        default=30.0,
-        ge=1,
-        le=3600,
-        description="A node that hears neither store nor nodes is not ready after "
-        "this.",
-    )
-    authoriser: Literal[tuple(AUTHORISERS.list_names())] = Field(
-        default="open", description="Who may change what."
-    )
-    authors_file: str = Field(default="", description="For the authoriser tokens.")
-    tls_certificate: str = Field(
-        default="", description="Certificate of the control port, PEM."
-    )
-    tls_key: str = Field(default="", description="Its key, PEM.")
-    tls_ca: str = Field(default="", description="Whose certificates are taken, PEM.")
-    log_level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = Field(
-        default="INFO", description="Lowest level of log events."
-    )
-    switch_interval_s: float = Field(
-        default=0.0005,
-        ge=0.00001,
-        le=0.1,
-        description="How long a thread may keep the interpreter.",
-    )
-    probing: bool = Field(default=True, description="Take part in probing.")
+    vm_list: Annotated[
+        str, Meta(description="The platform's list of VMs; empty for none.")
+    ] = ""
+    directory: Annotated[
+        str,
+        Meta(
+            description="A store that holds declarations and endpoints; empty to follow "
+            "hingesill's own change log in `store`.",
+        ),
+    ] = ""
+    ready_path: Annotated[
+        str,
+        Meta(
+            pattern=r"^/[^?#\s]*$",
+            description="Where the platform's balancer asks whether the node is ready.",
+        ),
+    ] = "/ready"
+    probes_per_second: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=1000,
+            description="With a directory: probes an endpoint and second, over the "
+            "fleet.",
+        ),
+    ] = 10.0
+    probe_window_s: Annotated[
+        float,
+        Meta(
+            ge=1,
+            le=300,
+            description="With a directory: seconds over which probes are counted.",
+        ),
+    ] = 10.0
+    hedge_share: Annotated[
+        float,
+        Meta(
+            ge=0, le=0.5, description="With a directory: hedges that a request earns."
+        ),
+    ] = 0.04
+    retry_share: Annotated[
+        float,
+        Meta(
+            ge=0, le=0.5, description="With a directory: retries that a request earns."
+        ),
+    ] = 0.02
+    extra_sends: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=100_000,
+            description="With a directory: hedges and retries that the fleet may make "
+            "at once; 0 for ten a node.",
+        ),
+    ] = 0.0
+    queue_limit: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=100_000,
+            description="With a directory: requests of a service that wait at the node.",
+        ),
+    ] = 64
+    services: Annotated[
+        str, Meta(description="Hold only these, by commas; empty for all.")
+    ] = ""
+    fleet_limit: Annotated[
+        int,
+        Meta(
+            ge=1,
+            le=100_000,
+            description="The most node processes that ever run at once.",
+        ),
+    ] = 18
+    strength: Annotated[
+        float,
+        Meta(
+            gt=0,
+            le=1024,
+            description="With a directory: processor time that the node may use, in "
+            "cores. The strongest nodes of a data centre watch the store "
+            "for the others.",
+        ),
+    ] = 1.0
+    reuse_port: Annotated[
+        bool, Meta(description="Share the callers' port with other nodes.")
+    ] = False
+    max_body_bytes: Annotated[
+        int, Meta(ge=0, description="Longest body passed on.")
+    ] = (64 * 1024 * 1024)
+    balancer_lag_s: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=300,
+            description="How long the platform's balancer may still send after /ready "
+            "says no.",
+        ),
+    ] = 3.0
+    stop_bound_s: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=3600,
+            description="How long a planned stop waits for requests in flight.",
+        ),
+    ] = 60.0
+    isolation_s: Annotated[
+        float,
+        Meta(
+            ge=1,
+            le=3600,
+            description="A node that hears neither store nor nodes is not ready after "
+            "this.",
+        ),
+    ] = 30.0
+    authoriser: Annotated[str, Meta(description="Who may change what.")] = "open"
+    authors_file: Annotated[str, Meta(description="For the authoriser tokens.")] = ""
+    tls_certificate: Annotated[
+        str, Meta(description="Certificate of the control port, PEM.")
+    ] = ""
+    tls_key: Annotated[str, Meta(description="Its key, PEM.")] = ""
+    tls_ca: Annotated[str, Meta(description="Whose certificates are taken, PEM.")] = ""
+    log_level: Annotated[
+        Literal["DEBUG", "INFO", "WARNING", "ERROR"],
+        Meta(description="Lowest level of log events."),
+    ] = "INFO"
+    switch_interval_s: Annotated[
+        float,
+        Meta(
+            ge=0.00001,
+            le=0.1,
+            description="How long a thread may keep the interpreter.",
+        ),
+    ] = 0.0005
+    probing: Annotated[bool, Meta(description="Take part in probing.")] = True
 
-    @model_validator(mode="after")
-    def check_files(self):
+    def __post_init__(self):
         """Check that the files named can be read."""
         for name in ("tls_certificate", "tls_key", "tls_ca", "authors_file"):
             path = getattr(self, name)
@@ -229,4 +271,29 @@
             raise ValueError("tls_certificate and tls_key go together")
         if self.authoriser == "tokens" and not self.authors_file:
             raise ValueError("authors_file is needed for the authoriser tokens")
-        return self
+
+
+CHECKS = {
+    "address": check_listening,
+    "control_address": check_listening,
+    "admin_address": check_listening,
+    "store": check_scheme(find_stores),
+    "vm_list": check_scheme(find_lists),
+    "directory": check_scheme(lambda: SOURCES),
+    "authoriser": check_authoriser,
+}
+
+
+def build_settings(values):
+    """Return Settings, or Findings with every fault.
+
+    Parameters
+    ----------
+    values : dict
+        By setting's name; numbers may be given as text.
+    """
+    findings = Findings()
+    for name in values:
+        if name not in Settings.__struct_fields__:
+            findings.add(name, "there is no such setting")
+    return findings or build_model(Settings, values, CHECKS)
--- a/scripts/generate_docs.py
+++ b/scripts/generate_docs.py
@@ -2,7 +2,8 @@
 
 from pathlib import Path
 
-from pydantic_core import PydanticUndefined
+from msgspec import NODEFAULT, Meta
+from msgspec.structs import fields
 
 from hingesill_node.environment import ENVIRONMENT_PREFIX
 from hingesill_node.settings import Settings
@@ -35,17 +36,23 @@
 def build_settings_page():
     """Return the page of settings."""
     rows = []
-    for name, field in Settings.model_fields.items():
+    for field in fields(Settings):
         default = field.default
-        shown = "made new" if default is PydanticUndefined else f"`{default}`"
+        shown = "made new" if default is NODEFAULT else f"`{default}`"
         if default == "":
             shown = "empty"
-        flag = f"`--{name.replace('_', '-')}`"
-        variable = f"`{ENVIRONMENT_PREFIX}{name.upper()}`"
-        rows.append(f"| {flag} | {variable} | {shown} | {field.description} |")
+        flag = f"`--{field.name.replace('_', '-')}`"
+        variable = f"`{ENVIRONMENT_PREFIX}{field.name.upper()}`"
+        rows.append(f"| {flag} | {variable} | {shown} | {find_description(field)} |")
     return SETTINGS_HEAD + "\n".join(rows) + "\n"
 
 
+def find_description(field):
+    """Return what a field of the settings means."""
+    (meta,) = (m for m in field.type.__metadata__ if isinstance(m, Meta))
+    return meta.description
+
+
 def build_events_page():
     """Return the page of log events."""
     rows = [
