How many slots are worth taking is learnt level by level and kept for nodes that start

Hypothesis: at these endpoints work slows 1.7 times from the fifth of six slots on, and the knee looked at the last slot alone; nodes that start at once fill everything again. Ruled out by trials: relays that overwrite each other's word (it flips between four and six), means that take answers of a few milliseconds for work (they hide the knee).

--- a/packages/hingesill-core/hingesill_core/discovery/difference.py
+++ b/packages/hingesill-core/hingesill_core/discovery/difference.py
@@ -24,6 +24,7 @@
         declared,
         find_changed_records(before.endpoints, after.endpoints),
         find_changed_records(before.nodes, after.nodes),
+        after.profile if after.profile is not before.profile else None,
     )
 
 
--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hingesill_core.discovery.records import Declared, Snapshot
+from hingesill_core.routing.profile import Profile
 
 __all__ = ["Directory", "RETURN_SECONDS"]
 
@@ -24,6 +25,8 @@
         The newest declaration seen.
     endpoints, nodes : dict
         Records by instance and by name.
+    profile : Profile or None
+        What nodes have learnt of the services.
     doubtful : dict
         Until when an endpoint is believed whose entry vanished around an outage.
     returned_at : float
@@ -36,6 +39,7 @@
     declared: Declared | None = None
     endpoints: dict = field(default_factory=dict)
     nodes: dict = field(default_factory=dict)
+    profile: Profile | None = None
     doubtful: dict = field(default_factory=dict)
     returned_at: float = float("-inf")
     generation: int = 0
@@ -62,6 +66,7 @@
             self._remove_endpoint(instance, now)
         self._replace_nodes(snapshot.nodes)
         self._declare(snapshot.declared)
+        self._take_profile(snapshot.profile)
         return True
 
     def apply(self, changes, now):
@@ -82,6 +87,7 @@
                 nodes[name] = record
         self._replace_nodes(nodes)
         self._declare(changes.declared)
+        self._take_profile(changes.profile)
         return True
 
     def _declare(self, declared):
@@ -91,6 +97,11 @@
             self.declared = declared
             self.generation += 1
 
+    def _take_profile(self, profile):
+        if profile is not None and profile != self.profile:
+            self.profile = profile
+            self.generation += 1
+
     def _replace_nodes(self, nodes):
         if nodes != self.nodes:
             self.nodes = keep_known(self.nodes, nodes)
@@ -137,7 +148,11 @@
     def build_snapshot(self):
         """Return all that is believed, for another node."""
         return Snapshot(
-            self.revision, self.declared, dict(self.endpoints), dict(self.nodes)
+            self.revision,
+            self.declared,
+            dict(self.endpoints),
+            dict(self.nodes),
+            self.profile,
         )
 
 
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from hingesill_core.configuration.services import Route
+from hingesill_core.routing.profile import Profile
 
 __all__ = [
     "Changes",
@@ -140,12 +141,15 @@
         EndpointRecord by instance.
     nodes : dict
         NodeRecord by name.
+    profile : Profile or None
+        What nodes have learnt; None if nothing is kept.
     """
 
     revision: int
     declared: Declared | None = None
     endpoints: dict[str, EndpointRecord] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
+    profile: Profile | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,12 +164,15 @@
         None if it did not change.
     endpoints, nodes : dict
         Records as they were written; None for those that are gone.
+    profile : Profile or None
+        None if it did not change.
     """
 
     revision: int
     declared: Declared | None = None
     endpoints: dict[str, EndpointRecord | None] = field(default_factory=dict)
     nodes: dict[str, NodeRecord | None] = field(default_factory=dict)
+    profile: Profile | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -113,7 +113,7 @@
     report: LoadReport | None = None
 
 
-def is_good_enough(report, stage, has_knee, most_slowness):
+def is_good_enough(report, stage, usable, most_slowness):
     """Tell whether an endpoint will do for a request.
 
     Parameters
@@ -122,14 +122,13 @@
         Just received.
     stage : Stage
         Of the request.
-    has_knee : bool
-        Work takes so much longer at a full endpoint that its last slot is
-        worth less than nothing.
+    usable : int
+        Slots of the endpoint that are worth taking.
     most_slowness : float
         An endpoint that works slower is passed by.
     """
     slots = report.slots or 1
-    usable = slots - 1 if has_knee and slots > 1 else slots
+    usable = min(usable, slots)
     free = usable - report.running
     if report.slowness >= most_slowness:
         return False
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -63,9 +63,11 @@
         Source of all random choices.
     ask_pool : AskBudget or None
         Shared with other services of the node.
+    curves : SlotCurves or None
+        Of all services of the node.
     """
 
-    def __init__(self, service, fleet, rng, ask_pool=None):
+    def __init__(self, service, fleet, rng, ask_pool=None, curves=None):
         self.rng = rng
         self.states = {}
         self.view = ServiceView()
@@ -76,7 +78,7 @@
         self.paces = {}
         self.hedging = Hedging(self, service.sends.hedge_share)
         self.retries = TokenBudget(service.sends.retry_share)
-        self.fresh = FreshChoice(self, ask_pool or AskBudget())
+        self.fresh = FreshChoice(self, ask_pool or AskBudget(), curves)
         self.configure(service, fleet)
 
     def configure(self, service, fleet):
@@ -267,7 +269,7 @@
         state.learn(result, seconds, send.expected, now)
         self._learn_pace(send, result, seconds)
         if result.end is SendEnd.ANSWERED:
-            self.fresh.note_answer(send, seconds)
+            self.fresh.note_answer(send, seconds, now)
         if result.end is SendEnd.CONNECT_FAILED:
             send.ticket.sends -= 1
         came_back = state.health.note(result.end, now, self._may_eject(now))
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -5,8 +5,9 @@
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
-from hingesill_core.routing.knee import Knee, Quantile
+from hingesill_core.routing.levels import SlotCurves
 from hingesill_core.routing.messages import SendEnd
+from hingesill_core.routing.quantile import Quantile
 
 __all__ = ["FreshChoice"]
 
@@ -69,16 +70,18 @@
         The service's; its endpoints' states are read and written.
     pool : AskBudget
         Shared by the services of this node whose budgets are pooled.
+    curves : SlotCurves or None
+        Of all services of this node.
     rules : AskRules
         How to ask.
     """
 
-    def __init__(self, dispatcher, pool, rules=None):
+    def __init__(self, dispatcher, pool, curves=None, rules=None):
         self.dispatcher = dispatcher
         self.pool = pool
         self.rules = rules or AskRules()
         self.budget = AskBudget()
-        self.knee = Knee()
+        self.curves = SlotCurves(curves)
         self.slowness = Quantile(USUAL_SHARE)
         self.has_reports = True
         self.waiting = {}
@@ -221,7 +224,8 @@
             return False
         stage = waiting.get_stage(now, self.rules)
         most = self.rules.most_slowness * max(1.0, self.slowness.value)
-        return is_good_enough(state.report, stage, self.knee.is_there, most)
+        usable = self.curves.get_usable(state.report.slots, now)
+        return is_good_enough(state.report, stage, usable, most)
 
     def note_reply(self, reply, now):
         """Learn from a reply; return the endpoint's state, or None if it is gone.
@@ -243,12 +247,12 @@
                 self.slowness.note(reply.report.slowness)
         return state
 
-    def note_answer(self, send, seconds):
-        """Learn from an answer how much a full endpoint slows work down."""
+    def note_answer(self, send, seconds, now):
+        """Learn from an answer how much taken slots slow work down."""
         state = self.dispatcher.states.get(send.endpoint)
         if send.occupied and state is not None:
             typical = self.dispatcher.get_pace(send.ticket.route).typical
-            self.knee.note(send.occupied, state.slots, seconds / typical)
+            self.curves.note(send.occupied, state.slots, seconds / typical, now)
 
     def expire(self, now):
         """Yield (ticket, decision) for each request that waits no longer."""
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -13,9 +13,8 @@
 )
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.reasons import Outcome, RefusalReason
-from hingesill_core.routing.asking import Ask, AskRules, Reply, Stage, is_good_enough
+from hingesill_core.routing.asking import Ask, AskRules, Reply
 from hingesill_core.routing.dispatcher import Dispatcher, FleetView
-from hingesill_core.routing.knee import Knee
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import (
     Denied,
@@ -296,32 +295,6 @@
         self.assertEqual(len(set(ask.endpoints)), AskRules().at_once)
 
 
-class KneeTests(unittest.TestCase):
-    def test_a_full_endpoint_that_is_no_slower_has_none(self):
-        knee = Knee()
-        for _ in range(100):
-            knee.note(2, 3, 1.0)
-            knee.note(3, 3, 1.1)
-        self.assertFalse(knee.is_there)
-
-    def test_a_full_endpoint_that_is_much_slower_has_one(self):
-        knee = Knee()
-        for _ in range(100):
-            knee.note(2, 3, 1.0)
-            knee.note(3, 3, 1.7)
-        self.assertTrue(knee.is_there)
-        report = LoadReport(2, 0.0, 0, 3)
-        self.assertFalse(is_good_enough(report, Stage.PATIENT, True, 2.0))
-        self.assertTrue(is_good_enough(report, Stage.PATIENT, False, 2.0))
-
-    def test_few_answers_say_nothing(self):
-        knee = Knee()
-        for _ in range(5):
-            knee.note(2, 3, 1.0)
-            knee.note(3, 3, 9.0)
-        self.assertFalse(knee.is_there)
-
-
 class AskBudgetTests(unittest.TestCase):
     def test_no_window_sees_more_than_its_part(self):
         budget = AskBudget()
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_levels.py
@@ -0,0 +1,138 @@
+"""Tests of learning how many slots of an endpoint are worth taking."""
+
+import unittest
+
+from hingesill_core.routing.asking import Stage, is_good_enough
+from hingesill_core.routing.levels import (
+    FEWEST_ANSWERS,
+    HALF_LIFE,
+    SlotCurves,
+    pool_profiles,
+)
+from hingesill_core.routing.load_report import LoadReport
+
+# After the answers that `build_curves` makes, in seconds.
+LATER = 6.0
+
+
+def build_curves(slots, times, answers=60):
+    """Return curves that took answers of each level in turn, ten a second."""
+    curves = SlotCurves()
+    for turn in range(answers):
+        for level, ratio in enumerate(times, 1):
+            curves.note(level, slots, ratio, turn / 10)
+    return curves
+
+
+class SlotCurvesTests(unittest.TestCase):
+    def test_without_answers_all_slots_are_taken(self):
+        self.assertEqual(SlotCurves().get_usable(6, LATER), 6)
+
+    def test_endpoints_that_get_no_slower_are_filled(self):
+        for slots, times in ((3, (1, 1, 1.1)), (6, (1, 1, 1, 1.05, 1.1, 1.15))):
+            with self.subTest(slots=slots):
+                self.assertEqual(
+                    build_curves(slots, times).get_usable(slots, LATER), slots
+                )
+
+    def test_a_slow_last_slot_is_left_free(self):
+        self.assertEqual(build_curves(3, (1, 1, 1.7)).get_usable(3, LATER), 2)
+
+    def test_all_slow_levels_are_left_free(self):
+        times = (1, 1, 1, 1, 1.7, 1.7)
+        self.assertEqual(build_curves(6, times).get_usable(6, LATER), 4)
+
+    def test_the_level_before_a_steep_one_is_found(self):
+        times = (1, 1, 1, 1, 1, 1, 1.2, 3.0)
+        self.assertEqual(build_curves(8, times).get_usable(8, LATER), 6)
+
+    def test_a_level_that_looks_faster_than_lower_ones_counts_with_them(self):
+        curves = build_curves(6, (1, 1, 1, 1, 1.7, 1.7))
+        for turn in range(8):
+            curves.note(6, 6, 0.7, LATER)
+        self.assertEqual(curves.get_usable(6, LATER), 4)
+
+    def test_answers_that_failed_at_once_do_not_hide_slow_ones(self):
+        curves = build_curves(6, (1, 1, 1, 1, 1.7, 1.7))
+        for level in (5, 6):
+            for _ in range(4):
+                curves.note(level, 6, 0.01, LATER)
+        self.assertEqual(curves.get_usable(6, LATER), 4)
+
+    def test_few_answers_say_nothing(self):
+        curves = build_curves(3, (1, 1, 9.0), FEWEST_ANSWERS - 1)
+        self.assertEqual(curves.get_usable(3, LATER), 3)
+
+    def test_a_level_that_is_no_longer_used_is_tried_again(self):
+        curves = build_curves(3, (1, 1, 1.7))
+        later = LATER + 10 * HALF_LIFE
+        for turn in range(60):
+            curves.note(2, 3, 1.0, later)
+        self.assertEqual(curves.get_usable(3, LATER), 2)
+        self.assertEqual(curves.get_usable(3, later), 3)
+
+    def test_endpoints_of_each_size_have_their_own(self):
+        curves = build_curves(3, (1, 1, 1.7))
+        self.assertEqual(curves.get_usable(6, LATER), 6)
+
+    def test_what_cannot_be_is_passed_over(self):
+        curves = SlotCurves()
+        for level, ratio in ((0, 1.0), (4, 1.0), (2, 0.0)):
+            curves.note(level, 3, ratio, 0.0)
+        self.assertEqual(curves.curves, {})
+
+
+class SharedCurvesTests(unittest.TestCase):
+    def test_a_node_that_starts_goes_by_what_others_learnt(self):
+        profile = build_curves(6, (1, 1, 1, 1, 1.7, 1.7)).build_profile(LATER)
+        started = SlotCurves()
+        self.assertEqual(started.get_usable(6, 0.0), 6)
+        started.adopt(profile, 0.0)
+        self.assertEqual(started.get_usable(6, 0.0), 4)
+
+    def test_own_answers_count_beside_what_others_learnt(self):
+        started = SlotCurves()
+        started.adopt(build_curves(6, (1, 1, 1, 1, 1.7, 1.7), 12).build_profile(6.0), 0)
+        for turn in range(200):
+            for level in (4, 5, 6):
+                started.note(level, 6, 1.0, turn / 100)
+        self.assertEqual(started.get_usable(6, 2.0), 6)
+
+    def test_few_answers_of_several_nodes_are_enough_together(self):
+        first = build_curves(6, (1, 1, 1, 1, 1.7, 1.7), 5)
+        self.assertEqual(first.get_usable(6, 0.5), 6)
+        second = build_curves(6, (1, 1, 1, 1, 1.7, 1.7), 5)
+        second.adopt(first.build_profile(0.5), 0.5)
+        third = build_curves(6, (1, 1, 1, 1, 1.7, 1.7), 5)
+        third.adopt(second.build_profile(0.5), 0.5)
+        self.assertEqual(third.get_usable(6, 0.5), 4)
+
+    def test_what_was_told_is_not_counted_twice(self):
+        curves = build_curves(3, (1, 1, 1.7), 10)
+        profile = curves.build_profile(1.0)
+        curves.adopt(profile, 1.0)
+        curves.forget_untold()
+        self.assertEqual(curves.get_news_share(1.0), 0.0)
+        self.assertEqual(curves.build_profile(1.0), profile)
+
+    def test_other_services_of_the_node_stand_in_for_what_is_not_known(self):
+        pooled = SlotCurves()
+        busy, quiet = SlotCurves(pooled), SlotCurves(pooled)
+        for turn in range(60):
+            for level, ratio in ((1, 1), (2, 1), (3, 1.7)):
+                busy.note(level, 3, ratio, turn / 10)
+        self.assertEqual(quiet.get_usable(3, LATER), 2)
+
+    def test_a_started_node_knows_of_services_by_what_others_learnt_of_all(self):
+        told = build_curves(3, (1, 1, 1.7)).build_profile(LATER)
+        pooled = SlotCurves()
+        quiet = SlotCurves(pooled)
+        pooled.adopt(pool_profiles([told, told]), 0.0)
+        self.assertEqual(quiet.get_usable(3, 0.0), 2)
+
+
+class UsableSlotsTests(unittest.TestCase):
+    def test_a_slot_beyond_the_usable_ones_is_no_free_one(self):
+        report = LoadReport(2, 0.0, 0, 3)
+        self.assertFalse(is_good_enough(report, Stage.PATIENT, 2, 2.0))
+        self.assertTrue(is_good_enough(report, Stage.PATIENT, 3, 2.0))
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -12,6 +12,7 @@
 from hingesill_core.discovery.records import Limits
 from hingesill_core.probing.share import Share
 from hingesill_core.routing.dispatcher import FleetView
+from hingesill_core.routing.profile import Profile
 
 __all__ = ["Blackboard", "Configuration", "Phase"]
 
@@ -51,6 +52,8 @@
         Host and port of other nodes' control addresses, the nearest first.
     probe_share : Share or None
         Written by the keeper of the lease.
+    profile : Profile
+        What nodes have learnt of the services; written by the control.
     phase : Phase
         Written by the life cycle.
     in_flight : int
@@ -62,6 +65,7 @@
     signs: dict = field(default_factory=dict)
     peers: tuple = ()
     probe_share: Share | None = None
+    profile: Profile = field(default_factory=Profile)
     phase: Phase = Phase.STARTING
     in_flight: int = 0
     _watchers: dict = field(default_factory=lambda: defaultdict(list))
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -9,6 +9,7 @@
 from hingesill_core.limits.shares import compute_connection_share
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.levels import SlotCurves, pool_profiles
 from hingesill_core.routing.messages import Refusal
 from hingesill_node.datapath.asking import WaitingRoom
 from hingesill_node.datapath.callers import is_caller_gone
@@ -37,14 +38,23 @@
         Told of endpoints that leave and of overdue answers.
     ask_pool : AskBudget or None
         Shared with other services of the node.
+    curves : SlotCurves or None
+        Of all services of the node.
     clock : callable
         Monotonic seconds.
     """
 
     def __init__(
-        self, service, fleet, rng, announce, ask_pool=None, clock=time.monotonic
+        self,
+        service,
+        fleet,
+        rng,
+        announce,
+        ask_pool=None,
+        curves=None,
+        clock=time.monotonic,
     ):
-        self.dispatcher = Dispatcher(service, fleet, rng, ask_pool)
+        self.dispatcher = Dispatcher(service, fleet, rng, ask_pool, curves)
         self.announce = announce
         self.clock = clock
         self.pools = {}
@@ -180,7 +190,9 @@
         self.clock = clock
         self.runners = {}
         self.ask_pool = AskBudget()
+        self.curves = SlotCurves()
         blackboard.watch("configuration", self.refresh)
+        blackboard.watch("profile", self.refresh_profile)
         blackboard.watch("fleet", self.refresh)
         blackboard.watch("signs", self.refresh_signs)
 
@@ -196,10 +208,12 @@
                 self.rng,
                 self.announce,
                 self.ask_pool,
+                self.curves,
                 self.clock,
             )
             self.runners[name] = runner
             self._apply_signs(runner)
+            self._apply_profile(runner)
         return runner
 
     def refresh(self):
@@ -226,6 +240,47 @@
             if address in runner.dispatcher.states:
                 runner.mark_draining(address, until)
 
+    def refresh_profile(self):
+        """Let all runners know what other nodes have learnt."""
+        services = self.blackboard.profile.services.values()
+        self.curves.adopt(pool_profiles(services), self.clock())
+        for runner in self.runners.values():
+            self._apply_profile(runner)
+
+    def _apply_profile(self, runner):
+        name = runner.dispatcher.service.name
+        profile = self.blackboard.profile.services.get(name)
+        if profile is not None:
+            runner.dispatcher.fresh.curves.adopt(profile, self.clock())
+
+    def list_news(self, least_share):
+        """Return the names of services of which others should know more.
+
+        Parameters
+        ----------
+        least_share : float
+            Of the answers that are known here, those that others don't know of.
+        """
+        now = self.clock()
+        return [
+            name
+            for name, runner in self.runners.items()
+            if runner.dispatcher.fresh.curves.get_news_share(now) > least_share
+        ]
+
+    def build_profiles(self, names):
+        """Return the ServiceProfile of each of the services."""
+        now = self.clock()
+        return {name: self._get_curves(name).build_profile(now) for name in names}
+
+    def forget_untold(self, names):
+        """Note that others know all that is known here of the services."""
+        for name in names:
+            self._get_curves(name).forget_untold()
+
+    def _get_curves(self, name):
+        return self.runners[name].dispatcher.fresh.curves
+
     def note_suspicion(self, endpoint, ratio):
         """Take another node's word on an endpoint."""
         now = self.clock()
--- a/packages/hingesill-node/hingesill_node/discovery/codec.py
+++ b/packages/hingesill-node/hingesill_node/discovery/codec.py
@@ -14,8 +14,9 @@
     NodeRecord,
     Snapshot,
 )
+from hingesill_core.routing.profile import LevelProfile, Profile, ServiceProfile
 
-__all__ = ["decode_changes", "decode_snapshot", "encode"]
+__all__ = ["decode_changes", "decode_profile", "decode_snapshot", "encode"]
 
 # Of zlib: what goes to many nodes is encoded once, and links may be narrow.
 COMPRESSION = 6
@@ -52,6 +53,7 @@
             declared=decode_declared(raw["declared"]),
             endpoints=decode_records(raw["endpoints"], EndpointRecord),
             nodes=decode_records(raw["nodes"], NodeRecord),
+            profile=decode_profile(raw.get("profile")),
         )
     except (zlib.error, TypeError, ValueError, LookupError, AttributeError) as error:
         name = kind.__name__.lower()
@@ -77,6 +79,20 @@
     )
 
 
+def decode_profile(raw):
+    """Return the Profile of parsed JSON, or None."""
+    if raw is None:
+        return None
+    return Profile(
+        {
+            name: ServiceProfile(
+                tuple(LevelProfile(**level) for level in service["levels"])
+            )
+            for name, service in raw["services"].items()
+        }
+    )
+
+
 def decode_route(raw):
     """Return the Route of parsed JSON."""
     parts = tuple(Part(**part) for part in raw.pop("parts"))
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -16,6 +16,7 @@
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.discovery.follower import Follower
 from hingesill_node.discovery.peers import PeerApplication, PeerClient
+from hingesill_node.discovery.profiles import ProfileKeeper
 from hingesill_node.discovery.registration import Registration
 from hingesill_node.discovery.relayclient import RelayClient
 from hingesill_node.discovery.source import open_source
@@ -75,6 +76,7 @@
         choice = RelayChoice(entry, random.Random())
         self.follower = Follower(source, peers, self.publish, choice, RelayClient())
         self.registration = Registration(source, entry, self._lists)
+        self.profiles = None
         self.fleet_size = FleetSize()
         self._version = None
         self._routes = RouteTable(())
@@ -89,6 +91,13 @@
         start_server(listener, PeerApplication(follower.directory, follower.feed))
         self.follower.start()
         eventlet.spawn(self.registration.run)
+        self.profiles = ProfileKeeper(
+            follower.source,
+            follower.directory,
+            runners,
+            follower.is_watching_for_others,
+        )
+        eventlet.spawn(self.profiles.run)
         return ""
 
     def publish(self, directory):
@@ -96,6 +105,9 @@
         fleet = self._build_fleet(directory)
         if fleet != self.blackboard.fleet:
             self.blackboard.write("fleet", fleet)
+        profile = directory.profile
+        if profile is not None and profile is not self.blackboard.profile:
+            self.blackboard.write("profile", profile)
         if directory.declared is None:
             return
         declared = directory.declared
@@ -141,6 +153,7 @@
         self.settings = settings
         self.follower.move(open_source(settings.directory))
         self.registration.source = self.follower.source
+        self.profiles.source = self.follower.source
         return ["directory"]
 
     def leave(self):
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -117,6 +117,10 @@
         """Tell whether requests can be served by what is known."""
         return self.directory.declared is not None and bool(self.directory.endpoints)
 
+    def is_watching_for_others(self):
+        """Tell whether this node is a relay that follows the store now."""
+        return self.is_synced and self.feed.is_open
+
     def get_silence(self):
         """Return the seconds since the store, a relay or a peer was last heard."""
         return self.clock() - self.heard_at
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/discovery/profiles.py
@@ -0,0 +1,87 @@
+"""Keeps what nodes have learnt in the store, for nodes that start."""
+
+import random
+import time
+from math import exp
+
+import eventlet
+
+from hingesill_core.routing.levels import conclude
+from hingesill_core.routing.profile import Profile
+from hingesill_core.store import StoreFailure
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["ProfileKeeper"]
+
+# How often it is looked at whether there is something to keep; this costs no call.
+REVIEW_SECONDS = 2.0
+# Between two writes of one node.
+PAUSE_SECONDS = 5.0
+# Answers of a service that other nodes don't know of are worth a write if they make
+# up such a share of all that it rests on. Source: chosen so that a relay writes some
+# four times until a level's mean rests on as many answers as it remembers.
+LEAST_NEWS = 0.25
+
+
+class ProfileKeeper:
+    """Writes the profile when this node has learnt more.
+
+    Notes
+    -----
+    A node that starts with nothing fills endpoints beyond the level at which they
+    slow down until it has learnt better; when all start at once, that is when a
+    backlog of callers returns.
+
+    Parameters
+    ----------
+    source : DirectorySource
+        The store.
+    directory : Directory
+        Holds what was kept last.
+    runners : RunnerTable
+        The services with what is known of them at this node.
+    may_write : callable
+        Tells whether this node keeps the profile; a few nodes suffice.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(self, source, directory, runners, may_write, clock=time.monotonic):
+        self.source = source
+        self.directory = directory
+        self.runners = runners
+        self.may_write = may_write
+        self.clock = clock
+        self._write_from = float("-inf")
+
+    def run(self):
+        """Work until the process ends."""
+        while True:
+            eventlet.sleep(REVIEW_SECONDS * random.uniform(0.7, 1.3))
+            if self.may_write() and self.clock() >= self._write_from:
+                self.review()
+
+    def review(self):
+        """Write the profile if this node has learnt enough that others don't know."""
+        news = self.runners.list_news(LEAST_NEWS)
+        if not news:
+            return
+        self._write_from = self.clock() + PAUSE_SECONDS
+        held = self.directory.profile or Profile()
+        profile = Profile({**held.services, **self.runners.build_profiles(news)})
+        answer = self.source.save(profile)
+        if isinstance(answer, StoreFailure):
+            log_event(Event.PROFILE_NOT_KEPT, detail=answer.reason)
+            return
+        self.runners.forget_untold(news)
+        log_event(
+            Event.PROFILE_KEPT,
+            usable_slots={name: conclude(profile.services[name]) for name in news},
+            levels={
+                name: [
+                    f"{item.level}/{item.slots} {item.answers:.0f} x{exp(item.mean):.2f}"
+                    for item in profile.services[name].levels
+                ]
+                for name in news
+            },
+        )
--- a/packages/hingesill-node/hingesill_node/discovery/source.py
+++ b/packages/hingesill-node/hingesill_node/discovery/source.py
@@ -50,6 +50,9 @@
     def renew(self, lease):
         """Prolong the lease; return Held, LeaseLost or StoreFailure."""
 
+    def save(self, profile):
+        """Keep a Profile in place of the one before; return None or StoreFailure."""
+
 
 def open_source(url):
     """Return the source behind an address.
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -57,6 +57,8 @@
     ENDPOINT_EJECTED = (4002, logging.WARNING, "an endpoint was ejected")
     ENDPOINT_BACK = (4003, logging.INFO, "an endpoint was let back in")
     ENDPOINT_GONE = (4004, logging.INFO, "an endpoint's entry stayed away")
+    PROFILE_KEPT = (4005, logging.INFO, "what was learnt of services is kept")
+    PROFILE_NOT_KEPT = (4006, logging.WARNING, "what was learnt could not be kept")
     PROBE_SHARE_HELD = (5001, logging.INFO, "a share of the probe budget is held")
     PROBE_SHARE_LOST = (5002, logging.INFO, "a share of the probe budget has lapsed")
     REQUEST_ANSWERED = (6002, logging.INFO, "a request was answered")
