Records are msgspec structs and a start's modules come from one file; levels by a slow usual time

Cause: 64 dataclasses took 42 of 165 ms of a start's imports; searching the path for 350 modules took 3,700 of 6,500 system calls. Cause of levels that were not learnt: the typical time follows a burst of sends to full endpoints within ten answers, so that 1.65 looked like 1.3. Full tests before this commit: 359, 2 failed: the events page (mended) and a race of adapter.tests.test_processes, which passed 5 of 5 alone here and on the old code; to be traced.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,3 +11,6 @@
     cp -R "packages/hingesill-$package/hingesill_$package" "$deps/"
 done
 python3 -m compileall -q "$deps" platform > target/compile.log || true
+# The path is that of the process, so that all modules are the ones that it would find.
+EVENTLET_NO_GREENDNS=yes PYTHONPATH="platform:$deps" \
+    python3 -S deploy/bundle.py target/start.bundle > target/bundle.log
--- a/packages/hingesill-core/hingesill_core/configuration/changelog.py
+++ b/packages/hingesill-core/hingesill_core/configuration/changelog.py
@@ -6,9 +6,10 @@
 next tail points back to it.
 """
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from hingesill_core.configuration.log import Entry, encode_entry
 from hingesill_core.configuration.snapshots import Snapshots
 from hingesill_core.configuration.state import Applied
@@ -39,8 +40,7 @@
     INVALID = "invalid"
 
 
-@dataclass(frozen=True, slots=True)
-class ChangeRequest:
+class ChangeRequest(Struct, frozen=True):
     """A change that an author asks for.
 
     Parameters
@@ -72,16 +72,14 @@
         ]
 
 
-@dataclass(frozen=True, slots=True)
-class Accepted:
+class Accepted(Struct, frozen=True):
     """The change stands in the store under this revision."""
 
     revision: int
     repeated: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Rejected:
+class Rejected(Struct, frozen=True):
     """The change was not accepted, or it is not known whether it was."""
 
     reason: Rejection
--- a/packages/hingesill-core/hingesill_core/configuration/log.py
+++ b/packages/hingesill-core/hingesill_core/configuration/log.py
@@ -8,7 +8,8 @@
 
 import hashlib
 import json
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 __all__ = ["EMPTY_CHAIN", "Entry", "ServiceChange", "decode_entry", "encode_entry"]
 
@@ -16,16 +17,14 @@
 CHAIN_BYTES = 8
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceChange:
+class ServiceChange(Struct, frozen=True):
     """The new declaration of a service; None leaves a tombstone."""
 
     service: str
     document: str | None
 
 
-@dataclass(frozen=True, slots=True)
-class Entry:
+class Entry(Struct, frozen=True):
     """One accepted change of one or more services."""
 
     revision: int
--- a/packages/hingesill-core/hingesill_core/configuration/services.py
+++ b/packages/hingesill-core/hingesill_core/configuration/services.py
@@ -1,6 +1,6 @@
 """Services, routes and endpoints as the decisions see them."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from hingesill_core.retries.budget import BURST
 
@@ -18,8 +18,7 @@
 MOST_SENDS = 3
 
 
-@dataclass(frozen=True, slots=True)
-class Endpoint:
+class Endpoint(Struct, frozen=True):
     """An endpoint as the decisions see it."""
 
     address: str
@@ -35,8 +34,7 @@
         return self.instance or self.address
 
 
-@dataclass(frozen=True, slots=True)
-class Part:
+class Part(Struct, frozen=True):
     """One service of a split route, with its share of the requests.
 
     Parameters
@@ -51,8 +49,7 @@
     weight: float
 
 
-@dataclass(frozen=True, slots=True)
-class Route:
+class Route(Struct, frozen=True):
     """A route as the decisions see it.
 
     Parameters
@@ -100,8 +97,7 @@
         return rng.choices(self.parts, weights)[0].service
 
 
-@dataclass(frozen=True, slots=True)
-class ProbeBudget:
+class ProbeBudget(Struct, frozen=True):
     """The fleet's probe budget of a service; times in seconds.
 
     Parameters
@@ -124,16 +120,14 @@
     pooled: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Bursts:
+class Bursts(Struct, frozen=True):
     """How many extra sends of each kind a node may save up."""
 
     hedges: float
     retries: float
 
 
-@dataclass(frozen=True, slots=True)
-class SendBudget:
+class SendBudget(Struct, frozen=True):
     """Extra sends a request, as shares of the first sends.
 
     Parameters
@@ -165,8 +159,7 @@
         return Bursts(max(1.0, share / 2), max(1.0, share / 2))
 
 
-@dataclass(frozen=True, slots=True)
-class Service:
+class Service(Struct, frozen=True):
     """A service as the decisions see it."""
 
     name: str
--- a/packages/hingesill-core/hingesill_core/configuration/snapshots.py
+++ b/packages/hingesill-core/hingesill_core/configuration/snapshots.py
@@ -2,7 +2,8 @@
 
 import hashlib
 import json
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from hingesill_core.configuration.state import (
     Applied,
@@ -16,8 +17,7 @@
 SNAPSHOT_PART_BYTES = 500_000
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """Where a whole state stands in the store.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/configuration/state.py
+++ b/packages/hingesill-core/hingesill_core/configuration/state.py
@@ -3,9 +3,10 @@
 import json
 import zlib
 from collections import OrderedDict, deque
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 from hingesill_core.configuration.log import EMPTY_CHAIN
 
 __all__ = [
@@ -32,8 +33,7 @@
     FORKED = "forked"
 
 
-@dataclass(frozen=True, slots=True)
-class Versioned:
+class Versioned(Struct, frozen=True):
     """A service's declaration with its version; None is a tombstone."""
 
     version: int
@@ -42,8 +42,7 @@
     operation_id: str
 
 
-@dataclass(frozen=True, slots=True)
-class Difference:
+class Difference(Struct, frozen=True):
     """The last state of each service that changed after a revision.
 
     Notes
@@ -59,8 +58,7 @@
     services: dict[str, Versioned]
 
 
-@dataclass
-class Replica:
+class Replica(Struct):
     """The newest state that this node has seen; it never goes back.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/configuration/tail.py
+++ b/packages/hingesill-core/hingesill_core/configuration/tail.py
@@ -1,7 +1,8 @@
 """The end of the change log, and the segments behind it, which have its form."""
 
 import json
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from hingesill_core.configuration.log import (
     EMPTY_CHAIN,
@@ -12,8 +13,7 @@
 __all__ = ["Tail", "decode_tail", "encode_tail"]
 
 
-@dataclass(frozen=True, slots=True)
-class Tail:
+class Tail(Struct, frozen=True):
     """The end of the change log.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/discovery/assembly.py
+++ b/packages/hingesill-core/hingesill_core/discovery/assembly.py
@@ -1,6 +1,6 @@
 """From a directory to the services and routes that decisions use."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from hingesill_core.configuration.services import (
     Endpoint,
@@ -16,8 +16,7 @@
 PROBE_COST = 0.001
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceRules:
+class ServiceRules(Struct, frozen=True):
     """What the operator's settings say for all services that are found.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -1,6 +1,6 @@
 """The newest declaration and endpoints that a node knows; it never goes back."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from hingesill_core.discovery.records import Declared, Snapshot
 from hingesill_core.routing.profile import Profile
@@ -13,8 +13,7 @@
 RETURN_SECONDS = 2.25
 
 
-@dataclass
-class Directory:
+class Directory(Struct):
     """What is believed, and what is in doubt.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/discovery/fleetsize.py
+++ b/packages/hingesill-core/hingesill_core/discovery/fleetsize.py
@@ -1,7 +1,8 @@
 """How many nodes share the fleet's budgets, counted with care."""
 
 from collections import deque
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 __all__ = ["FleetSize"]
 
@@ -11,8 +12,7 @@
 HOLD_SECONDS = 30.0
 
 
-@dataclass(slots=True)
-class FleetSize:
+class FleetSize(Struct):
     """The largest count of the last while.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -1,6 +1,6 @@
 """What a directory holds: the operator's declaration and the endpoints."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from hingesill_core.configuration.services import Route
 from hingesill_core.routing.profile import Profile
@@ -17,8 +17,7 @@
 ]
 
 
-@dataclass(frozen=True, slots=True)
-class DeclaredService:
+class DeclaredService(Struct, frozen=True):
     """A service without its endpoints.
 
     Parameters
@@ -36,8 +35,7 @@
     connections: int
 
 
-@dataclass(frozen=True, slots=True)
-class Limits:
+class Limits(Struct, frozen=True):
     """What callers may send and how long they may take.
 
     Parameters
@@ -55,8 +53,7 @@
     idle_seconds: float = 60.0
 
 
-@dataclass(frozen=True, slots=True)
-class Declared:
+class Declared(Struct, frozen=True):
     """What the operator declared, whole.
 
     Parameters
@@ -77,8 +74,7 @@
     limits: Limits = Limits()
 
 
-@dataclass(frozen=True, slots=True)
-class EndpointRecord:
+class EndpointRecord(Struct, frozen=True):
     """One endpoint's own entry.
 
     Parameters
@@ -104,8 +100,7 @@
     warm_in: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class NodeRecord:
+class NodeRecord(Struct, frozen=True):
     """Another node's own entry.
 
     Parameters
@@ -127,8 +122,7 @@
     strength: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class Snapshot:
+class Snapshot(Struct, frozen=True):
     """Everything at one revision of the store.
 
     Parameters
@@ -152,8 +146,7 @@
     profile: Profile | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Changes:
+class Changes(Struct, frozen=True):
     """What changed after a revision, up to another.
 
     Parameters
@@ -175,6 +168,5 @@
     profile: Profile | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class HistoryGone:
+class HistoryGone(Struct, frozen=True):
     """The store no longer tells what changed; the whole must be read again."""
--- a/packages/hingesill-core/hingesill_core/discovery/relays.py
+++ b/packages/hingesill-core/hingesill_core/discovery/relays.py
@@ -1,6 +1,6 @@
 """Which nodes watch the store for others: the relays, worked out by each node."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 __all__ = ["RelayChoice", "list_relays"]
 
@@ -37,8 +37,7 @@
     return relays
 
 
-@dataclass(slots=True)
-class RelayChoice:
+class RelayChoice(Struct):
     """Whom one node follows.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/findings.py
+++ b/packages/hingesill-core/hingesill_core/findings.py
@@ -1,12 +1,11 @@
 """Findings: everything wrong with an input, each with its place."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 __all__ = ["Finding", "Findings"]
 
 
-@dataclass(frozen=True)
-class Finding:
+class Finding(Struct, frozen=True):
     """One thing that is wrong.
 
     Parameters
@@ -24,8 +23,7 @@
         return f"{self.place}: {self.message}"
 
 
-@dataclass
-class Findings:
+class Findings(Struct):
     """A collection that is reported as a whole, never at the first finding."""
 
     items: list[Finding] = field(default_factory=list)
--- a/packages/hingesill-core/hingesill_core/limits/admission.py
+++ b/packages/hingesill-core/hingesill_core/limits/admission.py
@@ -1,6 +1,6 @@
 """Whether a request can still make its deadline, and when to come back."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["Pace"]
 
@@ -11,8 +11,7 @@
 LONGEST_RETRY_AFTER = 5.0
 
 
-@dataclass(slots=True)
-class Pace:
+class Pace(Struct):
     """How long the answers of a route or a service take, in seconds.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/limits/asking.py
+++ b/packages/hingesill-core/hingesill_core/limits/asking.py
@@ -1,6 +1,6 @@
 """A node's part of the fleet's probe budget, spent by asking endpoints."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 __all__ = ["AskBudget"]
 
@@ -12,8 +12,7 @@
 FIRST_SHARE = 0.05
 
 
-@dataclass(slots=True)
-class AskBudget:
+class AskBudget(Struct):
     """Tokens that come with time; each question takes one.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/limits/spent.py
+++ b/packages/hingesill-core/hingesill_core/limits/spent.py
@@ -1,6 +1,6 @@
 """How long a caller has been trying, judged by the time it has left."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 __all__ = ["SpentTime"]
 
@@ -8,8 +8,7 @@
 FADE = 0.002
 
 
-@dataclass(slots=True)
-class SpentTime:
+class SpentTime(Struct):
     """The usual time of each route's callers.
 
     Notes
--- a/packages/hingesill-core/hingesill_core/membership/signs.py
+++ b/packages/hingesill-core/hingesill_core/membership/signs.py
@@ -1,6 +1,6 @@
 """Signs that an endpoint is leaving, as they spread between nodes."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["DrainSign", "SignBook"]
 
@@ -8,8 +8,7 @@
 LONGEST_HOLD = 3600.0
 
 
-@dataclass(frozen=True, slots=True)
-class DrainSign:
+class DrainSign(Struct, frozen=True):
     """One endpoint is leaving.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/membership/spreading.py
+++ b/packages/hingesill-core/hingesill_core/membership/spreading.py
@@ -6,7 +6,8 @@
 """
 
 import hashlib
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 __all__ = ["Place", "find_place", "list_relays", "rank_by_weight", "rank_nodes"]
 
@@ -14,8 +15,7 @@
 FAN_OUT = 8
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
+class Place(Struct, frozen=True):
     """Where a node stands in the tree of its data centre.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/membership/vms.py
+++ b/packages/hingesill-core/hingesill_core/membership/vms.py
@@ -1,8 +1,9 @@
 """The platform's lagging list of VMs, joined with what peers were heard of."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 __all__ = ["Vm", "VmState", "Membership"]
 
 SILENT_AFTER = 10.0
@@ -15,8 +16,7 @@
     LEAVING = "leaving"
 
 
-@dataclass(frozen=True, slots=True)
-class Vm:
+class Vm(Struct, frozen=True):
     """One node process as the list shows it.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/probing/pace.py
+++ b/packages/hingesill-core/hingesill_core/probing/pace.py
@@ -1,8 +1,9 @@
 """How often one share may probe, so that the whole fleet keeps the budget."""
 
-from dataclasses import dataclass
 from math import floor
 
+from msgspec import Struct
+
 from hingesill_core.probing.share import SHARE_TTL, SHARES
 
 __all__ = ["ProbePace", "ProbePacer", "compute_pace"]
@@ -10,8 +11,7 @@
 FEWEST_A_SHARE = 3
 
 
-@dataclass(frozen=True, slots=True)
-class ProbePace:
+class ProbePace(Struct, frozen=True):
     """A service's probes, as a share of the budget.
 
     Parameters
@@ -56,8 +56,7 @@
     return ProbePace(shares, budget.window / (a_share - 1 - late))
 
 
-@dataclass(slots=True)
-class ProbePacer:
+class ProbePacer(Struct):
     """Spaces one share's probes of one service.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/probing/share.py
+++ b/packages/hingesill-core/hingesill_core/probing/share.py
@@ -5,7 +5,7 @@
 that is away ends all probing within one lease and nothing else.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["SHARES", "SHARE_TTL", "Share"]
 
@@ -15,8 +15,7 @@
 DRIFT = 0.01
 
 
-@dataclass(slots=True)
-class Share:
+class Share(Struct):
     """One share as its holder sees it; times in seconds of the lease clock.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/retries/budget.py
+++ b/packages/hingesill-core/hingesill_core/retries/budget.py
@@ -1,14 +1,13 @@
 """Budgets of extra sends: tokens that first sends earn."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["BURST", "TokenBudget"]
 
 BURST = 10.0
 
 
-@dataclass(slots=True)
-class TokenBudget:
+class TokenBudget(Struct):
     """Extra sends as a share of first sends.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -6,9 +6,10 @@
 up again for a better one.
 """
 
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd
 
@@ -18,8 +19,7 @@
 ASKING_POLICY = "fresh_report"
 
 
-@dataclass(frozen=True, slots=True)
-class AskRules:
+class AskRules(Struct, frozen=True):
     """How a service's requests ask; times in seconds.
 
     Attributes
@@ -87,8 +87,7 @@
     LATE = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Ask:
+class Ask(Struct, frozen=True):
     """Ask these endpoints for their load; the request waits meanwhile.
 
     Parameters
@@ -100,8 +99,7 @@
     endpoints: tuple[str, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Reply:
+class Reply(Struct, frozen=True):
     """What asking an endpoint brought.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -1,6 +1,6 @@
 """One service at one node: from a request to an endpoint, and what it learns."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from hingesill_core.limits.admission import Pace
 from hingesill_core.limits.asking import AskBudget
@@ -31,8 +31,7 @@
 OTHER_DATA_CENTRE = 0.003
 
 
-@dataclass(frozen=True, slots=True)
-class FleetView:
+class FleetView(Struct, frozen=True):
     """What a dispatcher has to know of the node and its fleet.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -1,9 +1,10 @@
 """What a node knows of an endpoint, from its own traffic and from reports."""
 
 from collections import OrderedDict
-from dataclasses import dataclass, field
 from math import exp
 
+from msgspec import Struct, field
+
 from hingesill_core.routing.health import Health
 from hingesill_core.routing.messages import SendEnd
 
@@ -44,8 +45,7 @@
     return Health(failures_to_eject=FAILED_ASKS, longest=LONGEST_UNREACHED)
 
 
-@dataclass(slots=True)
-class ServiceView:
+class ServiceView(Struct):
     """What the endpoints of a service have in common at one node.
 
     Attributes
@@ -85,8 +85,7 @@
         self.others += OTHERS_WEIGHT * (others - self.others)
 
 
-@dataclass(slots=True, eq=False)
-class EndpointState:
+class EndpointState(Struct, eq=False):
     """One endpoint of a service as one node sees it; times in seconds.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -1,11 +1,12 @@
 """The requests of one service that wait for an endpoint with a free slot."""
 
-from dataclasses import dataclass, replace
+from msgspec import Struct
+from msgspec.structs import replace
 
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
-from hingesill_core.routing.levels import SlotCurves
+from hingesill_core.routing.levels import SlotCurves, UsualTimes
 from hingesill_core.routing.messages import SendEnd
 from hingesill_core.routing.quantile import Quantile
 
@@ -16,8 +17,7 @@
 USUAL_SHARE = 0.25
 
 
-@dataclass(slots=True, eq=False)
-class Waiting:
+class Waiting(Struct, eq=False):
     """A request that waits for a reply that will do; times of the node's clock.
 
     Attributes
@@ -82,6 +82,7 @@
         self.rules = rules or AskRules()
         self.budget = AskBudget()
         self.curves = SlotCurves(curves)
+        self.usual_times = UsualTimes()
         self.slowness = Quantile(USUAL_SHARE)
         self.has_reports = True
         self.waiting = {}
@@ -271,8 +272,9 @@
         """Learn from an answer how much taken slots slow work down."""
         state = self.dispatcher.states.get(send.endpoint)
         if send.occupied and state is not None:
-            typical = self.dispatcher.get_pace(send.ticket.route).typical
-            self.curves.note(send.occupied, state.slots, seconds / typical, now)
+            ratio = self.usual_times.rate(send.ticket.route, seconds, now)
+            if ratio is not None:
+                self.curves.note(send.occupied, state.slots, ratio, now)
 
     def expire(self, now):
         """Yield (ticket, decision) for each request that waits no longer."""
--- a/packages/hingesill-core/hingesill_core/routing/health.py
+++ b/packages/hingesill-core/hingesill_core/routing/health.py
@@ -1,6 +1,6 @@
 """Ejecting an endpoint that fails and letting it back in with a trial."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from hingesill_core.routing.messages import SendEnd
 
@@ -17,8 +17,7 @@
 FAILED = frozenset({SendEnd.FAULT, SendEnd.CONNECT_FAILED, SendEnd.LOST, SendEnd.LATE})
 
 
-@dataclass(slots=True)
-class Health:
+class Health(Struct):
     """The record of one endpoint's failures at one node; times in seconds.
 
     Notes
--- a/packages/hingesill-core/hingesill_core/routing/levels.py
+++ b/packages/hingesill-core/hingesill_core/routing/levels.py
@@ -6,12 +6,20 @@
 answer takes there, is largest.
 """
 
-from dataclasses import dataclass, field
-from math import log, sqrt
+from math import exp, log, sqrt
+
+from msgspec import Struct, field
 
 from hingesill_core.routing.profile import LevelProfile, ServiceProfile
 
-__all__ = ["SlotCurve", "SlotCurves", "conclude", "find_usable", "pool_profiles"]
+__all__ = [
+    "SlotCurve",
+    "SlotCurves",
+    "UsualTimes",
+    "conclude",
+    "find_usable",
+    "pool_profiles",
+]
 
 # Answers that a level's mean remembers, so that it follows a change.
 MOST_ANSWERS = 100
@@ -20,13 +28,15 @@
 # Evidence of a level that is not used any more fades by half in so many seconds, so
 # that the levels above are tried again.
 HALF_LIFE = 120.0
-# Spread of the logarithm of an answer's time, by the route's typical time. Source:
+# Spread of the logarithm of an answer's time, by the route's usual time. Source:
 # answers of work times with a spread of 0.3 and spells of slow VMs, from the logs.
 SPREAD = 0.4
-# One that took less than this share of its route's typical time did no usual work, as one
+# An answer within a smaller share of its route's usual time did no usual work, as one
 # that failed at once: some in a hundred of these hid a slowdown by 1.7.
 LEAST_RATIO = 1 / 3
-# An answer counts as at most so many times slower than typical.
+# No answer takes less; so its logarithm is bounded.
+LEAST_SECONDS = 0.0001
+# An answer counts as at most so many times slower than usual.
 MOST_RATIO = 3.0
 # Of two levels at which the same work is done the lower one answers sooner; it may do
 # less work by so much, as a logarithm. Source: chosen, half of the step from five slots
@@ -38,8 +48,7 @@
 REVIEW_SECONDS = 0.25
 
 
-@dataclass(slots=True)
-class Level:
+class Level(Struct):
     """Answers of sends that found so many slots taken.
 
     Attributes
@@ -47,7 +56,7 @@
     answers : float
         How many there were, less with their age.
     mean : float
-        Of the logarithm of an answer's time, divided by its route's typical time.
+        Of the logarithm of an answer's time, divided by its route's usual time.
     noted_at : float
         When the last one came, in seconds of the node's clock.
     """
@@ -78,8 +87,7 @@
     return Level(min(MOST_ANSWERS, total), sum(means) / total, now)
 
 
-@dataclass(slots=True)
-class SlotCurve:
+class SlotCurve(Struct):
     """How answer times grow with the taken slots of endpoints of one size.
 
     Attributes
@@ -120,8 +128,7 @@
         return known
 
 
-@dataclass(slots=True)
-class Block:
+class Block(Struct):
     """Adjacent levels that count as equally fast.
 
     Attributes
@@ -189,6 +196,38 @@
     return slots if highest is blocks[-1] else highest.numbers[-1]
 
 
+class UsualTimes:
+    """How long the answers of each route take, over all levels.
+
+    Notes
+    -----
+    It moves slowly on purpose. Sends to fuller endpoints come in bursts, and a value
+    that follows them within some ten answers takes a slowdown by 1.65 for one by 1.3.
+    """
+
+    def __init__(self):
+        self._by_route = {}
+
+    def rate(self, route, seconds, now):
+        """Return an answer's time by the usual time, and let that follow it.
+
+        Returns
+        -------
+        float or None
+            None as long as little is known, or if no usual work was done.
+        """
+        usual = self._by_route.setdefault(route, Level())
+        value = log(max(seconds, LEAST_SECONDS))
+        if usual.answers < FEWEST_ANSWERS:
+            usual.note(value, now)
+            return None
+        ratio = exp(value - usual.mean)
+        if ratio < LEAST_RATIO:
+            return None
+        usual.note(min(value, usual.mean + log(MOST_RATIO)), now)
+        return ratio
+
+
 class SlotCurves:
     """The curves of one service's endpoints, by their number of slots.
 
@@ -213,11 +252,11 @@
         slots : int
             The endpoint's.
         ratio : float
-            Time of the answer by the route's typical time.
+            Time of the answer by the route's usual time.
         now : float
             Seconds of the node's clock.
         """
-        if not 0 < number <= slots or ratio < LEAST_RATIO:
+        if not 0 < number <= slots:
             return
         self._get_curve(slots).note(number, ratio, now)
         if self.pooled is not None:
--- a/packages/hingesill-core/hingesill_core/routing/load_report.py
+++ b/packages/hingesill-core/hingesill_core/routing/load_report.py
@@ -1,12 +1,11 @@
 """An endpoint's own word on its load, as it comes with an answer."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["LoadReport"]
 
 
-@dataclass(frozen=True, slots=True)
-class LoadReport:
+class LoadReport(Struct, frozen=True):
     """One report.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -1,8 +1,9 @@
 """What goes into a dispatcher and what comes out of it."""
 
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 from hingesill_core.configuration.services import Route
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.load_report import LoadReport
@@ -18,8 +19,7 @@
 ]
 
 
-@dataclass(slots=True, eq=False)
-class Ticket:
+class Ticket(Struct, eq=False):
     """One request of a caller on its way through the node.
 
     Parameters
@@ -50,8 +50,7 @@
     spent: float = 0.0
 
 
-@dataclass(slots=True, eq=False)
-class Send:
+class Send(Struct, eq=False):
     """Send the request to this endpoint now.
 
     Parameters
@@ -82,13 +81,11 @@
     occupied: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Hold:
+class Hold(Struct, frozen=True):
     """Hold the request: a later ``pump`` or ``expire`` names it."""
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """The final answer of a request that gets none from an endpoint.
 
     Parameters
@@ -106,8 +103,7 @@
     retry_after: float | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Denied:
+class Denied(Struct, frozen=True):
     """A request is not sent again, with the reason."""
 
     reason: RetryReason
@@ -125,8 +121,7 @@
     CANCELLED = "cancelled"
 
 
-@dataclass(frozen=True, slots=True)
-class SendResult:
+class SendResult(Struct, frozen=True):
     """What became of a send.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/routing/profile.py
+++ b/packages/hingesill-core/hingesill_core/routing/profile.py
@@ -1,12 +1,11 @@
 """What a fleet has learnt of its services, as it is kept for nodes that start."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 __all__ = ["LevelProfile", "Profile", "ServiceProfile"]
 
 
-@dataclass(frozen=True, slots=True)
-class LevelProfile:
+class LevelProfile(Struct, frozen=True):
     """Answers of endpoints with so many slots, of which so many were taken.
 
     Parameters
@@ -16,7 +15,7 @@
     answers : float
         How many answers it stands for.
     mean : float
-        Of the logarithm of an answer's time, divided by its route's typical time.
+        Of the logarithm of an answer's time, divided by its route's usual time.
     """
 
     slots: int
@@ -25,8 +24,7 @@
     mean: float
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceProfile:
+class ServiceProfile(Struct, frozen=True):
     """What was learnt of one service.
 
     Parameters
@@ -38,8 +36,7 @@
     levels: tuple[LevelProfile, ...] = ()
 
 
-@dataclass(frozen=True, slots=True)
-class Profile:
+class Profile(Struct, frozen=True):
     """What was learnt of all services.
 
     Parameters
--- a/packages/hingesill-core/hingesill_core/routing/quantile.py
+++ b/packages/hingesill-core/hingesill_core/routing/quantile.py
@@ -1,14 +1,13 @@
 """A running quantile that needs no memory of single values."""
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 __all__ = ["Quantile"]
 
 STEP = 0.05
 
 
-@dataclass(slots=True)
-class Quantile:
+class Quantile(Struct):
     """Follows a quantile of what it is told.
 
     Attributes
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -2,7 +2,8 @@
 
 import random
 import unittest
-from dataclasses import replace
+
+from msgspec.structs import replace
 
 from hingesill_core.configuration.services import (
     Endpoint,
--- a/packages/hingesill-core/hingesill_core/store.py
+++ b/packages/hingesill-core/hingesill_core/store.py
@@ -4,9 +4,10 @@
 will do for a test or a bench. No method raises: what went wrong is a value.
 """
 
-from dataclasses import dataclass
 from typing import Protocol
 
+from msgspec import Struct
+
 __all__ = [
     "Conflicting",
     "Held",
@@ -22,38 +23,32 @@
 MAX_VALUE_BYTES = 1_000_000
 
 
-@dataclass(frozen=True, slots=True)
-class Value:
+class Value(Struct, frozen=True):
     """What a key holds, with the version that a CAS names."""
 
     data: bytes
     version: int
 
 
-@dataclass(frozen=True, slots=True)
-class Missing:
+class Missing(Struct, frozen=True):
     """The key holds nothing; a CAS that creates it names version 0."""
 
     version: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Unchanged:
+class Unchanged(Struct, frozen=True):
     """A watch ended without a change."""
 
 
-@dataclass(frozen=True, slots=True)
-class Written:
+class Written(Struct, frozen=True):
     """The write took effect."""
 
 
-@dataclass(frozen=True, slots=True)
-class Conflicting:
+class Conflicting(Struct, frozen=True):
     """The key has another version; the write did not take effect."""
 
 
-@dataclass(frozen=True, slots=True)
-class StoreFailure:
+class StoreFailure(Struct, frozen=True):
     """No usable answer came.
 
     Parameters
@@ -68,8 +63,7 @@
     may_have_run: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Held:
+class Held(Struct, frozen=True):
     """The lease is held.
 
     Parameters
@@ -84,8 +78,7 @@
     ttl: float
 
 
-@dataclass(frozen=True, slots=True)
-class LeaseLost:
+class LeaseLost(Struct, frozen=True):
     """The lease has lapsed or another holds the key."""
 
 
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -5,9 +5,10 @@
 """
 
 from collections import defaultdict
-from dataclasses import dataclass, field
 from enum import Enum
 
+from msgspec import Struct, field
+
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.discovery.records import Limits
 from hingesill_core.probing.share import Share
@@ -26,8 +27,7 @@
     STOPPING = "stopping"
 
 
-@dataclass(frozen=True)
-class Configuration:
+class Configuration(Struct, frozen=True):
     """All services in force at a revision, with the table of their routes."""
 
     revision: int = 0
@@ -36,8 +36,7 @@
     limits: Limits = Limits()
 
 
-@dataclass
-class Blackboard:
+class Blackboard(Struct):
     """The node's shared state.
 
     Attributes
@@ -76,7 +75,7 @@
 
     def write(self, name, value):
         """Write a field and call those who watch it."""
-        if name not in self.__dataclass_fields__:
+        if name not in self.__struct_fields__:
             raise AttributeError(f"the blackboard has no field {name!r}")
         setattr(self, name, value)
         for react in self._watchers[name]:
--- a/packages/hingesill-node/hingesill_node/control/publisher.py
+++ b/packages/hingesill-node/hingesill_node/control/publisher.py
@@ -1,6 +1,6 @@
 """Bringing what the control thread knows onto the blackboard of the hub."""
 
-from dataclasses import replace
+from msgspec.structs import replace
 
 from hingesill_core.configuration.declaration import build_service, parse_declaration
 from hingesill_core.configuration.route_table import RouteTable
--- a/packages/hingesill-node/hingesill_node/control/state.py
+++ b/packages/hingesill-node/hingesill_node/control/state.py
@@ -3,7 +3,8 @@
 import asyncio
 import time
 from collections import OrderedDict
-from dataclasses import dataclass, field
+
+from msgspec import Struct, field
 
 from hingesill_core.configuration.state import Applied, Replica
 from hingesill_core.membership.signs import SignBook
@@ -20,8 +21,7 @@
 }
 
 
-@dataclass
-class ControlState:
+class ControlState(Struct):
     """The replica, its freshness, the membership and the drain signs.
 
     Parameters
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -1,14 +1,13 @@
 """What the parts of the data path hand to each other."""
 
-from dataclasses import dataclass, field
+from msgspec import Struct, field
 
 from hingesill_core.routing.messages import Send, Ticket
 
 __all__ = ["Answer", "Body", "CallerRequest", "Found", "LiveSend"]
 
 
-@dataclass(slots=True)
-class Body:
+class Body(Struct):
     """A request's body: whole when it is small, else read as it is sent.
 
     Parameters
@@ -26,8 +25,7 @@
     source: object = None
 
 
-@dataclass(slots=True)
-class CallerRequest:
+class CallerRequest(Struct):
     """A request as the node passes it on."""
 
     request_id: str
@@ -40,8 +38,7 @@
     host: str = ""
 
 
-@dataclass(slots=True)
-class Answer:
+class Answer(Struct):
     """An endpoint's answer, its body whole or still to be read.
 
     Parameters
@@ -65,8 +62,7 @@
     live: object = None
 
 
-@dataclass(frozen=True, slots=True)
-class Found:
+class Found(Struct, frozen=True):
     """What a waiting request got.
 
     Parameters
@@ -81,8 +77,7 @@
     connection: object = None
 
 
-@dataclass(slots=True, eq=False)
-class LiveSend:
+class LiveSend(Struct, eq=False):
     """A send on its way, with the connection that carries it."""
 
     send: Send
--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -2,7 +2,8 @@
 
 import json
 import math
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from hingesill_core.reasons import RefusalReason
 from hingesill_node.datapath.headers import Names
@@ -42,8 +43,7 @@
 )
 
 
-@dataclass(frozen=True, slots=True)
-class RefusalAnswer:
+class RefusalAnswer(Struct, frozen=True):
     """A refusal as it goes to the caller.
 
     Parameters
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -5,7 +5,7 @@
 knows a header's name.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_node.datapath.headers import (
@@ -24,8 +24,7 @@
 LONGEST_RETRY_AFTER = 60
 
 
-@dataclass(frozen=True, slots=True)
-class Signals:
+class Signals(Struct, frozen=True):
     """What the head of an endpoint's answer tells of it.
 
     Parameters
--- a/packages/hingesill-node/hingesill_node/discovery/frames.py
+++ b/packages/hingesill-node/hingesill_node/discovery/frames.py
@@ -1,9 +1,10 @@
 """What a relay sends to its followers: frames on one long answer."""
 
 import struct
-from dataclasses import dataclass
 from enum import IntEnum
 
+from msgspec import Struct
+
 from hingesill_node.discovery.codec import decode_changes, decode_snapshot
 
 __all__ = ["Frame", "FrameKind", "FrameReader", "build_frame"]
@@ -25,8 +26,7 @@
     CHANGES = 2
 
 
-@dataclass(frozen=True, slots=True)
-class Frame:
+class Frame(Struct, frozen=True):
     """One frame as a follower gets it.
 
     Parameters
--- a/packages/hingesill-node/hingesill_node/discovery/profiles.py
+++ b/packages/hingesill-node/hingesill_node/discovery/profiles.py
@@ -77,11 +77,13 @@
         log_event(
             Event.PROFILE_KEPT,
             usable_slots={name: conclude(profile.services[name]) for name in news},
-            levels={
-                name: [
-                    f"{item.level}/{item.slots} {item.answers:.0f} x{exp(item.mean):.2f}"
-                    for item in profile.services[name].levels
-                ]
-                for name in news
-            },
+            levels={name: describe_levels(profile.services[name]) for name in news},
         )
+
+
+def describe_levels(profile):
+    """Return each level with its answers and how many times longer they take."""
+    return [
+        f"{told.level}/{told.slots} {told.answers:.0f} x{exp(told.mean):.2f}"
+        for told in profile.levels
+    ]
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
@@ -3,9 +3,9 @@
 import random
 import time
 import unittest
-from dataclasses import replace
 
 import eventlet
+from msgspec.structs import replace
 
 from hingesill_core.discovery.records import Changes, NodeRecord
 from hingesill_core.discovery.relays import RelayChoice
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -130,8 +130,8 @@
     directory: Annotated[
         str,
         Meta(
-            description="A store that holds declarations and endpoints; empty to follow "
-            "hingesill's own change log in `store`.",
+            description="A store that holds declarations and endpoints; empty to "
+            "follow hingesill's own change log in `store`.",
         ),
     ] = ""
     ready_path: Annotated[
@@ -184,7 +184,8 @@
         Meta(
             ge=0,
             le=100_000,
-            description="With a directory: requests of a service that wait at the node.",
+            description="With a directory: requests of a service that wait at the "
+            "node.",
         ),
     ] = 64
     services: Annotated[
--- a/packages/hingesill-node/hingesill_node/store/memory.py
+++ b/packages/hingesill-node/hingesill_node/store/memory.py
@@ -2,7 +2,8 @@
 
 import threading
 import time
-from dataclasses import dataclass
+
+from msgspec import Struct
 
 from hingesill_core.store import (
     Conflicting,
@@ -21,8 +22,7 @@
 _shared_lock = threading.Lock()
 
 
-@dataclass
-class LeaseRecord:
+class LeaseRecord(Struct):
     """Who holds which key until when."""
 
     key: str
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -27,6 +27,7 @@
     RELOADED = (1009, logging.INFO, "the settings were read again")
     RELOAD_REFUSED = (1010, logging.ERROR, "changed settings are not valid")
     PORT_UNAVAILABLE = (1008, logging.ERROR, "an address cannot be listened on")
+    BUNDLE_LEFT_OUT = (1011, logging.WARNING, "modules are loaded one by one")
     CONFIGURATION_IN_FORCE = (2001, logging.INFO, "a configuration is in force")
     HISTORY_GONE = (2008, logging.WARNING, "the store forgot what had changed")
     LEARNT_FROM_PEER = (2009, logging.INFO, "another node told of changes")
