--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -58,6 +58,9 @@
         An endpoint that works slower than usual by this factor is passed by.
         Source: slow spells on shared VMs are a factor of five, and ordinary
         spread stays below two.
+    slow_holds : float
+        For so long after it said that it is slow, an idle connection to an endpoint
+        is no reason to ask it. Source: chosen, several spells of slow VMs.
     """
 
     at_once: int = 2
@@ -70,6 +73,7 @@
     late_pause: float = 0.05
     default_target: float = 0.5
     most_slowness: float = 2.0
+    slow_holds: float = 1.0
 
 
 class Stage(IntEnum):
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -1,64 +1,19 @@
 """The requests of one service that wait for an endpoint with a free slot."""
 
-from msgspec import Struct
 from msgspec.structs import replace
 
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
-from hingesill_core.routing.levels import SlotCurves, UsualTimes
+from hingesill_core.routing.curves import SlotCurves
 from hingesill_core.routing.messages import SendEnd
-from hingesill_core.routing.quantile import Quantile
+from hingesill_core.routing.selection import EndpointSelection, can_get_work
+from hingesill_core.routing.usualtimes import UsualTimes
+from hingesill_core.routing.waiting import Waiting
 
 __all__ = ["FreshChoice"]
 
 ROOM_FOR_WAITING = 2
-# Share of replies that are less slow than what counts as usual.
-USUAL_SHARE = 0.25
-
-
-class Waiting(Struct, eq=False):
-    """A request that waits for a reply that will do; times of the node's clock.
-
-    Attributes
-    ----------
-    ticket : Ticket
-        The request.
-    since : float
-        When it began to wait.
-    late_at : float
-        From then on its answer cannot be in time for its target.
-    until : float
-        From then on it waits no longer.
-    hedge : bool
-        Another send of it is under way.
-    """
-
-    ticket: object
-    since: float
-    late_at: float
-    until: float
-    hedge: bool = False
-
-    def get_stage(self, now, rules):
-        """Return how much the request puts up with."""
-        if self.hedge:
-            return Stage.CHOOSY
-        if now >= self.late_at:
-            return Stage.LATE
-        return Stage.CHOOSY if now < self.since + rules.choosy else Stage.PATIENT
-
-    def get_order(self, now):
-        """Return the key by which requests take what becomes free.
-
-        Notes
-        -----
-        The more urgent rank goes first, within it those that can still be in
-        time, and of these the one with the least time left. Hedges take what
-        nobody else waits for.
-        """
-        is_late = now >= self.late_at
-        return (self.hedge, self.ticket.route.rank, is_late, self.late_at)
 
 
 class FreshChoice:
@@ -83,7 +38,7 @@
         self.budget = AskBudget()
         self.curves = SlotCurves(curves)
         self.usual_times = UsualTimes()
-        self.slowness = Quantile(USUAL_SHARE)
+        self.selection = EndpointSelection(dispatcher, self.rules)
         self.has_reports = True
         self.waiting = {}
         self._asked_late_at = float("-inf")
@@ -181,43 +136,15 @@
 
     def _choose(self, wanted, now, is_first=False):
         """Return the identities of endpoints to ask, as the budget allows."""
-        candidates = self._list_candidates(now)
+        candidates = self.selection.list_candidates(now)
         count = self.budget.take(min(wanted, len(candidates)), now)
-        chosen = self._sample(candidates, count, is_first)
+        chosen = self.selection.sample(candidates, count, now, is_first)
         for state in chosen:
             state.asked_at = now
             if state.reach.needs_trial(now):
                 state.reach.on_trial = True
         return tuple(state.identity for state in chosen)
 
-    def _sample(self, candidates, count, is_first):
-        """Return endpoints at random, all but one of the own data centre.
-
-        Notes
-        -----
-        Their replies come first, so a request stays near if there is room, and
-        what is full here still finds room elsewhere in the same round. Where many
-        are near, the first round asks only them: bytes between data centres and
-        new connections are saved, and the next round is milliseconds away.
-        """
-        rng = self.dispatcher.rng
-        near = [state for state in candidates if state.is_near]
-        stays = is_first and len(near) >= self.rules.many_near
-        chosen = rng.sample(near, min(len(near), max(0, count - (not stays))))
-        others = [state for state in candidates if state not in chosen]
-        return [*chosen, *rng.sample(others, count - len(chosen))]
-
-    def _list_candidates(self, now):
-        """Return the endpoints worth asking, those not just asked if there are any."""
-        usable = [s for s in self.dispatcher.states.values() if can_get_work(s, now)]
-        just_now = now - self.rules.choosy
-        for keep in (
-            lambda s: s.reach.is_open() or s.reach.needs_trial(now),
-            lambda s: s.asked_at < just_now,
-        ):
-            usable = [state for state in usable if keep(state)] or usable
-        return usable
-
     def take(self, reply, now):
         """Take a reply; return the Send that it is good for, or None."""
         state = self.note_reply(reply, now)
@@ -244,7 +171,7 @@
         if not state.health.is_open() and not state.accepts_trial(ticket, now):
             return False
         stage = waiting.get_stage(now, self.rules)
-        most = self.rules.most_slowness * max(1.0, self.slowness.value)
+        most = self.selection.get_most_slowness()
         usable = self.curves.get_usable(state.report.slots, now)
         return is_good_enough(state.report, stage, usable, most)
 
@@ -265,7 +192,7 @@
             self.has_reports = reply.report is not None
             if reply.report is not None:
                 state.report = complete_report(reply.report, state)
-                self.slowness.note(reply.report.slowness)
+                self.selection.slowness.note(reply.report.slowness)
         return state
 
     def note_answer(self, send, seconds, now):
@@ -294,10 +221,3 @@
 def complete_report(report, state):
     """Return a report with the slots that were declared, if it tells none."""
     return report if report.slots else replace(report, slots=state.slots)
-
-
-def can_get_work(state, now):
-    """Tell whether an endpoint may get new work, as far as known."""
-    if state.is_draining(now) or now < state.refused_until:
-        return False
-    return state.health.is_open() or state.health.needs_trial(now)
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -124,6 +124,31 @@
         ask = self.fresh.ask_again(0.015)
         self.assertEqual(len(ask.endpoints), AskRules().at_once)
 
+    def test_endpoints_with_an_idle_connection_are_asked_first(self):
+        self.fresh.selection.is_connected = lambda identity: identity in ("i1", "i3")
+        first = self.dispatcher.submit(self.ticket, 0.0)
+        self.assertEqual(set(first.endpoints), {"i1", "i3"})
+        second = self.fresh.ask_again(0.01)
+        self.assertEqual(set(second.endpoints), {"i0", "i2"})
+
+    def test_a_slow_endpoint_is_not_asked_first_for_its_connection(self):
+        self.fresh.selection.is_connected = lambda identity: identity in ("i1", "i3")
+        for name in ("i1", "i3"):
+            self.fresh.note_reply(reply(name, 0, slowness=9.0), 0.0)
+        times = [0.1 * turn for turn in range(1, 9)]
+        asks = [self.dispatcher.submit(Ticket(ROUTE, t, t + 2.0), t) for t in times]
+        self.assertTrue({"i0", "i2"} & {name for ask in asks for name in ask.endpoints})
+        later = self.dispatcher.submit(Ticket(ROUTE, 2.0, 4.0), 2.0)
+        self.assertEqual(set(later.endpoints), {"i1", "i3"})
+
+    def test_one_idle_connection_is_not_all_that_is_asked(self):
+        self.fresh.selection.is_connected = lambda identity: identity == "i1"
+        tickets = [Ticket(ROUTE, t, t + 2.0) for t in range(9)]
+        asked = [self.dispatcher.submit(item, item.arrived) for item in tickets]
+        names = {name for ask in asked for name in ask.endpoints}
+        self.assertTrue(all("i1" in ask.endpoints for ask in asked))
+        self.assertGreater(len(names), 2)
+
     def test_later_rounds_ask_others(self):
         first = self.dispatcher.submit(self.ticket, 0.0)
         second = self.fresh.ask_again(0.01)
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_levels.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_levels.py
@@ -3,14 +3,10 @@
 import unittest
 
 from hingesill_core.routing.asking import Stage, is_good_enough
-from hingesill_core.routing.levels import (
-    FEWEST_ANSWERS,
-    HALF_LIFE,
-    SlotCurves,
-    UsualTimes,
-    pool_profiles,
-)
+from hingesill_core.routing.curves import SlotCurves, pool_profiles
+from hingesill_core.routing.levels import FEWEST_ANSWERS, HALF_LIFE
 from hingesill_core.routing.load_report import LoadReport
+from hingesill_core.routing.usualtimes import UsualTimes
 
 # After the answers that `build_curves` makes, in seconds.
 LATER = 6.0
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -40,6 +40,7 @@
         self.wire = wire
         self.counters = counters
         self.fresh = runner.dispatcher.fresh
+        self.fresh.selection.is_connected = runner.has_idle_connection
         self._events = {}
         self._host = ""
         self._keeper = None
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -164,6 +164,10 @@
             raise
         return connection
 
+    def has_idle(self):
+        """Tell whether there is a connection that has not rested too long."""
+        return bool(self._idle) and self._idle[-1].idle_until >= self._clock()
+
     def give_back(self, connection, idle_seconds=None):
         """Keep a connection whose whole answer was read.
 
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -8,8 +8,8 @@
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.shares import compute_connection_share
 from hingesill_core.reasons import Outcome, RefusalReason
+from hingesill_core.routing.curves import SlotCurves, pool_profiles
 from hingesill_core.routing.dispatcher import Dispatcher
-from hingesill_core.routing.levels import SlotCurves, pool_profiles
 from hingesill_core.routing.messages import Refusal
 from hingesill_node.datapath.asking import WaitingRoom
 from hingesill_node.datapath.callers import is_caller_gone
@@ -89,6 +89,11 @@
         """Return the connections to an endpoint, or None if it is gone."""
         return self.pools.get(identity)
 
+    def has_idle_connection(self, identity):
+        """Tell whether a connection to an endpoint waits for its next use."""
+        pool = self.pools.get(identity)
+        return pool is not None and pool.has_idle()
+
     def count_in_flight(self, identity):
         """Return this node's sends in flight at an endpoint."""
         state = self.dispatcher.states.get(identity)
--- a/packages/hingesill-node/hingesill_node/discovery/profiles.py
+++ b/packages/hingesill-node/hingesill_node/discovery/profiles.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from hingesill_core.routing.levels import conclude
+from hingesill_core.routing.curves import conclude
 from hingesill_core.routing.profile import Profile
 from hingesill_core.store import StoreFailure
 from hingesill_node.telemetry.events import Event, log_event
@@ -58,9 +58,13 @@
         """Work until the process ends."""
         while True:
             eventlet.sleep(REVIEW_SECONDS * random.uniform(0.7, 1.3))
-            if self.may_write() and self.clock() >= self._write_from:
+            if self.is_due():
                 self.review()
 
+    def is_due(self):
+        """Tell whether this node may write now."""
+        return self.may_write() and self.clock() >= self._write_from
+
     def review(self):
         """Write the profile if this node has learnt enough that others don't know."""
         news = self.runners.list_news(LEAST_NEWS)
