--- a/bench/registry.py
+++ b/bench/registry.py
@@ -13,6 +13,7 @@
     "probe_cost",
     "propagation",
     "routing",
+    "start",
 )
 
 
--- a/packages/hingesill-cli/hingesill_cli/commands.py
+++ b/packages/hingesill-cli/hingesill_cli/commands.py
@@ -9,6 +9,7 @@
 import yaml
 
 from hingesill_api.generated import hingesill_pb2 as pb
+from hingesill_cli.breakdown import collect_windows, write_windows
 from hingesill_cli.client import CallFailed, Client
 from hingesill_cli.trace import find_story, read_lines, write_story
 from hingesill_core.configuration.files import load_declarations
@@ -108,6 +109,34 @@
                 print(line)
         return EXIT_OK
 
+    def breakdown(self, *files, seconds=2.0):
+        """Tell where the time of requests went, by window and service.
+
+        Parameters
+        ----------
+        files : str
+            Log files of one or more nodes.
+        seconds : float
+            Length of a window.
+        """
+        if not files:
+            complain("breakdown: name at least one log file")
+            return EXIT_INVALID
+        if not isinstance(seconds, (int, float)) or seconds <= 0:
+            complain("breakdown: --seconds is a number above 0")
+            return EXIT_INVALID
+        try:
+            windows = collect_windows(read_lines(map(str, files)), seconds)
+        except OSError as error:
+            complain(f"breakdown: {error.filename}: {error.strerror}")
+            return EXIT_INVALID
+        if not windows:
+            complain("breakdown: no line tells of a request")
+            return EXIT_NO_ANSWER
+        for line in write_windows(windows):
+            print(line)
+        return EXIT_OK
+
     def apply(self, f, dry_run=False, operation="", author="", remove=""):
         """Put declarations in force.
 
