--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -20,8 +20,10 @@
 
 
 def read_sources():
-    """Return the code of all packages without their tests."""
-    files = [f for f in (ROOT / "packages").rglob("*.py") if "tests" not in f.parts]
+    """Return the code of all packages and the adapter without their tests."""
+    folders = (ROOT / "packages", ROOT / "platform")
+    files = [f for folder in folders for f in folder.rglob("*.py")]
+    files = [file for file in files if "tests" not in file.parts]
     return {str(file): file.read_text() for file in files}
 
 
