--- a/packages/hingesill-core/hingesill_core/routing/curves.py
+++ b/packages/hingesill-core/hingesill_core/routing/curves.py
@@ -52,14 +52,23 @@
             Seconds of the node's clock.
         """
         known = {}
-        for number in range(1, self.slots + 1):
-            level = combine((self.own.get(number), self.told.get(number)), now)
+        numbers = self.list_numbers() | (pooled.list_numbers() if pooled else set())
+        for number in sorted(numbers):
+            level = self.combine(number, now)
             if level.answers < FEWEST_ANSWERS and pooled is not None:
-                level = combine((pooled.own.get(number), pooled.told.get(number)), now)
+                level = pooled.combine(number, now)
             if level.answers >= FEWEST_ANSWERS:
                 known[number] = level
         return known
 
+    def list_numbers(self):
+        """Return the set of levels of which anything is known."""
+        return self.own.keys() | self.told.keys()
+
+    def combine(self, number, now):
+        """Return one Level for own answers and those that others told of."""
+        return combine((self.own.get(number), self.told.get(number)), now)
+
 
 class SlotCurves:
     """The curves of one service's endpoints, by their number of slots.
@@ -111,8 +120,8 @@
 
     def _find_usable(self, slots, now):
         pooled = self.pooled.curves.get(slots) if self.pooled is not None else None
-        known = self._get_curve(slots).list_known(pooled, now)
-        return find_usable(known, slots)
+        curve = self.curves.get(slots) or SlotCurve(slots)
+        return find_usable(curve.list_known(pooled, now), slots)
 
     def get_news_share(self, now):
         """Return the share of the known answers that other nodes do not know of."""
@@ -126,10 +135,8 @@
             tuple(
                 LevelProfile(slots, number, level.answers, level.mean)
                 for slots, curve in sorted(self.curves.items())
-                for number in sorted(curve.own.keys() | curve.told.keys())
-                for level in [
-                    combine((curve.own.get(number), curve.told.get(number)), now)
-                ]
+                for number in sorted(curve.list_numbers())
+                for level in [curve.combine(number, now)]
             )
         )
 
@@ -140,10 +147,11 @@
             self._get_curve(told.slots).told[told.level] = level
         self._usable.clear()
 
-    def forget_untold(self):
-        """Note that other nodes know of all own answers by now."""
+    def mark_told(self, profile, now):
+        """Note that other nodes know of all own answers by a profile."""
         for curve in self.curves.values():
             curve.own.clear()
+        self.adopt(profile, now)
 
 
 def count_answers(curves, now):
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -48,6 +48,7 @@
         if service.probes.pooled:
             self.budget = self.pool
         self.budget.set_part(service.name, service.probes, fleet.nodes)
+        self.usual_times.keep(service.routes)
 
     def enter(self, ticket, now):
         """Let a request wait.
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_levels.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_levels.py
@@ -91,6 +91,15 @@
         ratios = self.rate_all([0.2] * 60 + [0.33] * 15)
         self.assertGreater(ratios[-1], 1.4)
 
+    def test_routes_that_are_gone_are_forgotten(self):
+        times = UsualTimes()
+        for _ in range(FEWEST_ANSWERS):
+            times.rate("old", 0.2, 0.0)
+            times.rate("new", 0.2, 0.0)
+        times.keep(["new"])
+        self.assertIsNone(times.rate("old", 0.2, 0.0))
+        self.assertIsNotNone(times.rate("new", 0.2, 0.0))
+
     def test_routes_have_their_own(self):
         times = UsualTimes()
         for _ in range(FEWEST_ANSWERS):
@@ -127,8 +136,7 @@
     def test_what_was_told_is_not_counted_twice(self):
         curves = build_curves(3, (1, 1, 1.7), 10)
         profile = curves.build_profile(1.0)
-        curves.adopt(profile, 1.0)
-        curves.forget_untold()
+        curves.mark_told(profile, 1.0)
         self.assertEqual(curves.get_news_share(1.0), 0.0)
         self.assertEqual(curves.build_profile(1.0), profile)
 
--- a/packages/hingesill-core/hingesill_core/routing/usualtimes.py
+++ b/packages/hingesill-core/hingesill_core/routing/usualtimes.py
@@ -27,6 +27,12 @@
     def __init__(self):
         self._by_route = {}
 
+    def keep(self, routes):
+        """Forget all other routes."""
+        self._by_route = {
+            route: usual for route, usual in self._by_route.items() if route in routes
+        }
+
     def rate(self, route, seconds, now):
         """Return an answer's time by the usual time, and let that follow it.
 
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -276,15 +276,24 @@
     def build_profiles(self, names):
         """Return the ServiceProfile of each of the services."""
         now = self.clock()
-        return {name: self._get_curves(name).build_profile(now) for name in names}
+        return {
+            name: self.runners[name].dispatcher.fresh.curves.build_profile(now)
+            for name in names
+        }
 
-    def forget_untold(self, names):
-        """Note that others know all that is known here of the services."""
-        for name in names:
-            self._get_curves(name).forget_untold()
+    def mark_told(self, profiles):
+        """Note that others know all that is known here of some services.
 
-    def _get_curves(self, name):
-        return self.runners[name].dispatcher.fresh.curves
+        Parameters
+        ----------
+        profiles : dict
+            ServiceProfile by name. A service that is gone by now is passed over.
+        """
+        now = self.clock()
+        for name, profile in profiles.items():
+            if name in self.runners:
+                curves = self.runners[name].dispatcher.fresh.curves
+                curves.mark_told(profile, now)
 
     def note_suspicion(self, endpoint, ratio):
         """Take another node's word on an endpoint."""
--- a/packages/hingesill-node/hingesill_node/discovery/profiles.py
+++ b/packages/hingesill-node/hingesill_node/discovery/profiles.py
@@ -71,19 +71,25 @@
         if not news:
             return
         self._write_from = self.clock() + PAUSE_SECONDS
-        held = self.directory.profile or Profile()
-        profile = Profile({**held.services, **self.runners.build_profiles(news)})
-        answer = self.source.save(profile)
+        learnt = self.runners.build_profiles(news)
+        answer = self.source.save(Profile({**self._list_held(), **learnt}))
         if isinstance(answer, StoreFailure):
             log_event(Event.PROFILE_NOT_KEPT, detail=answer.reason)
             return
-        self.runners.forget_untold(news)
+        self.runners.mark_told(learnt)
         log_event(
             Event.PROFILE_KEPT,
-            usable_slots={name: conclude(profile.services[name]) for name in news},
-            levels={name: describe_levels(profile.services[name]) for name in news},
+            usable_slots={name: conclude(learnt[name]) for name in news},
+            levels={name: describe_levels(learnt[name]) for name in news},
         )
 
+    def _list_held(self):
+        """Return what is kept of the services that are declared, by name."""
+        declared = self.directory.declared
+        names = {service.name for service in declared.services} if declared else set()
+        held = self.directory.profile or Profile()
+        return {name: held.services[name] for name in held.services.keys() & names}
+
 
 def describe_levels(profile):
     """Return each level with its answers and how many times longer they take."""
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_profiles.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_profiles.py
@@ -3,14 +3,21 @@
 import unittest
 
 from hingesill_core.discovery.directory import Directory
-from hingesill_core.discovery.records import Changes, Snapshot
+from hingesill_core.discovery.records import (
+    Changes,
+    Declared,
+    DeclaredService,
+    Snapshot,
+)
 from hingesill_core.routing.curves import SlotCurves
 from hingesill_core.routing.profile import LevelProfile, Profile, ServiceProfile
 from hingesill_core.store import StoreFailure
 from hingesill_node.discovery.codec import decode_snapshot, encode
 from hingesill_node.discovery.profiles import PAUSE_SECONDS, ProfileKeeper
 
-HELD = Profile({"quiet": ServiceProfile((LevelProfile(3, 1, 40.0, 0.0),))})
+KEPT = ServiceProfile((LevelProfile(3, 1, 40.0, 0.0),))
+HELD = Profile({"quiet": KEPT, "removed": KEPT})
+DECLARED = Declared(1, (DeclaredService("quiet", "/h", 9),), ())
 
 
 class FakeStore:
@@ -40,8 +47,8 @@
     def build_profiles(self, names):
         return {name: self.curves.build_profile(0.0) for name in names}
 
-    def forget_untold(self, names):
-        self.curves.forget_untold()
+    def mark_told(self, profiles):
+        self.curves.mark_told(profiles["busy"], 0.0)
 
 
 class ProfileKeeperTests(unittest.TestCase):
@@ -49,7 +56,7 @@
         self.store = FakeStore()
         self.runners = FakeRunners()
         self.directory = Directory()
-        self.directory.adopt(Snapshot(1, profile=HELD), 0.0)
+        self.directory.adopt(Snapshot(1, DECLARED, profile=HELD), 0.0)
         self.now = 0.0
         self.keeper = ProfileKeeper(
             self.store, self.directory, self.runners, lambda: True, lambda: self.now
@@ -59,7 +66,7 @@
         self.keeper.review()
         self.assertEqual(self.store.saved, [])
 
-    def test_news_are_written_beside_what_is_held_of_other_services(self):
+    def test_news_are_written_beside_what_is_held_of_declared_services(self):
         self.runners.learn(20)
         self.keeper.review()
         (profile,) = self.store.saved
