Callers are told to come back by the pace at which others find endpoints

Cause: where endpoints are asked, the time for a return was worked out from a queue that is empty there: 0.05 to 0.1 s whatever the load.

--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -179,8 +179,14 @@
     def refuse(self, ticket, reason, now):
         """Return the final answer of a request that is given up."""
         outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
-        wait = self.pace.estimate_queue_time(len(self.queue), self.places)
-        return Refusal(reason, outcome, self.pace.suggest_return(wait, self.rng))
+        return Refusal(reason, outcome, self._suggest_return(now))
+
+    def _suggest_return(self, now):
+        """Return the seconds after which a caller finds room, as far as known."""
+        wait = self.fresh.estimate_wait(now)
+        if not wait:
+            wait = self.pace.estimate_queue_time(len(self.queue), self.places)
+        return self.pace.suggest_return(wait, self.rng)
 
     def _list_takers(self, now):
         """Return the endpoints that take new work, busy or not."""
@@ -302,11 +308,11 @@
         quick = self.get_pace(ticket.route).quick
         verdict = judge_retry(ticket, end, self.retries, now, quick)
         if isinstance(verdict, Denied):
-            return self._give_up(ticket, end), verdict.reason
+            return self._give_up(ticket, end, now), verdict.reason
         ask = self._begin_asking(ticket, now)
         if isinstance(ask, Refusal):
             self.retries.give_back()
-            return self._give_up(ticket, end), RetryReason.DENIED_NO_ENDPOINT
+            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
         if ask is not None:
             return ask, verdict
         send = self._assign(ticket, now)
@@ -315,13 +321,11 @@
         decision = self._hold_or_refuse(ticket, now)
         if isinstance(decision, Refusal):
             self.retries.give_back()
-            return self._give_up(ticket, end), RetryReason.DENIED_NO_ENDPOINT
+            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
         return decision, verdict
 
-    def _give_up(self, ticket, end):
-        wait = self.pace.estimate_queue_time(len(self.queue), self.places)
-        back = self.pace.suggest_return(wait, self.rng)
-        return classify_refusal(ticket, end, back)
+    def _give_up(self, ticket, end, now):
+        return classify_refusal(ticket, end, self._suggest_return(now))
 
     def note_probe(self, endpoint, result, now):
         """Take what a probe told of an endpoint.
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -3,6 +3,7 @@
 from msgspec.structs import replace
 
 from hingesill_core.limits.asking import AskBudget
+from hingesill_core.limits.turnover import Turnover
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
 from hingesill_core.routing.curves import SlotCurves
@@ -39,6 +40,7 @@
         self.curves = SlotCurves(curves)
         self.usual_times = UsualTimes()
         self.selection = EndpointSelection(dispatcher, self.rules)
+        self.turnover = Turnover()
         self.has_reports = True
         self.waiting = {}
         self._asked_late_at = float("-inf")
@@ -65,6 +67,8 @@
             return self.dispatcher.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
         if len(self.waiting) >= self.dispatcher.service.queue_limit:
             return self.dispatcher.refuse(ticket, RefusalReason.QUEUE_FULL, now)
+        if not self.waiting:
+            self.turnover.begin(now)
         waiting = self.waiting[ticket] = self._build_waiting(ticket, now)
         if waiting.get_stage(now, self.rules) is Stage.LATE:
             return Ask(())
@@ -106,6 +110,10 @@
         self.waiting[ticket] = Waiting(ticket, now, until, until, hedge=True)
         return Ask(endpoints)
 
+    def estimate_wait(self, now):
+        """Return the seconds that a request which came now would wait."""
+        return self.turnover.estimate(len(self.waiting), now)
+
     def leave(self, ticket):
         """Forget a request that no longer waits."""
         self.waiting.pop(ticket, None)
@@ -160,6 +168,7 @@
             return None
         first = min(fitting, key=lambda waiting: waiting.get_order(now))
         self.waiting.pop(first.ticket)
+        self.turnover.note(now)
         send = self.dispatcher.start_send(first.ticket, state, now, first.hedge)
         send.occupied = reply.report.running + 1
         return send
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -149,6 +149,17 @@
         self.assertTrue(all("i1" in ask.endpoints for ask in asked))
         self.assertGreater(len(names), 2)
 
+    def test_who_is_refused_is_told_to_come_back_when_others_were_sent(self):
+        for _ in range(16):
+            self.dispatcher.submit(Ticket(ROUTE, 0.0, 2.0), 0.0)
+        for turn in range(1, 5):
+            self.fresh.take(reply(f"i{turn % 4}", 0), 0.1 * turn)
+        for _ in range(4):
+            self.dispatcher.submit(Ticket(ROUTE, 0.4, 2.4), 0.4)
+        refusal = self.dispatcher.submit(Ticket(ROUTE, 0.4, 2.4), 0.4)
+        self.assertIs(refusal.reason, RefusalReason.QUEUE_FULL)
+        self.assertGreater(refusal.retry_after, 16 * 0.03)
+
     def test_later_rounds_ask_others(self):
         first = self.dispatcher.submit(self.ticket, 0.0)
         second = self.fresh.ask_again(0.01)
