--- a/packages/hingesill-core/hingesill_core/routing/curves.py
+++ b/packages/hingesill-core/hingesill_core/routing/curves.py
@@ -111,7 +111,15 @@
         return curve
 
     def get_usable(self, slots, now):
-        """Return how many of an endpoint's slots are worth taking."""
+        """Return how many of an endpoint's slots are worth taking.
+
+        Parameters
+        ----------
+        slots : int
+            The endpoint's.
+        now : float
+            Seconds of the node's clock.
+        """
         usable, until = self._usable.get(slots, (slots, now))
         if now >= until:
             usable = self._find_usable(slots, now)
@@ -141,7 +149,15 @@
         )
 
     def adopt(self, profile, now):
-        """Take what other nodes have learnt of this service."""
+        """Take what other nodes have learnt of this service.
+
+        Parameters
+        ----------
+        profile : ServiceProfile
+            In place of what they told before.
+        now : float
+            Seconds of the node's clock.
+        """
         for told in profile.levels:
             level = Level(min(MOST_ANSWERS, told.answers), told.mean, now)
             self._get_curve(told.slots).told[told.level] = level
--- a/packages/hingesill-core/hingesill_core/routing/selection.py
+++ b/packages/hingesill-core/hingesill_core/routing/selection.py
@@ -35,6 +35,17 @@
     def sample(self, candidates, count, now, is_first):
         """Return endpoints at random, all but one of the own data centre.
 
+        Parameters
+        ----------
+        candidates : list of EndpointState
+            As `list_candidates` returns them.
+        count : int
+            How many are wanted; at most as many as there are candidates.
+        now : float
+            Seconds of the node's clock.
+        is_first : bool
+            These are the first questions for a new request.
+
         Notes
         -----
         Their replies come first, so a request stays near if there is room, and
--- a/packages/hingesill-core/hingesill_core/routing/usualtimes.py
+++ b/packages/hingesill-core/hingesill_core/routing/usualtimes.py
@@ -36,6 +36,15 @@
     def rate(self, route, seconds, now):
         """Return an answer's time by the usual time, and let that follow it.
 
+        Parameters
+        ----------
+        route : Route
+            The request's.
+        seconds : float
+            From the send to the answer.
+        now : float
+            Seconds of the node's clock.
+
         Returns
         -------
         float or None
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -85,6 +85,11 @@
                 self.pools[identity] = Pool(endpoint.address, limits[identity])
             self.pools[identity].limit = limits[identity]
 
+    @property
+    def curves(self):
+        """How answer times of the service grow with the taken slots."""
+        return self.dispatcher.fresh.curves
+
     def find_pool(self, identity):
         """Return the connections to an endpoint, or None if it is gone."""
         return self.pools.get(identity)
@@ -256,7 +261,7 @@
         name = runner.dispatcher.service.name
         profile = self.blackboard.profile.services.get(name)
         if profile is not None:
-            runner.dispatcher.fresh.curves.adopt(profile, self.clock())
+            runner.curves.adopt(profile, self.clock())
 
     def list_news(self, least_share):
         """Return the names of services of which others should know more.
@@ -270,16 +275,13 @@
         return [
             name
             for name, runner in self.runners.items()
-            if runner.dispatcher.fresh.curves.get_news_share(now) > least_share
+            if runner.curves.get_news_share(now) > least_share
         ]
 
     def build_profiles(self, names):
         """Return the ServiceProfile of each of the services."""
         now = self.clock()
-        return {
-            name: self.runners[name].dispatcher.fresh.curves.build_profile(now)
-            for name in names
-        }
+        return {name: self.runners[name].curves.build_profile(now) for name in names}
 
     def mark_told(self, profiles):
         """Note that others know all that is known here of some services.
@@ -292,8 +294,7 @@
         now = self.clock()
         for name, profile in profiles.items():
             if name in self.runners:
-                curves = self.runners[name].dispatcher.fresh.curves
-                curves.mark_told(profile, now)
+                self.runners[name].curves.mark_told(profile, now)
 
     def note_suspicion(self, endpoint, ratio):
         """Take another node's word on an endpoint."""
