A docstring says what adopting a profile replaces

Cause: it said that all that was told before is replaced; levels that the profile lacks stay. Change: words only.

--- a/packages/hingesill-core/hingesill_core/routing/curves.py
+++ b/packages/hingesill-core/hingesill_core/routing/curves.py
@@ -154,7 +154,7 @@
         Parameters
         ----------
         profile : ServiceProfile
-            In place of what they told before.
+            Its levels take the place of the same levels told before.
         now : float
             Seconds of the node's clock.
         """
