Reports are urgent only for services of which little is known; what nobody declared is not taken

Found on reading the change: a rarely used service would have kept all nodes reporting each 1.5 s, and a report could name routes without end. Now all services are reported each 8 s, those of which the fleet knows enough not in between; routes that are not declared are passed over (test first failed with the route taken).

--- a/packages/hingesill-core/hingesill_core/routing/curves.py
+++ b/packages/hingesill-core/hingesill_core/routing/curves.py
@@ -197,7 +197,7 @@
             Seconds of the node's clock.
         """
         for told in levels:
-            if 0 < told.level <= told.slots:
+            if 0 < told.level <= told.slots and told.answers > 0:
                 most = log(MOST_RATIO)
                 mean = max(-most, min(most, told.mean))
                 level = Level(min(MOST_ANSWERS, told.answers), mean, now)
--- a/packages/hingesill-core/hingesill_core/routing/slotknowledge.py
+++ b/packages/hingesill-core/hingesill_core/routing/slotknowledge.py
@@ -16,8 +16,8 @@
 # times until a level's mean rests on as many answers as it remembers.
 LEAST_NEWS = 0.25
 # Once the fleet knows of so many answers, more of them are worth telling only if they
-# lead to another conclusion: 52 followers report a hundred answers in seconds, and six
-# relays would write each five seconds for good. Source: two levels that remember all.
+# lead to another conclusion: 52 followers report a hundred answers in seconds, and all
+# relays would go on writing for good. Source: two levels that remember all they can.
 SETTLED_ANSWERS = 200
 
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_levels.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_levels.py
@@ -10,7 +10,7 @@
 from hingesill_core.routing.curves import SlotCurves, pool_profiles
 from hingesill_core.routing.levels import FEWEST_ANSWERS, HALF_LIFE, MOST_ANSWERS
 from hingesill_core.routing.load_report import LoadReport
-from hingesill_core.routing.profile import LevelProfile, ServiceProfile
+from hingesill_core.routing.profile import LevelProfile, ServiceProfile, UsualTime
 from hingesill_core.routing.slotknowledge import SETTLED_ANSWERS, SlotKnowledge
 from hingesill_core.routing.usualtimes import MOST_RATIO, UsualTimes
 
@@ -172,6 +172,12 @@
 
     ROUTE = build_route("read")
 
+    def build_knowledge(self):
+        """Return what a node knows that has just started."""
+        knowledge = SlotKnowledge()
+        knowledge.usual_times.keep([self.ROUTE])
+        return knowledge
+
     def learn(self, slots, answers):
         """Let a node take answers of three levels in turn."""
         for turn in range(answers):
@@ -180,8 +186,8 @@
             slots.note_answer(self.ROUTE, seconds, level, 3, turn / 10)
 
     def test_many_nodes_learn_what_none_could_alone(self):
-        relay = SlotKnowledge()
-        nodes = [SlotKnowledge() for _ in range(30)]
+        relay = self.build_knowledge()
+        nodes = [self.build_knowledge() for _ in range(30)]
         for node in nodes:
             self.learn(node, 6)
             relay.add_news(node.take_news(1.0), 1.0)
@@ -228,6 +234,13 @@
         self.assertEqual(level.answers, MOST_ANSWERS)
         self.assertAlmostEqual(level.mean, log(MOST_RATIO))
 
+    def test_routes_that_are_not_declared_are_not_taken(self):
+        relay = self.build_knowledge()
+        told = UsualTime("", "", "/other/", 50.0, 0.0)
+        relay.add_news(ServiceProfile(usual_times=(told,)), 0.0)
+        relay.adopt(ServiceProfile(usual_times=(told,)), 0.0)
+        self.assertEqual(relay.usual_times.build(0.0), ())
+
     def test_a_route_with_another_limit_is_the_same_route(self):
         times = UsualTimes()
         for _ in range(FEWEST_ANSWERS):
--- a/packages/hingesill-core/hingesill_core/routing/usualtimes.py
+++ b/packages/hingesill-core/hingesill_core/routing/usualtimes.py
@@ -2,7 +2,12 @@
 
 from math import exp, log
 
-from hingesill_core.routing.levels import FEWEST_ANSWERS, Level, combine
+from hingesill_core.routing.levels import (
+    FEWEST_ANSWERS,
+    MOST_ANSWERS,
+    Level,
+    combine,
+)
 from hingesill_core.routing.profile import UsualTime
 
 __all__ = ["MOST_RATIO", "UsualTimes"]
@@ -28,13 +33,14 @@
     def __init__(self):
         self._by_route = {}
         self._told = set()
+        self._kept = frozenset()
         self._has_new_answers = False
 
     def keep(self, routes):
-        """Forget all other routes."""
-        kept = {get_key(route) for route in routes}
+        """Forget all other routes, and take nothing of them from other nodes."""
+        self._kept = frozenset(get_key(route) for route in routes)
         self._by_route = {
-            key: usual for key, usual in self._by_route.items() if key in kept
+            key: usual for key, usual in self._by_route.items() if key in self._kept
         }
 
     def take_news(self, now):
@@ -61,8 +67,9 @@
         """
         for told in usual_times:
             key = (told.host, told.method, told.path)
-            level = Level(told.answers, told.mean, now)
-            self._by_route[key] = combine((self._by_route.get(key), level), now)
+            if key in self._kept and told.answers > 0:
+                level = Level(min(MOST_ANSWERS, told.answers), told.mean, now)
+                self._by_route[key] = combine((self._by_route.get(key), level), now)
 
     def adopt(self, usual_times, now):
         """Begin with what the fleet knows of routes of which this node knows little.
@@ -80,9 +87,9 @@
         know what is usual after a minute.
         """
         for told in usual_times:
-            if told.answers < FEWEST_ANSWERS:
-                continue
             key = (told.host, told.method, told.path)
+            if key not in self._kept or told.answers < FEWEST_ANSWERS:
+                continue
             self._told.add(key)
             own = self._by_route.get(key)
             if own is None or own.answers < FEWEST_ANSWERS:
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -273,16 +273,19 @@
             if runner.slots.is_worth_telling(now)
         ]
 
-    def is_settled(self):
-        """Tell whether the fleet knows enough of all services that are asked for."""
-        now = self.clock()
-        return all(runner.slots.is_settled(now) for runner in self.runners.values())
+    def take_news(self, only_urgent):
+        """Return a Profile of own answers for the relay, or None if there are none.
 
-    def take_news(self):
-        """Return a Profile of own answers for the relay, or None if there are none."""
+        Parameters
+        ----------
+        only_urgent : bool
+            Of services only of which the fleet does not know enough yet.
+        """
         now = self.clock()
         news = {
-            name: runner.slots.take_news(now) for name, runner in self.runners.items()
+            name: runner.slots.take_news(now)
+            for name, runner in self.runners.items()
+            if not (only_urgent and runner.slots.is_settled(now))
         }
         news = {name: profile for name, profile in news.items() if profile is not None}
         return Profile(news) if news else None
--- a/packages/hingesill-node/hingesill_node/discovery/reports.py
+++ b/packages/hingesill-node/hingesill_node/discovery/reports.py
@@ -1,6 +1,7 @@
 """What a follower reports to its relay: what its answers told of endpoints' slots."""
 
 import random
+import time
 
 import eventlet
 
@@ -12,11 +13,11 @@
 __all__ = ["LARGEST_REPORT", "NEWS_PATH", "Reporter"]
 
 NEWS_PATH = "/directory/news"
-# Until the fleet knows enough: a fleet that starts with nothing learns what is usual in
-# one round and the levels in the next, and a burst may come at once. A relay of 80
-# followers takes 53 reports a second then, some 0.2 KB for each service.
-FIRST_SECONDS = 1.5
-# From then on; what changes is known some 10 s later. Source: chosen.
+# Of services of which the fleet does not know enough: one that starts with nothing
+# learns what is usual in one round and the levels in the next, and a burst may come at
+# once. A relay of 80 followers takes 53 reports a second then, some 0.2 KB a service.
+URGENT_SECONDS = 1.5
+# Of all services; what changes is known some 10 s later. Source: chosen.
 REPORT_SECONDS = 8.0
 # A relay answers at once.
 ANSWER_SECONDS = 0.5
@@ -29,33 +30,41 @@
 class Reporter:
     """Reports to the relay that this node follows, as long as it follows one.
 
-    Notes
-    -----
-    A report that is lost costs some answers of evidence; the next one has newer ones.
-
     Parameters
     ----------
     find_relay : callable
         Returns the NodeRecord of the relay that is followed, or None.
     runners : RunnerTable
         Has what was learnt here.
+    clock : callable
+        Monotonic seconds.
+
+    Notes
+    -----
+    A report that is lost costs some answers of evidence; the next one has newer ones.
     """
 
-    def __init__(self, find_relay, runners):
+    def __init__(self, find_relay, runners, clock=time.monotonic):
         self.find_relay = find_relay
         self.runners = runners
+        self.clock = clock
+        self._all_from = clock() + REPORT_SECONDS
 
     def run(self):
         """Work until the process ends."""
         while True:
-            pause = REPORT_SECONDS if self.runners.is_settled() else FIRST_SECONDS
-            eventlet.sleep(pause * random.uniform(0.7, 1.3))
+            eventlet.sleep(URGENT_SECONDS * random.uniform(0.7, 1.3))
             self.report()
 
     def report(self):
         """Send what is new, if there is a relay to tell it."""
         relay = self.find_relay()
-        news = self.runners.take_news() if relay is not None else None
+        if relay is None:
+            return
+        only_urgent = self.clock() < self._all_from
+        if not only_urgent:
+            self._all_from = self.clock() + REPORT_SECONDS
+        news = self.runners.take_news(only_urgent)
         if news is None:
             return
         connection = EndpointConnection(relay.address)
