--- a/packages/hingesill-core/hingesill_core/routing/slotknowledge.py
+++ b/packages/hingesill-core/hingesill_core/routing/slotknowledge.py
@@ -16,9 +16,12 @@
 # times until a level's mean rests on as many answers as it remembers.
 LEAST_NEWS = 0.25
 # Once the fleet knows of so many answers, more of them are worth telling only if they
-# lead to another conclusion: 52 followers report a hundred answers in seconds, and all
-# relays would go on writing for good. Source: two levels that remember all they can.
-SETTLED_ANSWERS = 200
+# lead to another conclusion: each write wakes all relays. With 200 a service that is
+# never full stayed unsettled, and one of six relays wrote 12 times in a day of a minute
+# (312 nodes, simulated). In played bursts of 1.8, 14 and 30 s after a start, 0.936 and
+# 0.933 of the requests were in time with 8.8 writes of the fleet, and 0.944 and 0.947
+# with 17.4 (means of eight seeds, single ones from 0.74 to 0.98).
+SETTLED_ANSWERS = 100
 
 
 class SlotKnowledge:
