--- a/packages/hingesill-core/hingesill_core/routing/tests/loadplay.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/loadplay.py
@@ -11,13 +11,7 @@
 
 from msgspec import Struct, field
 
-from hingesill_core.configuration.services import (
-    Endpoint,
-    ProbeBudget,
-    Route,
-    SendBudget,
-    Service,
-)
+from hingesill_core.configuration.services import Endpoint, ProbeBudget, Service
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.spent import SpentTime
 from hingesill_core.reasons import Outcome
@@ -31,8 +25,9 @@
     SendResult,
     Ticket,
 )
+from hingesill_core.routing.tests.loads import Request, Spell
 
-__all__ = ["Kind", "Load", "Play", "Spell"]
+__all__ = ["Play"]
 
 DATA_CENTRES = 6
 SLOTS = 3
@@ -55,136 +50,6 @@
 KNEE_FACTOR = 1.7
 
 
-class Kind(Struct, frozen=True):
-    """A kind of request.
-
-    Parameters
-    ----------
-    route : Route
-        Its target and whether it may be repeated.
-    share : float
-        Of all requests.
-    work : float
-        Mean seconds at an endpoint that has slots free.
-    limit : float
-        Seconds that its caller gives it.
-    """
-
-    route: Route
-    share: float
-    work: float
-    limit: float
-
-
-class Spell(Struct, frozen=True):
-    """What is wrong with some endpoints for a while.
-
-    Parameters
-    ----------
-    begin, end : float
-        Seconds from the start.
-    first, last : float
-        Which of the endpoints, as shares of their row.
-    slowness : float
-        Work takes so many times longer, and the endpoint does not say so.
-    lost : float
-        Share of the answers that never come, though the request runs.
-    broken : float
-        Share of the answers in whose place the connection breaks.
-    shed : float
-        Share of the requests that are refused at once.
-    """
-
-    begin: float
-    end: float
-    first: float = 0.0
-    last: float = 1.0
-    slowness: float = 1.0
-    lost: float = 0.0
-    broken: float = 0.0
-    shed: float = 0.0
-
-
-class Load(Struct, frozen=True):
-    """A load.
-
-    Parameters
-    ----------
-    nodes, endpoints : int
-        How many there are.
-    kinds : tuple of Kind
-        What is asked for.
-    rate : float
-        Requests a second.
-    seconds : float
-        How long requests come.
-    spells : tuple of Spell
-        What is wrong with endpoints.
-    bursts : tuple of tuple
-        Begin, end and factor of times with more requests, or fewer.
-    outages : tuple of tuple
-        Begin and end of times without any node; the nodes know nothing afterwards.
-    impatient : float
-        Share of the callers that repeat at once, whatever they are told.
-    sends : SendBudget
-        Extra sends of the fleet.
-    """
-
-    nodes: int
-    endpoints: int
-    kinds: tuple
-    rate: float
-    seconds: float
-    spells: tuple = ()
-    bursts: tuple = ()
-    outages: tuple = ()
-    impatient: float = 0.0
-    sends: SendBudget = SendBudget(0.0, 0.15, 344.0)
-
-    def get_factor(self, now):
-        """Return how many times more requests come at a time."""
-        for begin, end, factor in self.bursts:
-            if begin <= now < end:
-                return factor
-        return 1.0
-
-    def is_out(self, now):
-        """Tell whether there are no nodes at a time."""
-        return any(begin <= now < end for begin, end in self.outages)
-
-
-class Request(Struct, eq=False):
-    """A caller's request over all its tries.
-
-    Attributes
-    ----------
-    answered_at : float or None
-        When the answer came.
-    refusals : list
-        Seconds that a node held the request before each refusal.
-    tries : int
-        So far.
-    """
-
-    kind: Kind
-    sent_at: float
-    is_impatient: bool
-    answered_at: float | None = None
-    refusals: list = field(default_factory=list)
-    tries: int = 0
-
-    @property
-    def deadline(self):
-        """When the caller gives up."""
-        return self.sent_at + self.kind.limit
-
-    def is_in_time(self):
-        """Tell whether the answer met the target, counted from the first try."""
-        if self.answered_at is None:
-            return False
-        return self.answered_at - self.sent_at <= self.kind.route.target
-
-
 class PlayedEndpoint:
     """An endpoint with slots and a queue."""
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_heavyload.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_heavyload.py
@@ -5,7 +5,8 @@
 from msgspec.structs import replace
 
 from hingesill_core.configuration.services import Route, SendBudget
-from hingesill_core.routing.tests.loadplay import Kind, Load, Play, Spell
+from hingesill_core.routing.tests.loadplay import Play
+from hingesill_core.routing.tests.loads import Kind, Load, Spell
 
 SEED = 1
 SLACK = 430.0
