Evacuated data centres get no new work

Cause: nothing read the operator's request that nothing further be sent to a data centre's endpoints, so all nodes went on sending there.

Change: the request, with its revision, is part of what the directory holds, of the changes that relays stream and of what peers tell; endpoints of an evacuated data centre are left out of the services like those that leave, so no send, retry, hedge, question or probe goes there and idle connections are closed.

Found on the way, by a test that failed first: a follower that was ahead of its relay kept what had come and gone meanwhile, as the relay's changes lead on from what the relay held; an evacuation that was taken back would have stayed in force. The follower now asks for everything once more when the relay has caught up (event 3018). The test `test_a_relay_that_is_behind_takes_nothing_back` had the relay told less than the store tells (i3, which appeared after revision 5, was missing in its changes); it now tells all, and checks the same.

Ruled out: marking endpoints in `routing/` instead; all that leaving endpoints already do (pools retired, states dropped, sends in flight settled) would stand twice.

--- a/packages/hingesill-core/hingesill_core/discovery/assembly.py
+++ b/packages/hingesill-core/hingesill_core/discovery/assembly.py
@@ -42,13 +42,15 @@
 
     Notes
     -----
-    Endpoints that leave are not among them: they get no new work.
+    Endpoints that leave or whose data centre is evacuated are not among them: they get
+    no new work, no question and no probe, and idle connections to them are closed. What
+    is under way there is finished.
     """
     if directory.declared is None:
         return {}
     members = {service.name: [] for service in directory.declared.services}
     for record in directory.endpoints.values():
-        if not record.leaving and record.service in members:
+        if record.service in members and takes_work(record, directory):
             members[record.service].append(record)
     return {
         service.name: build_service(
@@ -58,6 +60,11 @@
     }
 
 
+def takes_work(record, directory):
+    """Tell whether an endpoint may get new work, by what the directory holds."""
+    return not record.leaving and record.data_centre not in directory.evacuated
+
+
 def build_service(declared, records, routes, rules):
     """Return one service with the endpoints that were found."""
     records = sorted(records, key=lambda record: record.instance)
--- a/packages/hingesill-core/hingesill_core/discovery/difference.py
+++ b/packages/hingesill-core/hingesill_core/discovery/difference.py
@@ -2,7 +2,7 @@
 
 from hingesill_core.discovery.records import Changes
 
-__all__ = ["find_changes"]
+__all__ = ["find_changed_evacuations", "find_changes"]
 
 
 def find_changes(before, after):
@@ -25,9 +25,17 @@
         find_changed_records(before.endpoints, after.endpoints),
         find_changed_records(before.nodes, after.nodes),
         after.profile if after.profile is not before.profile else None,
+        find_changed_evacuations(before.evacuated, after.evacuated),
     )
 
 
+def find_changed_evacuations(before, after):
+    """Return the new requests by data centre, and None for those taken back."""
+    changed = dict(after.items() - before.items())
+    changed.update((name, None) for name in before.keys() - after.keys())
+    return changed
+
+
 def find_changed_records(before, after):
     """Return the records that are new or other, and None for those that are gone."""
     changed = {
--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -26,6 +26,8 @@
         Records by instance and by name.
     profile : Profile or None
         What nodes have learnt of the services.
+    evacuated : dict
+        By data centre whose endpoints get nothing more, the revision of the request.
     doubtful : dict
         Until when an endpoint is believed whose entry vanished around an outage.
     returned_at : float
@@ -39,6 +41,7 @@
     endpoints: dict = field(default_factory=dict)
     nodes: dict = field(default_factory=dict)
     profile: Profile | None = None
+    evacuated: dict = field(default_factory=dict)
     doubtful: dict = field(default_factory=dict)
     returned_at: float = float("-inf")
     generation: int = 0
@@ -66,6 +69,7 @@
         self._replace_nodes(snapshot.nodes)
         self._declare(snapshot.declared)
         self._take_profile(snapshot.profile)
+        self._replace_evacuated(snapshot.evacuated)
         return True
 
     def apply(self, changes, now):
@@ -87,6 +91,8 @@
         self._replace_nodes(nodes)
         self._declare(changes.declared)
         self._take_profile(changes.profile)
+        evacuated = {**self.evacuated, **changes.evacuated}
+        self._replace_evacuated({k: v for k, v in evacuated.items() if v is not None})
         return True
 
     def _declare(self, declared):
@@ -106,6 +112,11 @@
             self.nodes = keep_known(self.nodes, nodes)
             self.generation += 1
 
+    def _replace_evacuated(self, evacuated):
+        if evacuated != self.evacuated:
+            self.evacuated = dict(evacuated)
+            self.generation += 1
+
     def _put_endpoint(self, record):
         self.doubtful.pop(record.instance, None)
         if self.endpoints.get(record.instance) != record:
@@ -152,6 +163,7 @@
             dict(self.endpoints),
             dict(self.nodes),
             self.profile,
+            dict(self.evacuated),
         )
 
 
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -137,6 +137,9 @@
         NodeRecord by name.
     profile : Profile or None
         What nodes have learnt; None if nothing is kept.
+    evacuated : dict
+        By data centre, the revision at which the operator asked that nothing more be
+        sent to its endpoints.
     """
 
     revision: int
@@ -144,6 +147,7 @@
     endpoints: dict[str, EndpointRecord] = field(default_factory=dict)
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     profile: Profile | None = None
+    evacuated: dict[str, int] = field(default_factory=dict)
 
 
 class Changes(Struct, frozen=True):
@@ -159,6 +163,9 @@
         Records as they were written; None for those that are gone.
     profile : Profile or None
         None if it did not change.
+    evacuated : dict
+        Data centres that were evacuated, with the revision; None for those that were
+        restored.
     """
 
     revision: int
@@ -166,6 +173,7 @@
     endpoints: dict[str, EndpointRecord | None] = field(default_factory=dict)
     nodes: dict[str, NodeRecord | None] = field(default_factory=dict)
     profile: Profile | None = None
+    evacuated: dict[str, int | None] = field(default_factory=dict)
 
 
 class HistoryGone(Struct, frozen=True):
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/discovery/tests/test_evacuations.py
@@ -0,0 +1,132 @@
+"""Tests of what a node believes of evacuated data centres."""
+
+import unittest
+
+from hypothesis import given, strategies as st
+
+from hingesill_core.configuration.services import SendBudget
+from hingesill_core.discovery.assembly import ServiceRules, build_services
+from hingesill_core.discovery.difference import find_changes
+from hingesill_core.discovery.directory import Directory
+from hingesill_core.discovery.records import (
+    Changes,
+    Declared,
+    DeclaredService,
+    EndpointRecord,
+    Snapshot,
+)
+
+RULES = ServiceRules(10.0, 10.0, SendBudget(0.0, 0.1, 8.0), 16)
+DATA_CENTRES = ("a", "b", "c")
+
+
+def build_directory():
+    declared = Declared(1, (DeclaredService("arena", "/health", 100),), ())
+    endpoints = {
+        f"i-{name}": EndpointRecord(f"i-{name}", "arena", "10.0.0.1:80", name, 2)
+        for name in DATA_CENTRES
+    }
+    directory = Directory()
+    directory.adopt(Snapshot(1, declared, endpoints), 0.0)
+    return directory
+
+
+def list_endpoints(directory):
+    service = build_services(directory, RULES)["arena"]
+    return [endpoint.identity for endpoint in service.endpoints]
+
+
+class EvacuationTests(unittest.TestCase):
+    def setUp(self):
+        self.directory = build_directory()
+
+    def evacuate(self, revision, **requested):
+        self.directory.apply(Changes(revision, evacuated=requested), 0.0)
+
+    def test_its_endpoints_get_nothing_until_it_is_restored(self):
+        self.evacuate(5, b=5)
+        self.assertEqual(list_endpoints(self.directory), ["i-a", "i-c"])
+        self.evacuate(9, b=None)
+        self.assertEqual(list_endpoints(self.directory), ["i-a", "i-b", "i-c"])
+
+    def test_each_change_is_published(self):
+        before = self.directory.generation
+        self.evacuate(5, b=5)
+        self.assertGreater(self.directory.generation, before)
+
+    def test_two_at_once(self):
+        self.evacuate(5, b=5)
+        self.evacuate(6, c=6)
+        self.assertEqual(list_endpoints(self.directory), ["i-a"])
+        self.evacuate(7, b=None)
+        self.assertEqual(list_endpoints(self.directory), ["i-a", "i-b"])
+
+    def test_one_that_follows_its_own_end(self):
+        self.evacuate(5, b=5)
+        self.evacuate(8, b=8)
+        self.assertEqual(self.directory.evacuated, {"b": 8})
+
+    def test_all_data_centres(self):
+        self.evacuate(5, a=5, b=5, c=5)
+        self.assertEqual(list_endpoints(self.directory), [])
+
+    def test_one_that_nobody_knows(self):
+        self.evacuate(5, nowhere=5)
+        self.assertEqual(list_endpoints(self.directory), ["i-a", "i-b", "i-c"])
+
+    def test_an_endpoint_that_comes_meanwhile_gets_nothing(self):
+        self.evacuate(5, b=5)
+        record = EndpointRecord("i-new", "arena", "10.0.0.2:80", "b", 2)
+        self.directory.apply(Changes(6, endpoints={"i-new": record}), 0.0)
+        self.assertEqual(list_endpoints(self.directory), ["i-a", "i-c"])
+
+    def test_a_stale_read_does_not_end_it(self):
+        self.evacuate(5, b=5)
+        self.directory.adopt(build_directory().build_snapshot(), 0.0)
+        self.assertEqual(self.directory.evacuated, {"b": 5})
+
+    def test_a_later_read_ends_it(self):
+        self.evacuate(5, b=5)
+        self.directory.adopt(Snapshot(6, None, self.directory.endpoints), 0.0)
+        self.assertEqual(self.directory.evacuated, {})
+
+    def test_another_node_is_told(self):
+        before = self.directory.build_snapshot()
+        self.evacuate(5, b=5, c=5)
+        self.evacuate(6, c=None)
+        changes = find_changes(before, self.directory.build_snapshot())
+        self.assertEqual(changes.evacuated, {"b": 5})
+        after = self.directory.build_snapshot()
+        self.evacuate(7, b=None)
+        changes = find_changes(after, self.directory.build_snapshot())
+        self.assertEqual(changes.evacuated, {"b": None})
+
+
+@st.composite
+def build_histories(draw):
+    """Return the evacuated data centres after each revision, from 1 on."""
+    states = [{}]
+    for revision in range(2, draw(st.integers(2, 12)) + 2):
+        state = dict(states[-1])
+        name = draw(st.sampled_from(DATA_CENTRES))
+        if state.pop(name, None) is None:
+            state[name] = revision
+        states.append(state)
+    return states
+
+
+class OrderTests(unittest.TestCase):
+    @given(build_histories(), st.data())
+    def test_whatever_is_heard_nothing_goes_back(self, states, data):
+        """Reads of any age and the changes that follow what is known, in any order."""
+        directory = build_directory()
+        for _ in range(data.draw(st.integers(1, 10))):
+            revision = data.draw(st.integers(1, len(states)))
+            if data.draw(st.booleans()):
+                read = Snapshot(revision, evacuated=states[revision - 1])
+                directory.adopt(read, 0.0)
+            elif revision > directory.revision:
+                known = Snapshot(directory.revision, evacuated=directory.evacuated)
+                told = Snapshot(revision, evacuated=states[revision - 1])
+                directory.apply(find_changes(known, told), 0.0)
+            self.assertEqual(directory.evacuated, states[directory.revision - 1])
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -8,6 +8,7 @@
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.configuration.services import SendBudget
 from hingesill_core.discovery.assembly import ServiceRules, build_services
+from hingesill_core.discovery.difference import find_changed_evacuations
 from hingesill_core.discovery.fleetsize import FleetSize
 from hingesill_core.discovery.records import NodeRecord
 from hingesill_core.discovery.relays import RelayChoice
@@ -83,6 +84,7 @@
         self.fleet_size = FleetSize()
         self._version = None
         self._routes = RouteTable(())
+        self._evacuated = {}
 
     def start(self, runners):
         """See `node.Control`."""
@@ -115,6 +117,7 @@
         profile = directory.profile
         if profile is not None and profile is not self.blackboard.profile:
             self.blackboard.write("profile", profile)
+        self._log_evacuations(directory)
         if directory.declared is None:
             return
         declared = directory.declared
@@ -133,6 +136,22 @@
         )
         self.blackboard.write("configuration", configuration)
 
+    def _log_evacuations(self, directory):
+        """Write a line for each data centre whose evacuation begins or ends here."""
+        before, self._evacuated = self._evacuated, directory.evacuated
+        for name, requested in find_changed_evacuations(
+            before, directory.evacuated
+        ).items():
+            event = Event.EVACUATION_IN_FORCE
+            if requested is None:
+                event = Event.EVACUATION_ENDED
+            log_event(
+                event,
+                data_centre=name,
+                requested=requested,
+                revision=directory.revision,
+            )
+
     def _lists(self, node):
         """Tell whether the directory holds a node's entry."""
         return self.follower.directory.nodes.get(node.name) == node
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -212,13 +212,22 @@
         Notes
         -----
         What is known from the store stays in force until the relay has told more,
-        so that a relay which takes nobody does not end the watch.
+        so that a relay which takes nobody does not end the watch. The changes of a
+        relay that was behind lead on from what it held: what came and went meanwhile
+        is not among them, so that an evacuation which was taken back would stay in
+        force. Once it has caught up, all that it holds is asked for again.
         """
+        behind_until = 0
         try:
             for frame in self.relays.follow(relay):
+                if frame.kind is FrameKind.WHOLE:
+                    behind_until = self._find_gap(frame.content)
                 self._take_frame(relay, frame)
                 if self._is_relay():
                     return
+                if has_caught_up(frame, behind_until):
+                    log_event(Event.RELAY_CAUGHT_UP, relay=relay.name)
+                    return
         except RelayLost as error:
             self.choice.note_failure(relay, self.clock())
             self._look_from = self.clock() + LOOK_SECONDS
@@ -229,6 +238,11 @@
         finally:
             self.follows = ""
 
+    def _find_gap(self, snapshot):
+        """Return the revision that a relay which is behind has to reach; 0 if none."""
+        held = self.directory.revision
+        return held if snapshot.revision < held else 0
+
     def _take_frame(self, relay, frame):
         now = self.clock()
         self.heard_at = now
@@ -251,7 +265,7 @@
         self.choice.note_success(relay)
         self.store_answers = True
         self.pauses.note_news()
-        # One that is behind is no fault: its next changes lead past both.
+        # One that is behind is no fault: it is asked again once it has caught up.
         self.directory.adopt(snapshot, self.clock())
 
     def _advance(self):
@@ -413,3 +427,10 @@
             self.directory.adopt(snapshot, self.clock())
             log_event(Event.LEARNT_FROM_PEER, revision=snapshot.revision)
             self.publish_changes()
+
+
+def has_caught_up(frame, behind_until):
+    """Tell whether changes lead a relay that was behind to what its follower holds."""
+    if frame.kind is not FrameKind.CHANGES:
+        return False
+    return 0 < behind_until <= frame.content.revision
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
@@ -122,11 +122,35 @@
         self.addCleanup(thread.kill)
         self.wait_for(lambda: self.follower.follows == "relay")
         self.assertEqual(sorted(self.follower.directory.endpoints), ["i2", "i3"])
-        changes = Changes(8, build_snapshot(8, 5).declared, {"i1": None, "i2": None})
-        self.relay.change(changes)
+        # The store tells the relay of all that changed since 5, also of what the
+        # follower knows already.
+        later = build_snapshot(8, 5, ("i3",))
+        changed = {"i1": None, "i2": None, **later.endpoints}
+        self.relay.change(Changes(8, later.declared, changed))
         self.wait_for(lambda: self.follower.directory.declared.version == 5)
         self.assertEqual(sorted(self.follower.directory.endpoints), ["i3"])
 
+    def test_a_follower_learns_of_evacuations_and_their_ends(self):
+        self.start()
+        self.relay.change(Changes(7, evacuated={"b": 7}))
+        self.wait_for(lambda: self.follower.directory.evacuated == {"b": 7})
+        self.relay.change(Changes(9, evacuated={"b": None}))
+        self.wait_for(lambda: self.follower.directory.evacuated == {})
+
+    def test_what_came_and_went_while_a_relay_was_behind_is_gone(self):
+        ahead = replace(build_snapshot(6, 2, ("i2", "i3")), evacuated={"b": 6})
+        self.follower.directory.adopt(ahead, 0.0)
+        self.follower._has_begun = True
+        self.follower.directory.nodes = {"relay": self.relay.node}
+        thread = eventlet.spawn(self.follower._follow)
+        self.addCleanup(thread.kill)
+        self.wait_for(lambda: self.follower.follows == "relay")
+        self.assertEqual(self.follower.directory.evacuated, {"b": 6})
+        self.relay.change(Changes(8, build_snapshot(8, 5).declared))
+        self.wait_for(lambda: self.follower.directory.declared.version == 5)
+        self.assertEqual(self.follower.directory.evacuated, {})
+        self.assertEqual(sorted(self.follower.directory.endpoints), ["i1", "i2"])
+
     def test_what_a_relay_saw_of_an_outage_is_passed_on(self):
         self.relay.follower.directory.note_return(time.monotonic() - 1.0)
         self.start()
