Requests of routes with homes go only to endpoints in their regions

Change: a route's homes are part of the declaration, an endpoint's region comes from the settings' table of data centres, and no question, send, retry or hedge goes to an endpoint elsewhere, nor to one whose region nobody knows. Without an endpoint at home, also after its evacuation, the request is refused at once.

Ruled out: a filter only where a reply is judged. It would hold too, but the questions would go to endpoints that can't be used. Routes without homes pay one look a round.

--- a/packages/hingesill-core/hingesill_core/configuration/services.py
+++ b/packages/hingesill-core/hingesill_core/configuration/services.py
@@ -30,6 +30,7 @@
     connections: int
     instance: str = ""
     warm_in: float = 0.0
+    region: str = ""
 
     @property
     def identity(self):
@@ -78,6 +79,8 @@
         Endpoints that one request may be sent to.
     parts : tuple of Part
         Services that share the requests; empty if there is one.
+    homes : tuple of str
+        Regions whose endpoints alone may get its requests; empty for all.
     """
 
     service: str
@@ -91,6 +94,7 @@
     rank: int = 0
     most_sends: int = MOST_SENDS
     parts: tuple[Part, ...] = ()
+    homes: tuple[str, ...] = ()
 
     def choose_service(self, rng):
         """Return the service of the next request, by the weights of the parts."""
--- a/packages/hingesill-core/hingesill_core/discovery/assembly.py
+++ b/packages/hingesill-core/hingesill_core/discovery/assembly.py
@@ -1,6 +1,6 @@
 """From a directory to the services and routes that decisions use."""
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 from hingesill_core.configuration.services import (
     Endpoint,
@@ -29,12 +29,15 @@
         Extra sends a request.
     queue_limit : int
         Requests of a service that wait at a node.
+    regions : dict
+        The region of each data centre.
     """
 
     probes_per_second: float
     probe_window: float
     sends: SendBudget
     queue_limit: int
+    regions: dict[str, str] = field(default_factory=dict)
 
 
 def build_services(directory, rules):
@@ -71,7 +74,9 @@
     return Service(
         name=declared.name,
         policy=ASKING_POLICY,
-        endpoints=tuple(build_endpoint(declared, record) for record in records),
+        endpoints=tuple(
+            build_endpoint(declared, record, rules.regions) for record in records
+        ),
         routes=tuple(route for route in routes if leads_to(route, declared.name)),
         probes=ProbeBudget(
             per_second=rules.probes_per_second * len(records),
@@ -88,7 +93,7 @@
     )
 
 
-def build_endpoint(declared, record):
+def build_endpoint(declared, record, regions):
     """Return an endpoint as the decisions see it."""
     return Endpoint(
         address=record.address,
@@ -97,6 +102,7 @@
         connections=declared.connections,
         instance=record.instance,
         warm_in=record.warm_in,
+        region=regions.get(record.data_centre, ""),
     )
 
 
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -115,6 +115,7 @@
         near = endpoint.data_centre == self.fleet.data_centre
         state.slots = endpoint.slots
         state.is_near = near
+        state.region = endpoint.region
         state.note_entry(endpoint.warm_in)
         state.send_limit = compute_send_limit(
             endpoint, self.service.places, self.fleet.nodes, self.fleet.fleet_limit
@@ -159,7 +160,7 @@
         return self._hold_or_refuse(ticket, now)
 
     def _hold_or_refuse(self, ticket, now):
-        if not self._list_takers(now):
+        if not self.has_takers(ticket.route, now):
             return self.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
         ahead = self.queue.count_ahead(ticket)
         wait = self.pace.estimate_queue_time(ahead, self.places)
@@ -192,13 +193,14 @@
             wait = self.pace.estimate_queue_time(len(self.queue), self.places)
         return self.pace.suggest_return(wait, self.rng)
 
-    def _list_takers(self, now):
-        """Return the endpoints that take new work, busy or not."""
-        return [
-            state
+    def has_takers(self, route, now):
+        """Tell whether any endpoint takes a route's new work, busy or not."""
+        return any(
+            state.is_home_of(route)
+            and not state.is_draining(now)
+            and not state.health.is_ejected(now)
             for state in self.states.values()
-            if not state.is_draining(now) and not state.health.is_ejected(now)
-        ]
+        )
 
     def _assign(self, ticket, now):
         """Send a ticket to an endpoint with a free place, if there is one."""
@@ -248,8 +250,8 @@
         A request goes as soon as not even a quick answer would be in time, and
         deferrable ones once a live one has taken their place.
         """
-        takers = bool(self._list_takers(now))
         for ticket in list(self.queue):
+            takers = self.has_takers(ticket.route, now)
             latest = now + self.get_pace(ticket.route).quick
             if latest > ticket.deadline or not takers:
                 self.queue.remove(ticket)
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -105,6 +105,8 @@
         What other nodes told of overdue answers, and when it was reckoned.
     asked_at : float
         When it was last asked for its load.
+    region : str
+        Where it runs; empty if that is not known.
     distance : float
         Way to its data centre and back, in typical answers' times.
     warm_at, warmth_heard_at : float
@@ -120,6 +122,7 @@
     slots: int = 1
     send_limit: int = 1
     is_near: bool = True
+    region: str = ""
     distance: float = 0.0
     slowness: float = 1.0
     report: object = None
@@ -210,7 +213,7 @@
         """
         if len(self.sent) >= self.send_limit or now < self.draining_until:
             return False
-        if now < self.refused_until:
+        if now < self.refused_until or not self.is_home_of(ticket.route):
             return False
         health = self.health
         if health.ejected_until:
@@ -319,6 +322,10 @@
             return 1.0
         return SLOW_START_FLOOR + (1 - SLOW_START_FLOOR) * age / SLOW_START
 
+    def is_home_of(self, route):
+        """Tell whether a route's requests may be sent there at all."""
+        return not route.homes or self.region in route.homes
+
     def is_draining(self, now):
         """Tell whether the endpoint takes no new work."""
         return now < self.draining_until
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -64,7 +64,7 @@
         """
         if not self.has_reports or self.budget.rate <= 0:
             return None
-        if not self.dispatcher.states:
+        if not self._has_endpoint(ticket.route):
             return self.dispatcher.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
         if len(self.waiting) >= self.dispatcher.service.queue_limit:
             return self.dispatcher.refuse(ticket, RefusalReason.QUEUE_FULL, now)
@@ -73,7 +73,13 @@
         waiting = self.waiting[ticket] = self._build_waiting(ticket, now)
         if waiting.get_stage(now, self.rules) is Stage.LATE:
             return Ask(())
-        return Ask(self._choose(self.rules.at_once, now, is_first=True))
+        return Ask(
+            self._choose(self.rules.at_once, now, (ticket.route,), is_first=True)
+        )
+
+    def _has_endpoint(self, route):
+        """Tell whether there is any endpoint to which a route's requests may go."""
+        return any(state.is_home_of(route) for state in self.dispatcher.states.values())
 
     def _build_waiting(self, ticket, now):
         pace = self.dispatcher.get_pace(ticket.route)
@@ -104,7 +110,7 @@
         """
         if not self.has_reports or self.waiting:
             return None
-        endpoints = self._choose(self.rules.at_once, now)
+        endpoints = self._choose(self.rules.at_once, now, (ticket.route,))
         if not endpoints:
             return None
         until = now + self.rules.hedge_wait
@@ -127,7 +133,8 @@
         """Return the next Ask for all waiting requests together, or None."""
         if not self.waiting:
             return None
-        endpoints = self._choose(self._count_wanted(now), now)
+        routes = {waiting.ticket.route for waiting in self.waiting.values()}
+        endpoints = self._choose(self._count_wanted(now), now, routes)
         return Ask(endpoints) if endpoints else None
 
     def _count_wanted(self, now):
@@ -148,9 +155,9 @@
         self._asked_late_at = now
         return 1
 
-    def _choose(self, wanted, now, is_first=False):
+    def _choose(self, wanted, now, routes, is_first=False):
         """Return the identities of endpoints to ask, as the budget allows."""
-        candidates = self.selection.list_candidates(now)
+        candidates = self.selection.list_candidates(now, routes)
         count = self.budget.take(min(wanted, len(candidates)), now)
         self.warm_up.note_questions(count, now)
         chosen = self.selection.sample(candidates, count, now, is_first)
@@ -192,6 +199,8 @@
         A cold endpoint works slower: it is for requests that found no other.
         """
         ticket = waiting.ticket
+        if not state.is_home_of(ticket.route):
+            return False
         if state.identity in ticket.tried and len(self.dispatcher.states) > 1:
             return False
         if not state.health.is_open() and not state.accepts_trial(ticket, now):
@@ -239,11 +248,13 @@
             if not self.has_reports and not waiting.hedge:
                 self.waiting.pop(ticket)
                 yield ticket, self.dispatcher.dispatch_unasked(ticket, now)
-            elif now >= waiting.until or not self.dispatcher.states:
+            elif not self._has_endpoint(ticket.route):
+                self.waiting.pop(ticket)
+                reason = RefusalReason.NO_ENDPOINT
+                yield ticket, self.dispatcher.refuse(ticket, reason, now)
+            elif now >= waiting.until:
                 self.waiting.pop(ticket)
                 reason = RefusalReason.DEADLINE_UNREACHABLE
-                if not self.dispatcher.states:
-                    reason = RefusalReason.NO_ENDPOINT
                 yield ticket, self.dispatcher.refuse(ticket, reason, now)
 
 
--- a/packages/hingesill-core/hingesill_core/routing/selection.py
+++ b/packages/hingesill-core/hingesill_core/routing/selection.py
@@ -104,9 +104,19 @@
         """Return from which slowness on an endpoint is passed by."""
         return self.rules.most_slowness * max(1.0, self.slowness.value)
 
-    def list_candidates(self, now):
-        """Return the endpoints worth asking, those not just asked if there are any."""
+    def list_candidates(self, now, routes):
+        """Return the endpoints worth asking, those not just asked if there are any.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the node's clock.
+        routes : collection of Route
+            Of the requests that wait; an endpoint may be asked for any of them.
+        """
         usable = [s for s in self.dispatcher.states.values() if can_get_work(s, now)]
+        if all(route.homes for route in routes):
+            usable = [s for s in usable if any(map(s.is_home_of, routes))]
         just_now = now - self.rules.choosy
         for keep in (
             lambda s: s.reach.is_open() or s.reach.needs_trial(now),
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -70,6 +70,7 @@
                 settings.hedge_share, settings.retry_share, settings.extra_sends
             ),
             queue_limit=settings.queue_limit,
+            regions=parse_regions(settings.regions),
         )
         source = open_source(settings.directory)
         vm = settings.vm or settings.name
@@ -199,3 +200,8 @@
 def find_place(nodes, name):
     """Return how many nodes' names go before one; None if it is not among them."""
     return sum(other < name for other in nodes) if name in nodes else None
+
+
+def parse_regions(text):
+    """Return the region by data centre of a setting that was checked."""
+    return dict(item.split("=") for item in text.split(",") if item)
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -112,6 +112,14 @@
     data_centre: Annotated[
         str, Meta(pattern=NAME, description="Where the node runs.")
     ] = "local"
+    regions: Annotated[
+        str,
+        Meta(
+            pattern=r"^([^=,\s]+=[^=,\s]+(,[^=,\s]+=[^=,\s]+)*)?$",
+            description="With a directory: the region of each data centre, as "
+            "DATA_CENTRE=REGION by commas.",
+        ),
+    ] = ""
     address: Annotated[str, Meta(description="Where callers connect, as IP:PORT.")] = (
         "127.0.0.1:8080"
     )
