Endpoints that say that they are not well are passed by

Ruled out: idle connections that were forgotten (the question on the same connection had just been answered) and each node's ejection (a node of 95 meets each of the seven once).

Change: a reply tells whether its endpoint says that it is not well; such an endpoint gets nothing while at most half of the replies say so.

--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -116,12 +116,15 @@
         Its load, if it told it.
     warm_in : float or None
         Seconds for which it is cold, 0 if it is warm; None if it did not tell.
+    is_ill : bool or None
+        It says that it is not well, or leaving; None if it did not tell.
     """
 
     endpoint: str
     end: SendEnd
     report: LoadReport | None = None
     warm_in: float | None = None
+    is_ill: bool | None = None
 
 
 def is_good_enough(report, stage, usable, most_slowness):
--- a/packages/hingesill-core/hingesill_core/routing/fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/fresh.py
@@ -6,6 +6,7 @@
 from hingesill_core.limits.turnover import Turnover
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
+from hingesill_core.routing.illness import IllWords
 from hingesill_core.routing.messages import SendEnd
 from hingesill_core.routing.selection import EndpointSelection, can_get_work
 from hingesill_core.routing.slotknowledge import SlotKnowledge
@@ -41,6 +42,7 @@
         self.selection = EndpointSelection(dispatcher, self.rules)
         self.turnover = Turnover()
         self.warm_up = WarmUpLimit()
+        self.ill_words = IllWords()
         self.has_reports = True
         self.waiting = {}
         self._asked_late_at = float("-inf")
@@ -172,6 +174,8 @@
         state = self.note_reply(reply, now)
         if state is None or reply.report is None or not can_get_work(state, now):
             return None
+        if reply.is_ill and self.ill_words.are_believed():
+            return None
         running = reply.report.running
         is_cold = self.warm_up.is_cold(state, now)
         if not self.warm_up.allows(state, running, now, self.dispatcher.rng):
@@ -226,6 +230,8 @@
             return None
         state.reach.note(reply.end, now, may_eject=True)
         if reply.end is SendEnd.ANSWERED:
+            if reply.is_ill is not None:
+                self.ill_words.note(reply.is_ill)
             if reply.warm_in is not None:
                 state.note_warmth(reply.warm_in, now)
             self.has_reports = reply.report is not None
--- a/packages/hingesill-core/hingesill_core/routing/tests/loadplay.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/loadplay.py
@@ -81,12 +81,19 @@
         spell = self.find_spell()
         return spell.end - self.play.now if spell is not None and spell.cold else 0.0
 
+    def is_ill(self):
+        """Tell whether it says that it is not well."""
+        spell = self.find_spell()
+        return spell is not None and spell.ill
+
     def arrive(self, node, send):
         """Take a request, or refuse it."""
         self.arrivals.append(self.play.now)
         spell = self.find_spell()
         is_shed = spell is not None and self.play.rng.random() < spell.shed
-        if is_shed or len(self.queue) >= QUEUE:
+        if spell is not None and spell.down:
+            self._tell(node, send, SendEnd.LOST)
+        elif is_shed or len(self.queue) >= QUEUE:
             self._tell(node, send, SendEnd.REFUSED)
         elif len(self.running) < SLOTS:
             self._begin(node, send)
@@ -194,6 +201,7 @@
             SendEnd.ANSWERED,
             endpoint.report(),
             endpoint.get_warm_in(),
+            endpoint.is_ill(),
         )
         self.play.after(way, self._take, reply)
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/loads.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/loads.py
@@ -43,10 +43,14 @@
         Share of the answers that never come, though the request runs.
     broken : float
         Share of the answers in whose place the connection breaks.
+    down : bool
+        Each request is broken off as it comes.
     shed : float
         Share of the requests that are refused at once.
     cold : bool
         They are cold, and say so to those who ask.
+    ill : bool
+        They say that they are not well.
     """
 
     begin: float
@@ -56,8 +60,10 @@
     slowness: float = 1.0
     lost: float = 0.0
     broken: float = 0.0
+    down: bool = False
     shed: float = 0.0
     cold: bool = False
+    ill: bool = False
 
 
 class Load(Struct, frozen=True):
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -91,6 +91,19 @@
         self.dispatcher.submit(self.ticket, 0.0)
         self.assertIsNone(self.fresh.take(reply("i0", 0, slowness=5.0), 0.1))
 
+    def test_one_that_says_it_is_not_well_is_passed_by(self):
+        self.dispatcher.submit(self.ticket, 0.0)
+        ill = replace(reply("i0", 0), is_ill=True)
+        self.assertIsNone(self.fresh.take(ill, 0.1))
+        self.assertIsInstance(self.fresh.take(reply("i1", 0), 0.1), Send)
+
+    def test_where_most_say_so_the_word_is_not_believed(self):
+        ill = replace(reply("i0", 0), is_ill=True)
+        for _ in range(30):
+            self.fresh.take(ill, 0.0)
+        self.dispatcher.submit(self.ticket, 0.0)
+        self.assertIsInstance(self.fresh.take(ill, 0.1), Send)
+
     def test_a_full_endpoint_is_passed_by(self):
         self.dispatcher.submit(self.ticket, 0.0)
         self.assertIsNone(self.fresh.take(reply("i0", 3), 0.1))
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_heavyload.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_heavyload.py
@@ -241,6 +241,34 @@
         self.assertLessEqual(self.played.count_most_at_cold(), self.ALLOWED)
 
 
+class DownEndpointsTests(HeavyLoadCase):
+    """A tenth of the endpoints is down for a second, says so, and breaks off each
+    request; or most say so though they are well.
+
+    Answered of calm time and of a burst of 1.4, three seeds: 0.964 to 0.979 and 0.956
+    to 0.965 when the word was not looked at, all since it is. In time where 0.3 and 0.8
+    of the endpoints say so and are well: 0.991 to 0.997 and 0.992 to 1, now 0.965 to
+    0.972 and 0.937 to 0.982.
+    """
+
+    DOWN = Spell(3.0, 4.0, 0.0, 0.1, down=True, ill=True)
+
+    def play_spell(self, spell, factor=1.0):
+        burst = (3.0, 4.0, factor)
+        load = replace(CALM, nodes=95, seconds=5.0, spells=(spell,), bursts=(burst,))
+        self.play(load, 3.0, 4.0)
+
+    def test_they_draw_no_requests(self):
+        for factor, least in ((1.0, 0.98), (1.4, 0.95)):
+            with self.subTest(factor=factor):
+                self.play_spell(self.DOWN, factor)
+                self.assertGreater(self.share_in_time(), least)
+
+    def test_most_say_so_though_they_are_well(self):
+        self.play_spell(Spell(3.0, 4.0, 0.0, 0.8, ill=True))
+        self.assertGreater(self.share_in_time(), 0.9)
+
+
 class SheddingTests(HeavyLoadCase):
     """Half of the endpoints refuse half of their requests at once."""
 
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -9,7 +9,7 @@
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed, PoolFull
 from hingesill_node.datapath.messages import Found
-from hingesill_node.datapath.transport import TRANSPORT_ERRORS
+from hingesill_node.datapath.transport import FIRST_FAULT_STATUS, TRANSPORT_ERRORS
 
 __all__ = ["WaitingRoom"]
 
@@ -153,7 +153,8 @@
         signals = self.wire.read_signals(response, self.runner.clock(), own)
         # An endpoint that is asked for its state and tells nothing of warmth is warm.
         warm_in = signals.warm_in or 0.0
-        reply = Reply(endpoint, SendEnd.ANSWERED, signals.report, warm_in)
+        is_ill = response.status >= FIRST_FAULT_STATUS
+        reply = Reply(endpoint, SendEnd.ANSWERED, signals.report, warm_in, is_ill)
         return reply, response if response.can_keep else None
 
     def _take(self, reply, pool, connection, response):
