Callers whom an endpoint refused by chance come back soon

Change: after such a refusal, while nobody waits, the time of return is 0.01 to 0.02 s. While others wait it goes by the pace of sends as before.

Ruled out: extra sends kept for callers who have no try left: a node cannot tell a caller that came back after 15 ms from a first try. A larger part of the budget: the rule's window slides, and nodes that start anew save up again.

--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -29,6 +29,11 @@
 __all__ = ["Dispatcher", "FleetView"]
 
 OTHER_DATA_CENTRE = 0.003
+# Seconds until a caller is back whom an endpoint refused by chance. Source: some times
+# the way between a caller and a node, so that callers do not come in step. While all 30
+# endpoints of a service refused 0.55 of their requests, 129 requests of 10 s were late;
+# 171 when they came back after 0.05 s (95 nodes, one simulated day each).
+SOON = 0.01
 
 
 class FleetView(Struct, frozen=True):
@@ -338,8 +343,21 @@
         return decision, verdict
 
     def _give_up(self, ticket, end, now):
+        if end is SendEnd.REFUSED and not self.fresh.waiting:
+            return classify_refusal(ticket, end, self._suggest_other_node())
         return classify_refusal(ticket, end, self._suggest_return(now))
 
+    def _suggest_other_node(self):
+        """Return when to come back after an endpoint refused though it was free.
+
+        Notes
+        -----
+        Nobody waits here, so the endpoints have room; what was refused by chance is as
+        likely to be taken now as later, and the caller comes to another node, which may
+        have an extra send left.
+        """
+        return SOON * (1 + self.rng.random())
+
     def note_probe(self, endpoint, result, now):
         """Take what a probe told of an endpoint.
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_fresh.py
@@ -104,6 +104,24 @@
         self.dispatcher.submit(self.ticket, 0.0)
         self.assertIsInstance(self.fresh.take(ill, 0.1), Send)
 
+    def refuse_first(self, now):
+        """Have the endpoint refuse; return the Refusal, as there is no token."""
+        send = self.fresh.take(reply("i1", 0), now)
+        self.dispatcher.retries.tokens = 0.0
+        self.dispatcher.settle(send, SendResult(SendEnd.REFUSED), now)
+        return self.dispatcher.retry(send.ticket, SendEnd.REFUSED, now)[0]
+
+    def test_who_is_refused_by_chance_comes_back_soon(self):
+        self.dispatcher.submit(self.ticket, 0.0)
+        refusal = self.refuse_first(0.01)
+        self.assertIs(refusal.outcome, Outcome.NOT_RUN)
+        self.assertLessEqual(refusal.retry_after, 0.02)
+
+    def test_who_is_refused_while_others_wait_comes_back_later(self):
+        for _ in range(3):
+            self.dispatcher.submit(Ticket(ROUTE, 0.0, 2.0), 0.0)
+        self.assertGreater(self.refuse_first(0.01).retry_after, 0.04)
+
     def test_a_full_endpoint_is_passed_by(self):
         self.dispatcher.submit(self.ticket, 0.0)
         self.assertIsNone(self.fresh.take(reply("i0", 3), 0.1))
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_heavyload.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_heavyload.py
@@ -270,7 +270,11 @@
 
 
 class SheddingTests(HeavyLoadCase):
-    """Half of the endpoints refuse half of their requests at once."""
+    """Half of the endpoints refuse half of their requests at once, or all do.
+
+    In time where all refuse 0.55, means of eight seeds: 0.886, of the moves 0.880, when
+    the refused came back after 0.05 to 0.1 s; 0.892 and 0.891 after 0.01 to 0.02 s.
+    """
 
     def test_half_of_the_endpoints_shed(self):
         spell = Spell(3.0, 9.0, 0.0, 0.5, shed=0.55)
@@ -278,3 +282,9 @@
         self.assertGreater(self.share_in_time(), 0.95)
         self.assert_within_budget()
         self.assert_nobody_starved(0.1)
+
+    def test_all_endpoints_shed(self):
+        spell = Spell(3.0, 7.0, shed=0.55)
+        load = replace(CALM, nodes=95, seconds=7.5, spells=(spell,))
+        self.play(replace(load, sends=SendBudget(0.0, 0.15, 126.0)), 3.0, 7.0)
+        self.assertGreater(self.share_in_time(), 0.7)
