A new request looks for two free slots only while many endpoints have them

Cause: each new request takes only an endpoint with two free slots for 20 ms, also in a burst in which hardly any has them; the rounds of questions meanwhile open connections.

Change: `routing/spareroom.py`, the share of replies that had room, of late; below 0.35 the last slot will do at once.

--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -38,6 +38,9 @@
     choosy : float
         For so long a request takes only an endpoint with two free slots, as the
         last one is often gone when the request arrives. Source: two replies.
+    spare_share : float
+        It does so only while at least this share of the replies comes from such
+        endpoints. Source: see `spareroom`.
     patience : float
         Share of a route's target in which only a free slot of an endpoint that
         is not slow will do.
@@ -67,6 +70,7 @@
     most_at_once: int = 4
     many_near: int = 6
     choosy: float = 0.02
+    spare_share: float = 0.35
     patience: float = 0.7
     hedge_wait: float = 0.06
     longest_wait: float = 0.45
--- a/packages/hingesill-core/hingesill_core/routing/waiting.py
+++ b/packages/hingesill-core/hingesill_core/routing/waiting.py
@@ -20,6 +20,8 @@
         From then on its answer cannot be in time for its target.
     until : float
         From then on it waits no longer.
+    choosy_until : float
+        Until then it takes only an endpoint with two free slots.
     hedge : bool
         Another send of it is under way.
     """
@@ -28,15 +30,16 @@
     since: float
     late_at: float
     until: float
+    choosy_until: float
     hedge: bool = False
 
-    def get_stage(self, now, rules):
+    def get_stage(self, now):
         """Return how much the request puts up with."""
         if self.hedge:
             return Stage.CHOOSY
         if now >= self.late_at:
             return Stage.LATE
-        return Stage.CHOOSY if now < self.since + rules.choosy else Stage.PATIENT
+        return Stage.CHOOSY if now < self.choosy_until else Stage.PATIENT
 
     def get_order(self, now):
         """Return the key by which requests take what becomes free.
