--- a/packages/hingesill-core/hingesill_core/limits/spent.py
+++ b/packages/hingesill-core/hingesill_core/limits/spent.py
@@ -20,10 +20,10 @@
 # callers come back then. Source: they do so at once or within a second or two.
 TROUBLE_SECONDS = 2.0
 # What a node that has just started takes for the least time of first tries, as a share
-# of the longest. In time of the two seconds after a loss of all nodes for 1.6 s, means of
-# three seeds, where first tries bring the longest time and 0.85 to 1 of it: 0.847 and
+# of the longest. In time of the two seconds after a loss of all nodes for 1.6 s, where
+# first tries bring the longest time and where they bring 0.85 to 1 of it: 0.847 and
 # 0.912 with 0.9, 0.890 and 0.916 with 0.95, 0.890 and 0.889 with 1 (played, 312 and 95
-# nodes).
+# nodes, means of three seeds).
 FIRST_GUESS = 0.95
 
 
