Lines tell a request again over its tries, and whether an endpoint ended

A request that lost an answer now has its fingerprint (method, host, target, caller, beginning of the body), caller and target in its line, and each endpoint that gave no answer is connected to once: one that ended refuses, one that only broke off the answer still listens (event 4009). No logic of sending is changed.

--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""Finding out that endpoints ended under a request, and telling other nodes."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/crashes/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the crashes sub-package."""
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -23,6 +23,8 @@
 
 PROTOCOL_KEY = "hingesill.protocol"
 WHOLE_BODY_BYTES = 64 * 1024
+# Characters of a request's host and target in its line in the log.
+LONGEST_TARGET = 200
 
 
 class Application:
@@ -117,6 +119,7 @@
             sends=ticket.sends,
             steps=[str(step) for step in story.steps],
             steps_left_out=story.left_out,
+            **describe_lost(request, story),
         )
 
     def _build_request(self, environ, request_id):
@@ -159,6 +162,7 @@
             ticket,
             environ["eventlet.input"].get_socket(),
             host,
+            environ.get("REMOTE_ADDR", ""),
         )
 
     def _explain_no_route(self, configuration):
@@ -227,6 +231,17 @@
         return self._refuse(environ, start_response, refusal, "", "")
 
 
+def describe_lost(request, story):
+    """Return by what a request that lost an answer is found again in other lines."""
+    if not story.has_lost:
+        return {}
+    return {
+        "fingerprint": request.fingerprint,
+        "caller": request.caller,
+        "target": f"{request.host}{request.target}"[:LONGEST_TARGET],
+    }
+
+
 def close_after_answer(environ):
     """Have the server end the caller's connection after this answer."""
     environ[PROTOCOL_KEY].close_connection = 1
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -32,6 +32,8 @@
 __all__ = ["Exchange"]
 
 WHOLE_BYTES = 64 * 1024
+# How a send ends whose endpoint may have ended with it.
+UNANSWERED = frozenset({SendEnd.LOST, SendEnd.LATE})
 READ_SECONDS = 30.0
 # While a hedge looks for an endpoint, how often it is looked at whether it was sent.
 HEDGE_LOOK_SECONDS = 0.01
@@ -166,6 +168,8 @@
             return result.end
         live.settled = True
         self._tell(StepKind.ENDED, live.send.endpoint, result.end.value)
+        if result.end in UNANSWERED:
+            self._note_unanswered(live)
         connection, live.connection = live.connection, None
         if connection is not None:
             if keep:
@@ -175,6 +179,13 @@
         self.runner.settle(live.send, result)
         return result.end
 
+    def _note_unanswered(self, live):
+        """Have it found out whether the endpoint ended while it had the request."""
+        self.story.has_lost = True
+        self.runner.endings.begin(
+            live.send.endpoint, live.pool.address, self.request.fingerprint
+        )
+
     def _await_first(self, live):
         """Wait for an answer, with a hedge once the first one is overdue.
 
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -2,6 +2,7 @@
 
 from msgspec import Struct, field
 
+from hingesill_core.crashes.fingerprint import compute_fingerprint
 from hingesill_core.routing.messages import Send, Ticket
 
 __all__ = ["Answer", "Body", "CallerRequest", "Found", "LiveSend"]
@@ -26,7 +27,25 @@
 
 
 class CallerRequest(Struct):
-    """A request as the node passes it on."""
+    """A request as the node passes it on.
+
+    Parameters
+    ----------
+    request_id : str
+        Of this try.
+    method, target, host : str
+        As they came.
+    headers : list of tuple
+        That are passed on.
+    body : Body
+        What follows them.
+    ticket : Ticket
+        The request as the decisions see it.
+    caller_socket : GreenSocket or None
+        The caller's connection.
+    caller : str
+        The caller's IP address.
+    """
 
     request_id: str
     method: str
@@ -36,6 +55,17 @@
     ticket: Ticket
     caller_socket: object = None
     host: str = ""
+    caller: str = ""
+    _fingerprint: str = ""
+
+    @property
+    def fingerprint(self):
+        """By what the request is known again, whichever node it comes to."""
+        if not self._fingerprint:
+            self._fingerprint = compute_fingerprint(
+                self.method, self.host, self.target, self.caller, self.body.whole or b""
+            )
+        return self._fingerprint
 
 
 class Answer(Struct):
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -12,6 +12,7 @@
 from hingesill_core.routing.dispatcher import Dispatcher
 from hingesill_core.routing.messages import Refusal
 from hingesill_core.routing.profile import Profile
+from hingesill_node.crashes.endings import EndingChecks
 from hingesill_node.datapath.asking import WaitingRoom
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import Pool
@@ -43,6 +44,8 @@
         Of all services of the node.
     clock : callable
         Monotonic seconds.
+    endings : EndingChecks or None
+        Looks at endpoints that gave no answer; shared by all services.
     """
 
     def __init__(
@@ -54,7 +57,9 @@
         ask_pool=None,
         curves=None,
         clock=time.monotonic,
+        endings=None,
     ):
+        self.endings = endings or EndingChecks(report=lambda endpoint, lost: None)
         self.dispatcher = Dispatcher(service, fleet, rng, ask_pool, curves)
         self.announce = announce
         self.clock = clock
@@ -202,6 +207,7 @@
         self.runners = {}
         self.ask_pool = AskBudget()
         self.curves = SlotCurves()
+        self.endings = EndingChecks(report=lambda endpoint, lost: None)
         blackboard.watch("configuration", self.refresh)
         blackboard.watch("profile", self.refresh_profile)
         blackboard.watch("fleet", self.refresh)
@@ -221,6 +227,7 @@
                 self.ask_pool,
                 self.curves,
                 self.clock,
+                self.endings,
             )
             self.runners[name] = runner
             self._apply_signs(runner)
--- a/packages/hingesill-node/hingesill_node/datapath/story.py
+++ b/packages/hingesill-node/hingesill_node/datapath/story.py
@@ -58,11 +58,14 @@
         In order.
     left_out : int
         Steps beyond the bound.
+    has_lost : bool
+        An endpoint gave no answer.
     """
 
     started: float
     steps: list = field(default_factory=list)
     left_out: int = 0
+    has_lost: bool = False
 
     def add(self, kind, now, endpoint="", detail=""):
         """Add a step."""
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -65,6 +65,7 @@
     PROFILE_NOT_KEPT = (4006, logging.WARNING, "what was learnt could not be kept")
     REPORT_LOST = (4007, logging.INFO, "a relay did not take what was learnt")
     REPORT_INVALID = (4008, logging.WARNING, "a report of another node is not valid")
+    ENDPOINT_LOOKED_AT = (4009, logging.INFO, "an endpoint gave no answer")
     PROBE_SHARE_HELD = (5001, logging.INFO, "a share of the probe budget is held")
     PROBE_SHARE_LOST = (5002, logging.INFO, "a share of the probe budget has lapsed")
     REQUEST_ANSWERED = (6002, logging.INFO, "a request was answered")
