Requests under which endpoints end are remembered by all nodes and held back

Cause: what a node learnt of a request ended with the try. Each try has an id of its own and comes to any node, so the same request was sent to endpoints again and again, and each ended. Class: a promise that counts over tries and nodes was kept by state of one try at one node.

Design: an endpoint that gives no answer is connected to; one that refuses has ended. Nodes tell each other by gossip over UDP (neither store nor relay needed) under which request which endpoint ended, and which request was answered since. Long holds are kept in the store under a lease, for nodes that start. An answer ends the matter, also one that is told late; each hold ends by itself and is followed by a trial.

Bodies in chunks up to 64 KB are read before they are sent: the fingerprint needs them.

--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/crashes/gossip.py
@@ -0,0 +1,86 @@
+"""Spreading news to all nodes, without relays and without the store."""
+
+from math import ceil, log2
+
+from msgspec import Struct
+
+__all__ = ["Gossip", "MOST_TOLD", "ROUND_SECONDS"]
+
+# Between two rounds of a node that has news.
+ROUND_SECONDS = 0.1
+# Nodes that are told in a round. With two, each round triples those who know.
+PEERS_A_ROUND = 2
+# Rounds beyond those in which news that doubles each time has come to all nodes: they
+# reach the ones that the random choice has left out.
+MORE_ROUNDS = 3
+# Pieces of news in a datagram, so that it fits into 1,400 bytes.
+MOST_TOLD = 20
+# Pieces that wait to be passed on; a guard of memory and of the links: a node sends at
+# most 2 datagrams of 1.4 KB in 0.1 s.
+MOST_WAITING = 256
+
+
+class Rumour(Struct):
+    """A piece of news with the rounds in which it is still passed on."""
+
+    rank: int
+    rounds: int
+
+
+class Gossip:
+    """The news that a node passes on, and to whom.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Chooses the nodes.
+    """
+
+    def __init__(self, rng):
+        self._rng = rng
+        self._waiting = {}
+
+    def __len__(self):
+        return len(self._waiting)
+
+    def add(self, news, nodes, rank=0):
+        """Pass a piece of news on from the next round.
+
+        Parameters
+        ----------
+        news : hashable
+            Any one that was added before is begun anew.
+        nodes : int
+            Of the fleet.
+        rank : int
+            Of the highest most are passed on where there is too much.
+        """
+        if news not in self._waiting and len(self._waiting) >= MOST_WAITING:
+            lowest = min(self._waiting, key=lambda known: self._waiting[known].rank)
+            if self._waiting[lowest].rank > rank:
+                return
+            del self._waiting[lowest]
+        self._waiting[news] = Rumour(rank, count_rounds(nodes))
+
+    def take_round(self, peers):
+        """Return the peers to tell now, and the news for them.
+
+        Parameters
+        ----------
+        peers : sequence
+            All other nodes.
+        """
+        ranked = sorted(self._waiting.items(), key=lambda pair: -pair[1].rank)
+        news = []
+        for piece, rumour in ranked[:MOST_TOLD]:
+            news.append(piece)
+            rumour.rounds -= 1
+            if rumour.rounds <= 0:
+                del self._waiting[piece]
+        count = min(PEERS_A_ROUND, len(peers))
+        return self._rng.sample(peers, count), news
+
+
+def count_rounds(nodes):
+    """Return the rounds in which a node passes a piece of news on."""
+    return ceil(log2(max(2, nodes))) + MORE_ROUNDS
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/crashes/guard.py
@@ -0,0 +1,240 @@
+"""One node's guard of endpoints against requests under which they end."""
+
+from msgspec import Struct
+
+from hingesill_core.crashes.gossip import Gossip
+from hingesill_core.crashes.history import Ending, EndingHistory
+from hingesill_core.crashes.messages import Told, ToldKind
+from hingesill_core.crashes.quarantine import Quarantine, QuarantinedRequest
+from hingesill_core.crashes.verdicts import (
+    ENOUGH_ENDINGS,
+    find_basis,
+    is_certain,
+)
+
+__all__ = ["CrashGuard", "FROM_STORE", "HoldBegun", "HoldEnded"]
+
+# How often what is too old is looked for.
+FORGET_SECONDS = 10.0
+# Who told of a hold.
+FROM_STORE = "store"
+FROM_NODE = "node"
+FROM_ENDINGS = "endings"
+# In gossip a hold goes before any number of endings.
+HELD_RANK = 100
+
+
+class HoldBegun(Struct, frozen=True):
+    """A request is held back from now on."""
+
+    fingerprint: str
+    request: QuarantinedRequest
+    endings: tuple
+    source: str
+
+
+class HoldEnded(Struct, frozen=True):
+    """A request that was held back may be sent again."""
+
+    fingerprint: str
+    reason: str
+
+
+class CrashGuard:
+    """Remembers, over tries and nodes, under which requests endpoints ended.
+
+    Each try has an id of its own and comes to any node, so neither a try nor a node can
+    know that a request ends each endpoint that begins to run it. Nodes tell each other
+    of each ending; a request with three is held back by all of them, for a moment or,
+    once nothing else explains them, for long. Without that 20 endpoints of a service of
+    seven ended in 14 s.
+
+    Parameters
+    ----------
+    rng : random.Random
+        For gossip.
+    observe : callable
+        Called with each HoldBegun and HoldEnded.
+
+    Notes
+    -----
+    All times are seconds of one clock of the node, which goes on while it is suspended.
+    """
+
+    def __init__(self, rng, observe=lambda change: None):
+        self.observe = observe
+        self.history = EndingHistory()
+        self.quarantine = Quarantine()
+        self.gossip = Gossip(rng)
+        self.nodes = 1
+        self._forget_at = 0.0
+
+    @property
+    def is_idle(self):
+        """Whether nothing at all is known against any request."""
+        return not self.history and not self.quarantine
+
+    def find_hold(self, fingerprint, now):
+        """Return the QuarantinedRequest of a request that must not be sent, or None."""
+        held = self.quarantine.get(fingerprint)
+        return held if held is not None and held.is_active(now) else None
+
+    def is_suspect(self, fingerprint):
+        """Tell whether an endpoint ended under a request and none answered it since."""
+        return bool(self.history.get_endings(fingerprint))
+
+    def is_cleared(self, fingerprint):
+        """Tell whether a request that others may hold back was answered meanwhile."""
+        was_answered = self.history.get_answered(fingerprint) > float("-inf")
+        return was_answered and self.quarantine.get(fingerprint) is None
+
+    def may_send_again(self, fingerprint, now, pending):
+        """Tell whether a try that got no answer may be sent to another endpoint.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Of the request.
+        now : float
+            The time.
+        pending : int
+            Endpoints that may have ended under it, which is being looked at.
+        """
+        if self.find_hold(fingerprint, now) is not None:
+            return False
+        if pending and self.quarantine.is_on_trial(fingerprint, now):
+            return False
+        known = len(self.history.get_endings(fingerprint))
+        return known + pending < ENOUGH_ENDINGS
+
+    def note_ending(self, fingerprint, endpoint, now):
+        """Take that an endpoint ended while it had a request of this node."""
+        self._take_ending(fingerprint, Ending(endpoint, now), now)
+
+    def note_answer(self, fingerprint, now):
+        """Take that an endpoint answered a request of this node."""
+        if fingerprint in self.history or self.quarantine.get(fingerprint) is not None:
+            self._take_answer(fingerprint, now)
+
+    def hear(self, told, now):
+        """Take what another node told."""
+        at = now - told.age
+        if told.kind is ToldKind.ENDED:
+            self._take_ending(told.fingerprint, Ending(told.endpoint, at), now)
+        elif told.kind is ToldKind.ANSWERED:
+            self._take_answer(told.fingerprint, at)
+        else:
+            request = QuarantinedRequest(at, now + told.left, told.times)
+            self.adopt(told.fingerprint, request, FROM_NODE)
+
+    def adopt(self, fingerprint, request, source):
+        """Hold a request back for long, as another node does.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Of the request.
+        request : QuarantinedRequest
+            For how long; times of this node's clock.
+        source : str
+            Who told; what comes from the store is not passed on, as all read it.
+        """
+        known = self.quarantine.get(fingerprint)
+        if known is not None and known.times >= request.times:
+            return
+        if request.since <= self.history.get_answered(fingerprint):
+            return
+        self.quarantine.adopt(fingerprint, request)
+        self._begin_hold(fingerprint, request, source)
+
+    def list_told(self, now):
+        """Return all that is known, for a node that has just started."""
+        held = self.quarantine.list_long(now)
+        told = [build_held(name, request, now) for name, request in held.items()]
+        told += [
+            Told(ToldKind.ENDED, name, now - ending.at, ending.endpoint)
+            for name, ending in self.history.list_endings()
+            if name not in held
+        ]
+        return told
+
+    def take_round(self, peers, now):
+        """Return whom to tell now, and the Told for them.
+
+        Notes
+        -----
+        News wait as keys; their ages are those of the moment at which they are sent.
+        """
+        chosen, keys = self.gossip.take_round(peers)
+        told = (self._build_told(key, now) for key in keys)
+        return chosen, [piece for piece in told if piece is not None]
+
+    def _build_told(self, key, now):
+        kind, fingerprint, endpoint, at = key
+        if kind is ToldKind.HELD:
+            held = self.find_hold(fingerprint, now)
+            if held is None or not held.times:
+                return None
+            return build_held(fingerprint, held, now)
+        return Told(kind, fingerprint, now - at, endpoint)
+
+    def _take_ending(self, fingerprint, ending, now):
+        if not self.history.note_ending(fingerprint, ending):
+            return
+        endings = self.history.get_endings(fingerprint)
+        key = (ToldKind.ENDED, fingerprint, ending.endpoint, ending.at)
+        self.gossip.add(key, self.nodes, rank=len(endings))
+        is_on_trial = self.quarantine.is_on_trial(fingerprint, now)
+        if is_on_trial or len(endings) >= ENOUGH_ENDINGS:
+            self._hold(fingerprint, endings, now)
+
+    def _hold(self, fingerprint, endings, now):
+        """Hold a request back, for long if it is certain that it ends endpoints."""
+        before = self.quarantine.get(fingerprint)
+        is_active = before is not None and before.is_active(now)
+        if is_active and before.times:
+            return
+        was_held = before is not None and before.times > 0
+        held = self.quarantine.list_certain() - {fingerprint}
+        certain = is_certain(self.history, fingerprint, held, was_held)
+        if is_active and not certain:
+            return
+        since = find_basis(endings)
+        request = self.quarantine.hold(fingerprint, since, now, certain)
+        self._begin_hold(fingerprint, request, FROM_ENDINGS)
+
+    def _begin_hold(self, fingerprint, request, source):
+        if source != FROM_STORE and request.times:
+            key = (ToldKind.HELD, fingerprint, "", request.since)
+            self.gossip.add(key, self.nodes, rank=HELD_RANK)
+        endings = self.history.get_endings(fingerprint)
+        self.observe(HoldBegun(fingerprint, request, endings, source))
+
+    def _take_answer(self, fingerprint, at):
+        held = self.quarantine.get(fingerprint)
+        is_release = held is not None and held.since <= at
+        if not self.history.note_answer(fingerprint, at) and not is_release:
+            return
+        self.gossip.add((ToldKind.ANSWERED, fingerprint, "", at), self.nodes)
+        if is_release:
+            self.quarantine.release(fingerprint)
+            self.observe(HoldEnded(fingerprint, "answered"))
+
+    def forget(self, now):
+        """Forget what is too old; a request whose hold is over begins its trial."""
+        if now < self._forget_at:
+            return
+        self._forget_at = now + FORGET_SECONDS
+        self.history.forget(now)
+        self.quarantine.forget(now)
+
+
+def build_held(fingerprint, request, now):
+    """Return the Told of a request that is held back for long."""
+    return Told(
+        ToldKind.HELD,
+        fingerprint,
+        now - request.since,
+        left=request.until - now,
+        times=request.times,
+    )
--- a/packages/hingesill-core/hingesill_core/discovery/difference.py
+++ b/packages/hingesill-core/hingesill_core/discovery/difference.py
@@ -26,6 +26,7 @@
         find_changed_records(before.nodes, after.nodes),
         after.profile if after.profile is not before.profile else None,
         find_changed_evacuations(before.evacuated, after.evacuated),
+        find_changed_records(before.held, after.held),
     )
 
 
--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -28,6 +28,8 @@
         What nodes have learnt of the services.
     evacuated : dict
         By data centre whose endpoints get nothing more, the revision of the request.
+    held : dict
+        HeldRequest by fingerprint; it is replaced, never changed.
     doubtful : dict
         Until when an endpoint is believed whose entry vanished around an outage.
     returned_at : float
@@ -42,6 +44,7 @@
     nodes: dict = field(default_factory=dict)
     profile: Profile | None = None
     evacuated: dict = field(default_factory=dict)
+    held: dict = field(default_factory=dict)
     doubtful: dict = field(default_factory=dict)
     returned_at: float = float("-inf")
     generation: int = 0
@@ -70,6 +73,7 @@
         self._declare(snapshot.declared)
         self._take_profile(snapshot.profile)
         self._replace_evacuated(snapshot.evacuated)
+        self._replace_held(snapshot.held)
         return True
 
     def apply(self, changes, now):
@@ -93,6 +97,9 @@
         self._take_profile(changes.profile)
         evacuated = {**self.evacuated, **changes.evacuated}
         self._replace_evacuated({k: v for k, v in evacuated.items() if v is not None})
+        if changes.held:
+            held = {**self.held, **changes.held}
+            self._replace_held({k: v for k, v in held.items() if v is not None})
         return True
 
     def _declare(self, declared):
@@ -117,6 +124,11 @@
             self.evacuated = dict(evacuated)
             self.generation += 1
 
+    def _replace_held(self, held):
+        if held != self.held:
+            self.held = keep_known(self.held, held)
+            self.generation += 1
+
     def _put_endpoint(self, record):
         self.doubtful.pop(record.instance, None)
         if self.endpoints.get(record.instance) != record:
@@ -164,6 +176,7 @@
             dict(self.nodes),
             self.profile,
             dict(self.evacuated),
+            dict(self.held),
         )
 
 
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -10,6 +10,7 @@
     "Declared",
     "DeclaredService",
     "EndpointRecord",
+    "HeldRequest",
     "HistoryGone",
     "Limits",
     "NodeRecord",
@@ -126,6 +127,25 @@
     strength: float = 1.0
 
 
+class HeldRequest(Struct, frozen=True):
+    """A request that is sent to no endpoint, as endpoints ended under it.
+
+    Parameters
+    ----------
+    fingerprint : str
+        By which all nodes know it again.
+    since, until : float
+        Unix seconds, by the clock of the node that wrote it.
+    times : int
+        How often it has been held back.
+    """
+
+    fingerprint: str
+    since: float
+    until: float
+    times: int = 1
+
+
 class Snapshot(Struct, frozen=True):
     """Everything at one revision of the store.
 
@@ -144,6 +164,8 @@
     evacuated : dict
         By data centre, the revision at which the operator asked that nothing more be
         sent to its endpoints.
+    held : dict
+        HeldRequest by fingerprint.
     """
 
     revision: int
@@ -152,6 +174,7 @@
     nodes: dict[str, NodeRecord] = field(default_factory=dict)
     profile: Profile | None = None
     evacuated: dict[str, int] = field(default_factory=dict)
+    held: dict[str, HeldRequest] = field(default_factory=dict)
 
 
 class Changes(Struct, frozen=True):
@@ -170,6 +193,8 @@
     evacuated : dict
         Data centres that were evacuated, with the revision; None for those that were
         restored.
+    held : dict
+        HeldRequest as they were written; None for those that were let go.
     """
 
     revision: int
@@ -178,6 +203,7 @@
     nodes: dict[str, NodeRecord | None] = field(default_factory=dict)
     profile: Profile | None = None
     evacuated: dict[str, int | None] = field(default_factory=dict)
+    held: dict[str, HeldRequest | None] = field(default_factory=dict)
 
 
 class HistoryGone(Struct, frozen=True):
--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -23,6 +23,7 @@
     NO_ROUTE = "no-route"
     NO_CONFIGURATION = "no-configuration"
     NO_ENDPOINT = "no-endpoint"
+    QUARANTINED = "quarantined"
     BAD_FRAMING = "bad-framing"
     BAD_HEADER = "bad-header"
     BODY_TOO_LARGE = "body-too-large"
@@ -52,3 +53,4 @@
     DENIED_NOT_REPEATABLE = "denied-not-repeatable"
     DENIED_NO_ENDPOINT = "denied-no-endpoint"
     DENIED_TIME = "denied-time"
+    DENIED_ENDINGS = "denied-endings"
--- a/packages/hingesill-core/hingesill_core/retries/decision.py
+++ b/packages/hingesill-core/hingesill_core/retries/decision.py
@@ -60,6 +60,8 @@
 
 def find_denial(ticket, end, now, quick):
     """Return the rule that forbids another send, or None."""
+    if ticket.barred:
+        return RetryReason.DENIED_ENDINGS
     if ticket.exposed and not ticket.route.repeatable:
         return RetryReason.DENIED_NOT_REPEATABLE
     if not ticket.replayable:
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -36,6 +36,8 @@
         False once its body cannot be sent a second time.
     spent : float
         Seconds that its caller seems to have spent on earlier tries.
+    barred : bool
+        Endpoints ended under it, so that this try goes to no other.
     """
 
     route: Route
@@ -48,6 +50,7 @@
     exposed: bool = False
     waiting: bool = False
     spent: float = 0.0
+    barred: bool = False
 
 
 class Send(Struct, eq=False):
--- a/packages/hingesill-node/hingesill_node/crashes/endings.py
+++ b/packages/hingesill-node/hingesill_node/crashes/endings.py
@@ -1,7 +1,6 @@
 """Whether an endpoint that gave no answer has ended, or only broke the answer off."""
 
 import eventlet
-from msgspec import Struct, field
 
 from hingesill_node.datapath.connections import ConnectFailed, EndpointConnection
 from hingesill_node.telemetry.events import Event, log_event
@@ -9,12 +8,6 @@
 __all__ = ["EndingChecks"]
 
 
-class PendingCheck(Struct):
-    """The requests whose answers were lost at an endpoint that is being looked at."""
-
-    fingerprints: set = field(default_factory=set)
-
-
 class EndingChecks:
     """Connects to endpoints whose answers were lost, and tells of those that ended.
 
@@ -27,9 +20,9 @@
     Notes
     -----
     A process that ended refuses connections; one that broke off an answer, or closed a
-    connection because it had too many, still listens. No question is asked, so that a
-    check takes no slot and none of the probe budget. Requests that were lost at the
-    same moment share one connection.
+    connection because it had too many, still listens. Silence says nothing: the way may
+    be cut. No question is asked, so that a check takes no slot and none of the probe
+    budget. Requests that were lost at the same moment share one connection.
     """
 
     def __init__(self, report):
@@ -38,32 +31,34 @@
 
     def begin(self, endpoint, address, fingerprint):
         """Look at an endpoint at which a request got no answer."""
-        pending = self._pending.get(endpoint)
-        if pending is None:
-            pending = self._pending[endpoint] = PendingCheck()
+        requests = self._pending.get(endpoint)
+        if requests is None:
+            requests = self._pending[endpoint] = set()
             eventlet.spawn_n(self._check, endpoint, address)
-        pending.fingerprints.add(fingerprint)
+        requests.add(fingerprint)
 
-    def is_pending(self, fingerprint):
-        """Tell whether it is still open if an endpoint ended under a request."""
-        return any(fingerprint in p.fingerprints for p in self._pending.values())
+    def count_pending(self, fingerprint):
+        """Return the endpoints of which it is open if they ended under a request."""
+        return sum(fingerprint in requests for requests in self._pending.values())
 
     def _check(self, endpoint, address):
         connection = EndpointConnection(address)
         detail = ""
+        has_ended = False
         try:
             connection.open()
         except ConnectFailed as error:
             detail = str(error)
+            has_ended = isinstance(error.__cause__, ConnectionRefusedError)
         finally:
             connection.close()
-            pending = self._pending.pop(endpoint)
+            requests = self._pending.pop(endpoint)
         log_event(
             Event.ENDPOINT_LOOKED_AT,
             endpoint=endpoint,
-            ended=bool(detail),
+            ended=has_ended,
             detail=detail,
-            fingerprints=sorted(pending.fingerprints),
+            fingerprints=sorted(requests),
         )
-        if detail:
-            self._report(endpoint, pending.fingerprints)
+        if has_ended:
+            self._report(endpoint, requests)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/crashes/spreading.py
@@ -0,0 +1,188 @@
+"""Datagrams between nodes on requests under which endpoints ended."""
+
+import random
+
+import eventlet
+from eventlet.green import socket as green_socket
+from msgspec import DecodeError
+from msgspec.msgpack import Decoder, encode
+
+from hingesill_core.crashes.gossip import MOST_TOLD, ROUND_SECONDS
+from hingesill_core.crashes.history import MEMORY_SECONDS
+from hingesill_core.crashes.messages import Batch, ToldKind
+from hingesill_core.crashes.quarantine import LONGEST_HOLD_SECONDS, MOST_HELD
+from hingesill_node.listeners import split_address
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["Spreader", "decode_batch"]
+
+# Of a datagram; what nodes send fits into 1,400.
+MOST_BYTES = 4096
+LONGEST_FINGERPRINT = 64
+LONGEST_ENDPOINT = 128
+# A node that has just started asks others what they know, until one answers.
+ASK_SECONDS = 0.5
+MOST_ASKS = 6
+# Datagrams with which one that asks is answered, as a guard of the links.
+MOST_ANSWERS = 32
+# A line in the log for datagrams that are not understood, at most so often.
+COMPLAINT_SECONDS = 5.0
+
+BATCHES = Decoder(Batch)
+
+
+def decode_batch(data):
+    """Return the Batch that a datagram holds.
+
+    Raises
+    ------
+    ValueError
+        If it holds none, or figures beyond all bounds.
+    """
+    try:
+        batch = BATCHES.decode(data)
+    except (DecodeError, RecursionError) as error:
+        raise ValueError(f"not a batch: {error}") from error
+    for told in batch.told:
+        check_told(told)
+    return batch
+
+
+def check_told(told):
+    """Raise ValueError for news that no node of this project tells."""
+    if not 0 < len(told.fingerprint) <= LONGEST_FINGERPRINT:
+        raise ValueError(f"a fingerprint of {len(told.fingerprint)} characters")
+    if len(told.endpoint) > LONGEST_ENDPOINT:
+        raise ValueError(f"an identity of {len(told.endpoint)} characters")
+    if not 0.0 <= told.age <= MEMORY_SECONDS + LONGEST_HOLD_SECONDS:
+        raise ValueError(f"an age of {told.age} s")
+    if told.kind is ToldKind.ENDED and not told.endpoint:
+        raise ValueError("an ending without an endpoint")
+    if told.kind is ToldKind.HELD:
+        check_held(told)
+
+
+def check_held(told):
+    """Raise ValueError for a hold that no node of this project begins."""
+    if not 0.0 < told.left <= LONGEST_HOLD_SECONDS:
+        raise ValueError(f"a hold of {told.left} s")
+    if not 0 < told.times <= MOST_HELD:
+        raise ValueError(f"a request that was held back {told.times} times")
+
+
+class Spreader:
+    """Tells other nodes and hears from them, by UDP on the node's control address.
+
+    Parameters
+    ----------
+    guard : RequestGuard
+        Has the news and takes what is heard.
+    list_peers : callable
+        Returns the control addresses of all other nodes.
+    counters : Counters
+        Gets ``gossip``.
+
+    Notes
+    -----
+    Gossip needs neither the store nor a relay, and no node more than others; a datagram
+    that is lost is made up for by the others. A node that has no news sends nothing.
+    """
+
+    def __init__(self, guard, list_peers, counters):
+        self.guard = guard
+        self.list_peers = list_peers
+        self.counters = counters
+        self._sock = None
+        self._heard_from = 0
+        self._complain_from = 0.0
+
+    def start(self, address):
+        """Begin, in green threads; OSError if the address cannot be listened on."""
+        self._sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_DGRAM)
+        self._sock.bind(split_address(address))
+        eventlet.spawn(self._listen)
+        eventlet.spawn(self._tell)
+        eventlet.spawn(self._ask)
+
+    def _listen(self):
+        while True:
+            try:
+                data, sender = self._sock.recvfrom(MOST_BYTES)
+            except OSError:
+                # A peer's port that is closed shows here; the next datagram will do.
+                self.counters.add("gossip", "failed")
+                continue
+            self._take(data, sender)
+
+    def _take(self, data, sender):
+        """Take a datagram; one that is not understood is dropped whole."""
+        try:
+            batch = decode_batch(data)
+        except ValueError as error:
+            self.counters.add("gossip", "invalid")
+            self._complain(str(error), sender)
+            return
+        self.counters.add("gossip", "heard")
+        self._heard_from += 1
+        now = self.guard.clock()
+        for told in batch.told:
+            self.guard.decisions.hear(told, now)
+        if batch.asks:
+            self._answer(sender, now)
+
+    def _complain(self, detail, sender):
+        now = self.guard.clock()
+        if now < self._complain_from:
+            return
+        self._complain_from = now + COMPLAINT_SECONDS
+        log_event(Event.GOSSIP_INVALID, detail=detail, sender=format_sender(sender))
+
+    def _answer(self, sender, now):
+        """Tell one that asks all that is known, in one datagram at least."""
+        told = self.guard.decisions.list_told(now)
+        for begin in range(0, max(1, len(told)), MOST_TOLD)[:MOST_ANSWERS]:
+            self._send(sender, Batch(tuple(told[begin : begin + MOST_TOLD])))
+
+    def _tell(self):
+        while True:
+            eventlet.sleep(ROUND_SECONDS * random.uniform(0.8, 1.2))
+            decisions = self.guard.decisions
+            if decisions.is_idle:
+                continue
+            now = self.guard.clock()
+            decisions.forget(now)
+            if decisions.gossip:
+                self._tell_round(now)
+
+    def _tell_round(self, now):
+        peers = self.list_peers()
+        self.guard.decisions.nodes = len(peers) + 1
+        chosen, told = self.guard.decisions.take_round(peers, now)
+        if not told:
+            return
+        batch = Batch(tuple(told))
+        for peer in chosen:
+            self._send(split_address(peer), batch)
+
+    def _ask(self):
+        """Ask others what they know, until one has answered."""
+        for _ in range(MOST_ASKS):
+            eventlet.sleep(ASK_SECONDS * random.uniform(0.8, 1.2))
+            if self._heard_from:
+                return
+            peers = self.list_peers()
+            for peer in random.sample(peers, min(2, len(peers))):
+                self._send(split_address(peer), Batch(asks=True))
+
+    def _send(self, peer, batch):
+        self.counters.add("gossip", "told")
+        try:
+            self._sock.sendto(encode(batch), peer)
+        except OSError:
+            # A datagram that cannot be sent is as good as lost.
+            self.counters.add("gossip", "failed")
+
+
+def format_sender(sender):
+    """Return a datagram's sender as ``IP:PORT``."""
+    return f"{sender[0]}:{sender[1]}"
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -7,7 +7,7 @@
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal, Ticket
 from hingesill_node.blackboard import Phase
-from hingesill_node.datapath.bodies import CountedBody, LimitedBody
+from hingesill_node.datapath.bodies import BegunBody, CountedBody, LimitedBody
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.framing import find_framing_fault
 from hingesill_node.datapath.headers import (
@@ -87,6 +87,9 @@
         if isinstance(request, Refusal):
             return self._refuse(environ, start_response, request, request_id, "")
         service = request.ticket.route.choose_service(self.rng)
+        refusal = self.runners.guard.find_refusal(request)
+        if refusal is not None:
+            return self._refuse(environ, start_response, refusal, request_id, service)
         exchange = Exchange(
             self.runners.get(service), request, self.counters, self.wire, self.clock
         )
@@ -181,8 +184,24 @@
             return Refusal(RefusalReason.BODY_TOO_LARGE, Outcome.NOT_RUN)
         if length is not None and int(length) <= WHOLE_BODY_BYTES:
             return self._read_whole(source, int(length))
+        return self._read_beginning(source, None if length is None else int(length))
+
+    def _read_beginning(self, source, length):
+        """Return the Body of which only the beginning is read, unless it is all.
+
+        Notes
+        -----
+        By its beginning a request is told from others of the same caller and target,
+        before it is sent. What came in chunks and is short can be sent again.
+        """
         limited = LimitedBody(source, self.max_body_bytes)
-        return Body(None, None if length is None else int(length), limited)
+        try:
+            beginning = limited.read(WHOLE_BODY_BYTES)
+        except (OSError, ValueError):
+            return Refusal(RefusalReason.CALLER_GONE, Outcome.NOT_RUN)
+        if length is None and len(beginning) < WHOLE_BODY_BYTES:
+            return Body(beginning, len(beginning))
+        return Body(None, length, BegunBody(beginning, limited), beginning)
 
     def _read_whole(self, source, length):
         try:
@@ -212,7 +231,7 @@
         """Give the final answer of a request that got none from an endpoint."""
         self.counters.add("refusals", service, refusal.reason.value)
         self.counters.add("requests", service, refusal.outcome.value)
-        if service:
+        if service and refusal.reason is not RefusalReason.QUARANTINED:
             self.spent.note_unserved(self.clock())
         answer = self.wire.build_refusal_answer(refusal, request_id)
         if answer.closes:
--- a/packages/hingesill-node/hingesill_node/datapath/bodies.py
+++ b/packages/hingesill-node/hingesill_node/datapath/bodies.py
@@ -1,6 +1,6 @@
 """Bodies on their way: bounded ones of callers, counted ones of answers."""
 
-__all__ = ["CountedBody", "LimitedBody"]
+__all__ = ["BegunBody", "CountedBody", "LimitedBody"]
 
 
 class LimitedBody:
@@ -27,6 +27,29 @@
         return data
 
 
+class BegunBody:
+    """A body whose beginning was read already.
+
+    Parameters
+    ----------
+    beginning : bytes
+        Comes first.
+    source : LimitedBody
+        Has the rest.
+    """
+
+    def __init__(self, beginning, source):
+        self._beginning = beginning
+        self._source = source
+
+    def read(self, size):
+        """Return up to ``size`` bytes; see `LimitedBody.read`."""
+        if not self._beginning:
+            return self._source.read(size)
+        data, self._beginning = self._beginning[:size], self._beginning[size:]
+        return data
+
+
 class CountedBody:
     """A body whose request counts as in flight until the body is closed."""
 
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -32,8 +32,8 @@
 __all__ = ["Exchange"]
 
 WHOLE_BYTES = 64 * 1024
-# How a send ends whose endpoint may have ended with it.
-UNANSWERED = frozenset({SendEnd.LOST, SendEnd.LATE})
+# How a send ends that brought the endpoint's own answer.
+LIVED_THROUGH = frozenset({SendEnd.ANSWERED, SendEnd.FAULT})
 READ_SECONDS = 30.0
 # While a hedge looks for an endpoint, how often it is looked at whether it was sent.
 HEDGE_LOOK_SECONDS = 0.01
@@ -64,6 +64,7 @@
         self.wire = wire
         self.clock = clock
         self.service = runner.dispatcher.service.name
+        self.guard = runner.guard
         self.proven = None
         self.hedge = None
         self.lives = []
@@ -94,6 +95,10 @@
 
     def _decide_after(self, end):
         """Ask for what follows a send that brought no answer."""
+        # A try must not end one endpoint after another while it is being found out
+        # whether they end under it: 10 of 20 that ended did so by the second send.
+        if end is SendEnd.LOST and not self.guard.may_send_again(self.request):
+            self.ticket.barred = True
         now = self.clock()
         decision, reason = self.runner.dispatcher.retry(self.ticket, end, now)
         self.counters.add("retries", self.service, reason.value)
@@ -116,6 +121,11 @@
     def _carry_out(self, send):
         """Return an Answer, a Refusal, or the SendEnd to decide on."""
         proven, self.proven = self.proven, None
+        # It may have become known while the request waited for an endpoint.
+        refusal = self.guard.find_refusal(self.request, self.ticket.exposed)
+        if refusal is not None:
+            self.runner.give_back(send, proven)
+            return refusal
         live = self.start_send(send, proven)
         if isinstance(live, SendEnd):
             return live
@@ -168,8 +178,7 @@
             return result.end
         live.settled = True
         self._tell(StepKind.ENDED, live.send.endpoint, result.end.value)
-        if result.end in UNANSWERED:
-            self._note_unanswered(live)
+        self._tell_guard(live, result.end)
         connection, live.connection = live.connection, None
         if connection is not None:
             if keep:
@@ -179,12 +188,17 @@
         self.runner.settle(live.send, result)
         return result.end
 
-    def _note_unanswered(self, live):
+    def _tell_guard(self, live, end):
+        """Tell whether the endpoint lived through the request."""
+        if end is SendEnd.LOST:
+            self._note_lost(live)
+        elif end in LIVED_THROUGH:
+            self.guard.note_answer(self.request)
+
+    def _note_lost(self, live):
         """Have it found out whether the endpoint ended while it had the request."""
         self.story.has_lost = True
-        self.runner.endings.begin(
-            live.send.endpoint, live.pool.address, self.request.fingerprint
-        )
+        self.guard.note_lost(self.request, live.send.endpoint, live.pool.address)
 
     def _await_first(self, live):
         """Wait for an answer, with a hedge once the first one is overdue.
@@ -223,6 +237,8 @@
     def _compute_hedge_time(self, live):
         if not (self.ticket.route.repeatable and self.ticket.may_retry):
             return float("inf")
+        if self.guard.is_suspect(self.request):
+            return float("inf")
         overdue = self.runner.dispatcher.hedging.get_overdue_time(live.send)
         return live.send.started + overdue
 
@@ -355,6 +371,7 @@
             self.counters.add(
                 "refusals", self.service, RefusalReason.ANSWER_SHORT.value
             )
+            self._note_lost(live)
             raise ConnectionAbortedError(str(error)) from error
         finally:
             result = self.pending_result
--- a/packages/hingesill-node/hingesill_node/datapath/hedges.py
+++ b/packages/hingesill-node/hingesill_node/datapath/hedges.py
@@ -1,6 +1,6 @@
 """A second send that looks for its endpoint beside the first one."""
 
-from hingesill_core.routing.messages import Send, SendEnd, SendResult
+from hingesill_core.routing.messages import Send
 
 __all__ = ["AskedHedge"]
 
@@ -25,25 +25,18 @@
     def run(self, ask):
         """Wait for an endpoint and send, unless withdrawn meanwhile."""
         exchange = self.exchange
+        runner = exchange.runner
         found = self.room.wait(exchange.request, ask)
         self.is_waiting = False
         if not isinstance(found.decision, Send):
-            exchange.runner.dispatcher.hedging.end(exchange.ticket)
-        elif self.is_wanted:
+            runner.dispatcher.hedging.end(exchange.ticket)
+        elif self.is_wanted and not runner.guard.is_suspect(exchange.request):
             exchange.start_send(found.decision, found.connection)
         else:
-            self._give_back(found)
+            runner.give_back(found.decision, found.connection)
         if exchange.hedge is self:
             exchange.hedge = None
 
-    def _give_back(self, found):
-        """Leave an endpoint that was found too late as it is."""
-        runner = self.exchange.runner
-        pool = runner.find_pool(found.decision.endpoint)
-        runner.settle(found.decision, SendResult(SendEnd.CANCELLED))
-        if found.connection is not None and pool is not None:
-            pool.give_back(found.connection)
-
     def withdraw(self):
         """Send nothing any more."""
         self.is_wanted = False
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -19,11 +19,14 @@
         Its length, None if the caller sends chunks.
     source : object
         Has ``read``; used if ``whole`` is None.
+    beginning : bytes
+        Of a body that is not whole, as far as it was read before anything was sent.
     """
 
     whole: bytes | None
     length: int | None
     source: object = None
+    beginning: bytes = b""
 
 
 class CallerRequest(Struct):
@@ -62,8 +65,9 @@
     def fingerprint(self):
         """By what the request is known again, whichever node it comes to."""
         if not self._fingerprint:
+            body = self.body.whole or self.body.beginning
             self._fingerprint = compute_fingerprint(
-                self.method, self.host, self.target, self.caller, self.body.whole or b""
+                self.method, self.host, self.target, self.caller, body
             )
         return self._fingerprint
 
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -10,9 +10,9 @@
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.curves import SlotCurves, pool_profiles
 from hingesill_core.routing.dispatcher import Dispatcher
-from hingesill_core.routing.messages import Refusal
+from hingesill_core.routing.messages import Refusal, SendEnd, SendResult
 from hingesill_core.routing.profile import Profile
-from hingesill_node.crashes.endings import EndingChecks
+from hingesill_node.crashes.requestguard import RequestGuard
 from hingesill_node.datapath.asking import WaitingRoom
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import Pool
@@ -44,8 +44,8 @@
         Of all services of the node.
     clock : callable
         Monotonic seconds.
-    endings : EndingChecks or None
-        Looks at endpoints that gave no answer; shared by all services.
+    guard : RequestGuard or None
+        Knows which requests must not be sent; shared by all services.
     """
 
     def __init__(
@@ -57,9 +57,9 @@
         ask_pool=None,
         curves=None,
         clock=time.monotonic,
-        endings=None,
+        guard=None,
     ):
-        self.endings = endings or EndingChecks(report=lambda endpoint, lost: None)
+        self.guard = guard or RequestGuard()
         self.dispatcher = Dispatcher(service, fleet, rng, ask_pool, curves)
         self.announce = announce
         self.clock = clock
@@ -131,6 +131,13 @@
         if self.held:
             self.pump()
 
+    def give_back(self, send, connection):
+        """Leave an endpoint that was found for a send as it is."""
+        pool = self.find_pool(send.endpoint)
+        self.settle(send, SendResult(SendEnd.CANCELLED))
+        if connection is not None and pool is not None:
+            pool.give_back(connection)
+
     def get_time_to_suspicion(self, send, now):
         """Return the seconds until an answer takes suspiciously long."""
         if not self.announce.is_heard:
@@ -207,7 +214,7 @@
         self.runners = {}
         self.ask_pool = AskBudget()
         self.curves = SlotCurves()
-        self.endings = EndingChecks(report=lambda endpoint, lost: None)
+        self.guard = RequestGuard()
         blackboard.watch("configuration", self.refresh)
         blackboard.watch("profile", self.refresh_profile)
         blackboard.watch("fleet", self.refresh)
@@ -227,7 +234,7 @@
                 self.ask_pool,
                 self.curves,
                 self.clock,
-                self.endings,
+                self.guard,
             )
             self.runners[name] = runner
             self._apply_signs(runner)
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -14,6 +14,8 @@
 from hingesill_core.discovery.relays import RelayChoice
 from hingesill_core.routing.dispatcher import FleetView
 from hingesill_node.blackboard import Configuration
+from hingesill_node.crashes.keeper import HoldKeeper
+from hingesill_node.crashes.spreading import Spreader
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.discovery.follower import Follower
 from hingesill_node.discovery.peers import PeerApplication, PeerClient
@@ -82,10 +84,12 @@
             source, entry, self._lists, lambda: self.follower.store_answers
         )
         self.profiles = None
+        self.holds = None
         self.fleet_size = FleetSize()
         self._version = None
         self._routes = RouteTable(())
         self._evacuated = {}
+        self._held = {}
 
     def start(self, runners):
         """See `node.Control`."""
@@ -108,8 +112,32 @@
         )
         eventlet.spawn(self.profiles.run)
         eventlet.spawn(Reporter(follower.find_relay, runners).run)
+        return self._start_guard(runners.guard)
+
+    def _start_guard(self, guard):
+        """Let nodes know of requests under which endpoints end; see `start`."""
+        follower = self.follower
+        self.holds = HoldKeeper(
+            follower.source,
+            follower.directory,
+            guard,
+            follower.is_watching_for_others,
+            lambda: follower.store_answers,
+        )
+        self.holds.take(follower.directory.held)
+        eventlet.spawn(self.holds.run)
+        try:
+            Spreader(guard, self.list_peers, self.counters).start(self.address)
+        except OSError as error:
+            return f"control_address {self.address}: {error.strerror}"
         return ""
 
+    def list_peers(self):
+        """Return the control addresses of all other nodes."""
+        nodes = self.follower.directory.nodes.values()
+        own = self.follower.choice.own.name
+        return [node.address for node in nodes if node.name != own]
+
     def publish(self, directory):
         """Put what the directory holds in force."""
         fleet = self._build_fleet(directory)
@@ -118,6 +146,9 @@
         profile = directory.profile
         if profile is not None and profile is not self.blackboard.profile:
             self.blackboard.write("profile", profile)
+        if directory.held is not self._held and self.holds is not None:
+            self._held = directory.held
+            self.holds.take(directory.held)
         self._log_evacuations(directory)
         if directory.declared is None:
             return
@@ -187,6 +218,7 @@
         self.follower.move(open_source(settings.directory))
         self.registration.source = self.follower.source
         self.profiles.source = self.follower.source
+        self.holds.source = self.follower.source
         return ["directory"]
 
     def leave(self):
--- a/packages/hingesill-node/hingesill_node/discovery/source.py
+++ b/packages/hingesill-node/hingesill_node/discovery/source.py
@@ -50,6 +50,15 @@
     def renew(self, lease):
         """Prolong the lease; return Held, LeaseLost or StoreFailure."""
 
+    def hold(self, record, seconds):
+        """Keep a HeldRequest for so long; return None or StoreFailure.
+
+        One that another node has written stays as it is.
+        """
+
+    def let_go(self, fingerprint):
+        """Remove a HeldRequest; return None or StoreFailure."""
+
     def save(self, profile):
         """Keep a Profile in place of the one before; return None or StoreFailure."""
 
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -94,6 +94,7 @@
         return {
             "in_flight": self.blackboard.in_flight,
             "held": self.runners.count_held(),
+            "quarantined": len(self.runners.guard.decisions.quarantine),
             "revision": self.blackboard.configuration.revision,
             "confirmed_age_seconds": self.control.get_confirmed_age(),
         }
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -18,12 +18,14 @@
     "probes_left_out": "Probes not sent as the connections were used up.",
     "store_calls": "Calls to the platform's key-value service by kind.",
     "peer_bytes": "Bytes between nodes by direction.",
+    "gossip": "Datagrams between nodes on ended endpoints: told, heard, not valid.",
     "suspicions": "Overdue answers told to other nodes, and heard of.",
 }
 
 GAUGE_TEXTS = {
     "in_flight": "Requests in flight.",
     "held": "Requests held in the node's queues.",
+    "quarantined": "Requests held back as endpoints ended under them, or on trial.",
     "revision": "Revision of the configuration in force.",
     "confirmed_age_seconds": "Age of the store's last word that it is the newest.",
 }
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -66,6 +66,14 @@
     REPORT_LOST = (4007, logging.INFO, "a relay did not take what was learnt")
     REPORT_INVALID = (4008, logging.WARNING, "a report of another node is not valid")
     ENDPOINT_LOOKED_AT = (4009, logging.INFO, "an endpoint gave no answer")
+    HOLD_BEGUN = (
+        4010,
+        logging.WARNING,
+        "a request is held back, as endpoints ended under it",
+    )
+    HOLD_ENDED = (4011, logging.INFO, "a request is no longer held back")
+    HOLD_NOT_KEPT = (4012, logging.WARNING, "a hold could not be kept in the store")
+    GOSSIP_INVALID = (4013, logging.WARNING, "a datagram of a node is not valid")
     PROBE_SHARE_HELD = (5001, logging.INFO, "a share of the probe budget is held")
     PROBE_SHARE_LOST = (5002, logging.INFO, "a share of the probe budget has lapsed")
     REQUEST_ANSWERED = (6002, logging.INFO, "a request was answered")
@@ -74,6 +82,11 @@
         logging.WARNING,
         "a request was refused, late, lost or sent more than once",
     )
+    REQUEST_HELD_BACK = (
+        6004,
+        logging.WARNING,
+        "a request was refused, as endpoints ended under it",
+    )
     REQUEST_FAULT = (6001, logging.ERROR, "a request ended by a fault of the node")
 
     @property
