--- a/packages/hingesill-core/hingesill_core/crashes/gossip.py
+++ b/packages/hingesill-core/hingesill_core/crashes/gossip.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-__all__ = ["Gossip", "MOST_TOLD", "ROUND_SECONDS"]
+__all__ = ["Gossip", "MOST_TOLD", "PEERS_A_ROUND", "ROUND_SECONDS"]
 
 # Between two rounds of a node that has news.
 ROUND_SECONDS = 0.1
--- a/packages/hingesill-node/hingesill_node/crashes/spreading.py
+++ b/packages/hingesill-node/hingesill_node/crashes/spreading.py
@@ -8,7 +8,7 @@
 from msgspec.msgpack import Decoder, encode
 
 from hingesill_core.crashes.fingerprint import Breadth
-from hingesill_core.crashes.gossip import MOST_TOLD, ROUND_SECONDS
+from hingesill_core.crashes.gossip import MOST_TOLD, PEERS_A_ROUND, ROUND_SECONDS
 from hingesill_core.crashes.history import MEMORY_SECONDS
 from hingesill_core.crashes.messages import Batch, ToldKind
 from hingesill_core.crashes.quarantine import LONGEST_HOLD_SECONDS, MOST_HELD
@@ -26,6 +26,11 @@
 MOST_ASKS = 6
 # Datagrams with which one that asks is answered, as a guard of the links.
 MOST_ANSWERS = 32
+# Nodes are told that told something themselves, unless that is older: one that was
+# entered as the store went away is not listed by the others. The second is a guard of
+# memory.
+SENDER_SECONDS = 120.0
+MOST_SENDERS = 256
 # A line in the log for datagrams that are not understood, at most so often.
 COMPLAINT_SECONDS = 5.0
 
@@ -97,7 +102,7 @@
         self.list_peers = list_peers
         self.counters = counters
         self._sock = None
-        self._heard_from = 0
+        self._senders = {}
         self._complain_from = 0.0
 
     def start(self, address):
@@ -127,13 +132,26 @@
             self._complain(str(error), sender)
             return
         self.counters.add("gossip", "heard")
-        self._heard_from += 1
         now = self.guard.clock()
+        self._note_sender(sender, now)
         for told in batch.told:
             self.guard.decisions.hear(told, now)
         if batch.asks:
             self._answer(sender, now)
 
+    def _note_sender(self, sender, now):
+        """Remember who told something, the newest ones if there are many."""
+        self._senders.pop(sender, None)
+        self._senders[sender] = now
+        if len(self._senders) > MOST_SENDERS:
+            del self._senders[next(iter(self._senders))]
+
+    def find_peers(self, now):
+        """Return the addresses of all nodes that are listed or have told something."""
+        oldest = now - SENDER_SECONDS
+        told = {sender for sender, at in self._senders.items() if at > oldest}
+        return sorted(told.union(map(split_address, self.list_peers())))
+
     def _complain(self, detail, sender):
         now = self.guard.clock()
         if now < self._complain_from:
@@ -159,24 +177,24 @@
                 self._tell_round(now)
 
     def _tell_round(self, now):
-        peers = self.list_peers()
+        peers = self.find_peers(now)
         self.guard.decisions.nodes = len(peers) + 1
         chosen, told = self.guard.decisions.take_round(peers, now)
         if not told:
             return
         batch = Batch(tuple(told))
         for peer in chosen:
-            self._send(split_address(peer), batch)
+            self._send(peer, batch)
 
     def _ask(self):
         """Ask others what they know, until one has answered."""
         for _ in range(MOST_ASKS):
             eventlet.sleep(ASK_SECONDS * random.uniform(0.8, 1.2))
-            if self._heard_from:
+            if self._senders:
                 return
-            peers = self.list_peers()
-            for peer in random.sample(peers, min(2, len(peers))):
-                self._send(split_address(peer), Batch(asks=True))
+            peers = self.find_peers(self.guard.clock())
+            for peer in random.sample(peers, min(PEERS_A_ROUND, len(peers))):
+                self._send(peer, Batch(asks=True))
 
     def _send(self, peer, batch):
         self.counters.add("gossip", "told")
