--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
@@ -1,6 +1,7 @@
 """Tests of requests that wait for an endpoint's word."""
 
 import random
+import time
 import unittest
 
 import eventlet
@@ -32,11 +33,11 @@
         pass
 
 
-def build_runner(born=0):
+def build_runner(born=0, clock=time.monotonic):
     service = build_service(born)
-    return ServiceRunner(
-        service, FleetView("a", 4, 8), random.Random(1), NoAnnouncements()
-    )
+    fleet = FleetView("a", 4, 8)
+    rng = random.Random(1)
+    return ServiceRunner(service, fleet, rng, NoAnnouncements(), clock=clock)
 
 
 def build_service(born=0):
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_suspension.py
@@ -0,0 +1,65 @@
+"""Tests of a VM that is suspended for seconds while requests wait."""
+
+import time
+import unittest
+
+import eventlet
+
+from hingesill_core.reasons import RefusalReason
+from hingesill_core.routing.messages import Ticket
+from hingesill_node.datapath.messages import Body, CallerRequest
+from hingesill_node.datapath.tests.test_asking import ROUTE, build_runner
+from hingesill_node.datapath.wire import OwnFormat
+from hingesill_node.telemetry.counters import Counters
+
+SUSPENDED_SECONDS = 5.0
+
+
+class PartedClock:
+    """Goes on while the VM is suspended, unlike the one of the timers."""
+
+    def __init__(self):
+        self.suspended = 0.0
+
+    def __call__(self):
+        return time.monotonic() + self.suspended
+
+
+class RestingConnection:
+    """Has rested in a pool."""
+
+    idle_until = 0.0
+
+    def is_stale(self):
+        return False
+
+    def close(self):
+        pass
+
+
+class SuspensionTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = PartedClock()
+        self.runner = build_runner(clock=self.clock)
+
+    def test_a_request_whose_time_has_passed_is_refused_and_not_sent(self):
+        room = self.runner.get_room(OwnFormat(), Counters())
+        now = self.clock()
+        ticket = Ticket(ROUTE, now, now + 2.0)
+        request = CallerRequest("r1", "GET", "/a/", [], Body(b"", 0), ticket)
+        ask = self.runner.dispatcher.submit(ticket, now)
+        waiting = eventlet.spawn(room.wait, request, ask)
+        eventlet.sleep(0.01)
+        self.clock.suspended = SUSPENDED_SECONDS
+        with eventlet.Timeout(0.5):
+            found = waiting.wait()
+        self.assertIs(found.decision.reason, RefusalReason.DEADLINE_UNREACHABLE)
+        self.assertEqual(ticket.sends, 0)
+
+    def test_a_connection_that_rested_meanwhile_is_not_used(self):
+        pool = self.runner.find_pool("i1")
+        pool.opened = 1
+        pool.give_back(RestingConnection(), idle_seconds=4.0)
+        self.assertTrue(pool.has_idle())
+        self.clock.suspended = SUSPENDED_SECONDS
+        self.assertFalse(pool.has_idle())
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -1,7 +1,6 @@
 """The control of a node that follows a directory in the platform's store."""
 
 import random
-import time
 
 import eventlet
 
@@ -14,6 +13,7 @@
 from hingesill_core.discovery.relays import RelayChoice
 from hingesill_core.routing.dispatcher import FleetView
 from hingesill_node.blackboard import Configuration
+from hingesill_node.clocks import read_boot_time
 from hingesill_node.crashes.keeper import HoldKeeper
 from hingesill_node.crashes.spreading import Spreader
 from hingesill_node.datapath.server import listen, start_server
@@ -79,9 +79,13 @@
         peers = PeerClient(vm, settings.data_centre)
         entry = NodeRecord(vm, self.address, settings.data_centre, settings.strength)
         choice = RelayChoice(entry, random.Random())
-        self.follower = Follower(source, peers, self.publish, choice, RelayClient())
+        # How old a belief is counts the time in which the VM was suspended.
+        self.clock = read_boot_time
+        self.follower = Follower(
+            source, peers, self.publish, choice, RelayClient(), self.clock
+        )
         self.registration = Registration(
-            source, entry, self._lists, lambda: self.follower.store_answers
+            source, entry, self._lists, lambda: self.follower.store_answers, self.clock
         )
         self.profiles = None
         self.holds = None
@@ -109,9 +113,10 @@
             follower.directory,
             runners,
             follower.is_watching_for_others,
+            self.clock,
         )
         eventlet.spawn(self.profiles.run)
-        eventlet.spawn(Reporter(follower.find_relay, runners).run)
+        eventlet.spawn(Reporter(follower.find_relay, runners, self.clock).run)
         return self._start_guard(runners.guard)
 
     def _start_guard(self, guard):
@@ -189,7 +194,7 @@
         return self.follower.directory.nodes.get(node.name) == node
 
     def _build_fleet(self, directory):
-        nodes = self.fleet_size.note(len(directory.nodes), time.monotonic())
+        nodes = self.fleet_size.note(len(directory.nodes), self.clock())
         limit = ROOM_FOR_NODES * nodes
         # Looked for only where it decides who saves a token up: a view that changes
         # with each node that comes makes all services be configured anew.
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -72,9 +72,13 @@
         The dialect; hingesill's own if None.
     load : callable or None
         Reads the settings again; None if they cannot change.
+    clock : callable
+        Seconds, by which requests' times pass and connections rest.
     """
 
-    def __init__(self, settings, build_control, wire=None, load=None):
+    def __init__(
+        self, settings, build_control, wire=None, load=None, clock=time.monotonic
+    ):
         self.settings = settings
         self.load = load or (lambda: settings)
         self.counters = Counters()
@@ -82,11 +86,16 @@
         self.blackboard = Blackboard(fleet)
         self.control = build_control(settings, self.blackboard, self.counters)
         self.runners = RunnerTable(
-            self.blackboard, random.Random(), self.control.announcements
+            self.blackboard, random.Random(), self.control.announcements, clock
         )
         self.lifecycle = Lifecycle(self.blackboard, settings, self.control)
         self.application = Application(
-            self.blackboard, self.runners, self.counters, settings.max_body_bytes, wire
+            self.blackboard,
+            self.runners,
+            self.counters,
+            settings.max_body_bytes,
+            wire,
+            clock,
         )
 
     def read_gauges(self):
