Nodes of hingesill's own mode tell each other of ended endpoints too

The same cause elsewhere: hingesilld without a platform shares the data path, so each node of it would have held a request back for itself only. The spreader sends by the socket that the node has for overdue answers; the two kinds of datagrams differ in their first byte.

--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -8,6 +8,7 @@
 from hingesill_node.bridge import Bridge
 from hingesill_node.control.publisher import Publisher
 from hingesill_node.control.thread import ControlThread
+from hingesill_node.crashes.spreading import Spreader
 from hingesill_node.datapath.announcements import Announcements
 from hingesill_node.datapath.prober import Prober
 from hingesill_node.explanation import Explainer
@@ -64,10 +65,14 @@
         error = self.thread.start()
         if error:
             return error
-        self.announcements.start(self.address, runners.note_suspicion)
+        spreader = Spreader(runners.guard, self._list_peers, self.counters)
+        self.announcements.start(self.address, runners.note_suspicion, spreader)
         eventlet.spawn(Prober(self.blackboard, runners, self.counters).run)
         return ""
 
+    def _list_peers(self):
+        return self.blackboard.peers
+
     def is_settled(self):
         """See `node.Control`."""
         return self.thread.state.settled
--- a/packages/hingesill-node/hingesill_node/crashes/spreading.py
+++ b/packages/hingesill-node/hingesill_node/crashes/spreading.py
@@ -15,7 +15,7 @@
 from hingesill_node.listeners import split_address
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["Spreader", "decode_batch"]
+__all__ = ["MOST_BYTES", "Spreader", "decode_batch", "is_batch"]
 
 # Of a datagram; what nodes send fits into 1,400.
 MOST_BYTES = 4096
@@ -35,6 +35,8 @@
 COMPLAINT_SECONDS = 5.0
 
 BATCHES = Decoder(Batch)
+# With what each one begins; other datagrams of nodes begin with something else.
+BATCH_MARK = encode(Batch())[:1]
 
 
 def decode_batch(data):
@@ -79,6 +81,11 @@
         raise ValueError(f"a request that was held back {told.times} times")
 
 
+def is_batch(data):
+    """Tell whether a datagram is meant to be a Batch, by its first byte."""
+    return data[:1] == BATCH_MARK
+
+
 class Spreader:
     """Tells other nodes and hears from them, by UDP on the node's control address.
 
@@ -87,7 +94,7 @@
     guard : RequestGuard
         Has the news and takes what is heard.
     list_peers : callable
-        Returns the control addresses of all other nodes.
+        Returns IP number and port of the control address of each other node.
     counters : Counters
         Gets ``gossip``.
 
@@ -101,29 +108,40 @@
         self.guard = guard
         self.list_peers = list_peers
         self.counters = counters
-        self._sock = None
+        self._send_datagram = None
         self._senders = {}
         self._complain_from = 0.0
 
     def start(self, address):
-        """Begin, in green threads; OSError if the address cannot be listened on."""
-        self._sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_DGRAM)
-        self._sock.bind(split_address(address))
-        eventlet.spawn(self._listen)
+        """Begin with a socket of its own; OSError if that cannot be bound."""
+        sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_DGRAM)
+        sock.bind(split_address(address))
+        eventlet.spawn(self._listen, sock)
+        self.start_with(sock.sendto)
+
+    def start_with(self, send):
+        """Begin with the socket of another part, which hands datagrams to `take`.
+
+        Parameters
+        ----------
+        send : callable
+            Takes bytes, and IP number and port.
+        """
+        self._send_datagram = send
         eventlet.spawn(self._tell)
         eventlet.spawn(self._ask)
 
-    def _listen(self):
+    def _listen(self, sock):
         while True:
             try:
-                data, sender = self._sock.recvfrom(MOST_BYTES)
+                data, sender = sock.recvfrom(MOST_BYTES)
             except OSError:
                 # A peer's port that is closed shows here; the next datagram will do.
                 self.counters.add("gossip", "failed")
                 continue
-            self._take(data, sender)
+            self.take(data, sender)
 
-    def _take(self, data, sender):
+    def take(self, data, sender):
         """Take a datagram; one that is not understood is dropped whole."""
         try:
             batch = decode_batch(data)
@@ -150,7 +168,7 @@
         """Return the addresses of all nodes that are listed or have told something."""
         oldest = now - SENDER_SECONDS
         told = {sender for sender, at in self._senders.items() if at > oldest}
-        return sorted(told.union(map(split_address, self.list_peers())))
+        return sorted(told.union(self.list_peers()))
 
     def _complain(self, detail, sender):
         now = self.guard.clock()
@@ -199,7 +217,7 @@
     def _send(self, peer, batch):
         self.counters.add("gossip", "told")
         try:
-            self._sock.sendto(encode(batch), peer)
+            self._send_datagram(encode(batch), peer)
         except OSError:
             # A datagram that cannot be sent is as good as lost.
             self.counters.add("gossip", "failed")
--- a/packages/hingesill-node/hingesill_node/datapath/announcements.py
+++ b/packages/hingesill-node/hingesill_node/datapath/announcements.py
@@ -12,12 +12,12 @@
 from google.protobuf.message import DecodeError
 
 from hingesill_api.generated import hingesill_pb2 as pb
+from hingesill_node.crashes.spreading import MOST_BYTES, is_batch
 from hingesill_node.listeners import split_address
 
 __all__ = ["Announcements"]
 
 PAUSE_SECONDS = 0.02
-MOST_BYTES = 512
 MOST_PEERS = 32
 MOST_A_SECOND = 200
 
@@ -51,7 +51,7 @@
         self._second = 0
         self._sent = 0
 
-    def start(self, address, hear):
+    def start(self, address, hear, spreader=None):
         """Listen on a UDP address.
 
         Parameters
@@ -60,6 +60,8 @@
             ``IP:PORT``, the control address.
         hear : callable
             Called with an endpoint's address and a ratio.
+        spreader : Spreader or None
+            Shares the socket: sends by it, and takes the datagrams meant for it.
 
         Raises
         ------
@@ -68,11 +70,16 @@
         """
         self._sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_DGRAM)
         self._sock.bind(split_address(address))
-        eventlet.spawn(self._listen, hear)
+        eventlet.spawn(self._listen, hear, spreader)
+        if spreader is not None:
+            spreader.start_with(self._sock.sendto)
 
-    def _listen(self, hear):
+    def _listen(self, hear, spreader):
         while True:
-            data, _ = self._sock.recvfrom(MOST_BYTES)
+            data, sender = self._sock.recvfrom(MOST_BYTES)
+            if spreader is not None and is_batch(data):
+                spreader.take(data, sender)
+                continue
             try:
                 message = pb.Suspicion.FromString(data)
             except DecodeError:
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -24,6 +24,7 @@
 from hingesill_node.discovery.relayclient import RelayClient
 from hingesill_node.discovery.reports import Reporter
 from hingesill_node.discovery.source import open_source
+from hingesill_node.listeners import split_address
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["DirectoryControl", "NoAnnouncements"]
@@ -138,10 +139,10 @@
         return ""
 
     def list_peers(self):
-        """Return the control addresses of all other nodes."""
+        """Return IP number and port of the control address of each other node."""
         nodes = self.follower.directory.nodes.values()
         own = self.follower.choice.own.name
-        return [node.address for node in nodes if node.name != own]
+        return [split_address(node.address) for node in nodes if node.name != own]
 
     def publish(self, directory):
         """Put what the directory holds in force."""
