--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -6,34 +6,20 @@
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.queue import RequestQueue
 from hingesill_core.limits.shares import compute_send_limit
-from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.retries.budget import TokenBudget
-from hingesill_core.retries.decision import (
-    classify_refusal,
-    judge_retry,
-    mark_exposure,
-)
+from hingesill_core.retries.decision import mark_exposure
 from hingesill_core.routing.asking import ASKING_POLICY
 from hingesill_core.routing.endpoint_state import EndpointState, ServiceView
 from hingesill_core.routing.hedging import Hedging
 from hingesill_core.routing.latebinding import LateBinding
-from hingesill_core.routing.messages import (
-    Denied,
-    Hold,
-    Refusal,
-    Send,
-    SendEnd,
-)
+from hingesill_core.routing.messages import Hold, Refusal, Send, SendEnd
 from hingesill_core.routing.policies import POLICIES
+from hingesill_core.routing.retrying import Retrying
 
 __all__ = ["Dispatcher", "FleetView"]
 
 OTHER_DATA_CENTRE = 0.003
-# Seconds until a caller is back whom an endpoint refused by chance. Source: some times
-# the way between a caller and a node, so that callers do not come in step. While all 30
-# endpoints of a service refused 0.55 of their requests, 129 requests of 10 s were late;
-# 171 when they came back after 0.05 s (95 nodes, one simulated day each).
-SOON = 0.01
 
 
 class FleetView(Struct, frozen=True):
@@ -85,6 +71,7 @@
         self.paces = {}
         self.hedging = Hedging(self, service.sends.hedge_share)
         self.retries = TokenBudget(service.sends.retry_share)
+        self.retrying = Retrying(self)
         self.binding = LateBinding(self, ask_pool or AskBudget(), curves)
         self.configure(service, fleet)
 
@@ -147,12 +134,12 @@
         self.last_submit = now
         self.hedging.budget.earn()
         self.retries.earn()
-        ask = self._begin_asking(ticket, now)
+        ask = self.begin_asking(ticket, now)
         if ask is not None:
             return ask
         return self.dispatch_unasked(ticket, now)
 
-    def _begin_asking(self, ticket, now):
+    def begin_asking(self, ticket, now):
         """Return an Ask or a Refusal, or None if this service does not ask."""
         if self.service.policy != ASKING_POLICY:
             return None
@@ -161,12 +148,13 @@
     def dispatch_unasked(self, ticket, now):
         """Choose by what is known already; return Send, Hold or Refusal."""
         if ticket.route.live or not self.queue.get_first(live=True):
-            send = self._assign(ticket, now)
+            send = self.assign(ticket, now)
             if send is not None:
                 return send
-        return self._hold_or_refuse(ticket, now)
+        return self.hold_or_refuse(ticket, now)
 
-    def _hold_or_refuse(self, ticket, now):
+    def hold_or_refuse(self, ticket, now):
+        """Return Hold if a request can wait and still be in time, else its Refusal."""
         if not self.has_takers(ticket.route, now):
             return self.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
         ahead = self.queue.count_ahead(ticket)
@@ -191,9 +179,9 @@
     def refuse(self, ticket, reason, now):
         """Return the final answer of a request that is given up."""
         outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
-        return Refusal(reason, outcome, self._suggest_return(now))
+        return Refusal(reason, outcome, self.suggest_return(now))
 
-    def _suggest_return(self, now):
+    def suggest_return(self, now):
         """Return the seconds after which a caller finds room, as far as known."""
         wait = self.binding.estimate_wait(now)
         if not wait:
@@ -209,7 +197,7 @@
             for state in self.states.values()
         )
 
-    def _assign(self, ticket, now):
+    def assign(self, ticket, now):
         """Send a ticket to an endpoint with a free place, if there is one."""
         free = [
             state for state in self.states.values() if self._is_free(state, ticket, now)
@@ -241,7 +229,7 @@
         for live in (True, False):
             while True:
                 ticket = self.queue.get_first(live)
-                send = self._assign(ticket, now) if ticket is not None else None
+                send = self.assign(ticket, now) if ticket is not None else None
                 if send is None:
                     break
                 self.queue.remove(ticket)
@@ -322,48 +310,8 @@
         return (ejected + 1) * 2 <= len(self.states)
 
     def retry(self, ticket, end, now):
-        """Decide what follows a send that brought no answer.
-
-        Returns
-        -------
-        tuple
-            The Ask, Send, Hold or Refusal to act on, and the RetryReason that is
-            counted, which is a ``DENIED`` one with a Refusal.
-        """
-        quick = self.get_pace(ticket.route).quick
-        verdict = judge_retry(ticket, end, self.retries, now, quick)
-        if isinstance(verdict, Denied):
-            return self._give_up(ticket, end, now), verdict.reason
-        ask = self._begin_asking(ticket, now)
-        if isinstance(ask, Refusal):
-            self.retries.give_back()
-            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
-        if ask is not None:
-            return ask, verdict
-        send = self._assign(ticket, now)
-        if send is not None:
-            return send, verdict
-        decision = self._hold_or_refuse(ticket, now)
-        if isinstance(decision, Refusal):
-            self.retries.give_back()
-            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
-        return decision, verdict
-
-    def _give_up(self, ticket, end, now):
-        if end is SendEnd.REFUSED and not self.binding.waiting:
-            return classify_refusal(ticket, end, self._suggest_other_node())
-        return classify_refusal(ticket, end, self._suggest_return(now))
-
-    def _suggest_other_node(self):
-        """Return when to come back after an endpoint refused though it was free.
-
-        Notes
-        -----
-        Nobody waits here, so the endpoints have room; what was refused by chance is as
-        likely to be taken now as later, and the caller comes to another node, which may
-        have an extra send left.
-        """
-        return SOON * (1 + self.rng.random())
+        """Decide what follows a send that brought no answer; see `Retrying.decide`."""
+        return self.retrying.decide(ticket, end, now)
 
     def note_probe(self, endpoint, result, now):
         """Take what a probe told of an endpoint.
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/retrying.py
@@ -0,0 +1,70 @@
+"""What follows a send that brought no answer: another send, or the final answer."""
+
+from hingesill_core.reasons import RetryReason
+from hingesill_core.retries.decision import classify_refusal, judge_retry
+from hingesill_core.routing.messages import Denied, Refusal, SendEnd
+
+__all__ = ["Retrying"]
+
+# Seconds until a caller is back whom an endpoint refused by chance. Source: some times
+# the way between a caller and a node, so that callers do not come in step. While all 30
+# endpoints of a service refused 0.55 of their requests, 129 requests of 10 s were late;
+# 171 when they came back after 0.05 s (95 nodes, one simulated day each).
+SOON = 0.01
+
+
+class Retrying:
+    """The retries of one service.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        The service's; its budget of retries is spent.
+    """
+
+    def __init__(self, dispatcher):
+        self._dispatcher = dispatcher
+
+    def decide(self, ticket, end, now):
+        """Decide what follows a send that brought no answer.
+
+        Returns
+        -------
+        tuple
+            The Ask, Send, Hold or Refusal to act on, and the RetryReason that is
+            counted, which is a ``DENIED`` one with a Refusal.
+        """
+        quick = self._dispatcher.get_pace(ticket.route).quick
+        verdict = judge_retry(ticket, end, self._dispatcher.retries, now, quick)
+        if isinstance(verdict, Denied):
+            return self._give_up(ticket, end, now), verdict.reason
+        ask = self._dispatcher.begin_asking(ticket, now)
+        if isinstance(ask, Refusal):
+            self._dispatcher.retries.give_back()
+            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
+        if ask is not None:
+            return ask, verdict
+        send = self._dispatcher.assign(ticket, now)
+        if send is not None:
+            return send, verdict
+        decision = self._dispatcher.hold_or_refuse(ticket, now)
+        if isinstance(decision, Refusal):
+            self._dispatcher.retries.give_back()
+            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
+        return decision, verdict
+
+    def _give_up(self, ticket, end, now):
+        if end is SendEnd.REFUSED and not self._dispatcher.binding.waiting:
+            return classify_refusal(ticket, end, self._suggest_other_node())
+        return classify_refusal(ticket, end, self._dispatcher.suggest_return(now))
+
+    def _suggest_other_node(self):
+        """Return when to come back after an endpoint refused though it was free.
+
+        Notes
+        -----
+        Nobody waits here, so the endpoints have room; what was refused by chance is as
+        likely to be taken now as later, and the caller comes to another node, which may
+        have an extra send left.
+        """
+        return SOON * (1 + self._dispatcher.rng.random())
--- a/packages/hingesill-node/hingesill_node/crashes/spreading.py
+++ b/packages/hingesill-node/hingesill_node/crashes/spreading.py
@@ -4,23 +4,15 @@
 
 import eventlet
 from eventlet.green import socket as green_socket
-from msgspec import DecodeError
-from msgspec.msgpack import Decoder, encode
 
-from hingesill_core.crashes.fingerprint import Breadth
 from hingesill_core.crashes.gossip import MOST_TOLD, PEERS_A_ROUND, ROUND_SECONDS
-from hingesill_core.crashes.history import MEMORY_SECONDS
-from hingesill_core.crashes.messages import Batch, ToldKind
-from hingesill_core.crashes.quarantine import LONGEST_HOLD_SECONDS, MOST_HELD
+from hingesill_core.crashes.messages import Batch
+from hingesill_node.crashes.datagrams import MOST_BYTES, decode_batch, encode_batch
 from hingesill_node.listeners import split_address
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["MOST_BYTES", "Spreader", "decode_batch", "is_batch"]
+__all__ = ["Spreader"]
 
-# Of a datagram; what nodes send fits into 1,400.
-MOST_BYTES = 4096
-LONGEST_FINGERPRINT = 64
-LONGEST_ENDPOINT = 128
 # A node that has just started asks others what they know, until one answers.
 ASK_SECONDS = 0.5
 MOST_ASKS = 6
@@ -34,57 +26,6 @@
 # A line in the log for datagrams that are not understood, at most so often.
 COMPLAINT_SECONDS = 5.0
 
-BATCHES = Decoder(Batch)
-# With what each one begins; other datagrams of nodes begin with something else.
-BATCH_MARK = encode(Batch())[:1]
-
-
-def decode_batch(data):
-    """Return the Batch that a datagram holds.
-
-    Raises
-    ------
-    ValueError
-        If it holds none, or figures beyond all bounds.
-    """
-    try:
-        batch = BATCHES.decode(data)
-    except (DecodeError, RecursionError) as error:
-        raise ValueError(f"not a batch: {error}") from error
-    for told in batch.told:
-        check_told(told)
-    return batch
-
-
-def check_told(told):
-    """Raise ValueError for news that no node of this project tells."""
-    if not 0 < len(told.fingerprints) <= len(Breadth):
-        raise ValueError(f"{len(told.fingerprints)} fingerprints")
-    for fingerprint in told.fingerprints:
-        if not 0 < len(fingerprint) <= LONGEST_FINGERPRINT:
-            raise ValueError(f"a fingerprint of {len(fingerprint)} characters")
-    if len(told.endpoint) > LONGEST_ENDPOINT:
-        raise ValueError(f"an identity of {len(told.endpoint)} characters")
-    if not 0.0 <= told.age <= MEMORY_SECONDS + LONGEST_HOLD_SECONDS:
-        raise ValueError(f"an age of {told.age} s")
-    if told.kind is ToldKind.ENDED and not told.endpoint:
-        raise ValueError("an ending without an endpoint")
-    if told.kind is ToldKind.HELD:
-        check_held(told)
-
-
-def check_held(told):
-    """Raise ValueError for a hold that no node of this project begins."""
-    if not 0.0 < told.left <= LONGEST_HOLD_SECONDS:
-        raise ValueError(f"a hold of {told.left} s")
-    if not 0 < told.times <= MOST_HELD:
-        raise ValueError(f"a request that was held back {told.times} times")
-
-
-def is_batch(data):
-    """Tell whether a datagram is meant to be a Batch, by its first byte."""
-    return data[:1] == BATCH_MARK
-
 
 class Spreader:
     """Tells other nodes and hears from them, by UDP on the node's control address.
@@ -217,7 +158,7 @@
     def _send(self, peer, batch):
         self.counters.add("gossip", "told")
         try:
-            self._send_datagram(encode(batch), peer)
+            self._send_datagram(encode_batch(batch), peer)
         except OSError:
             # A datagram that cannot be sent is as good as lost.
             self.counters.add("gossip", "failed")
--- a/packages/hingesill-node/hingesill_node/crashes/tests/test_spreading.py
+++ b/packages/hingesill-node/hingesill_node/crashes/tests/test_spreading.py
@@ -9,8 +9,9 @@
 
 from hingesill_api.generated import hingesill_pb2 as pb
 from hingesill_core.crashes.messages import Batch, Told, ToldKind
+from hingesill_node.crashes.datagrams import decode_batch, is_batch
 from hingesill_node.crashes.requestguard import RequestGuard
-from hingesill_node.crashes.spreading import Spreader, decode_batch, is_batch
+from hingesill_node.crashes.spreading import Spreader
 from hingesill_node.datapath.announcements import Announcements
 from hingesill_node.telemetry.counters import Counters
 
--- a/packages/hingesill-node/hingesill_node/datapath/announcements.py
+++ b/packages/hingesill-node/hingesill_node/datapath/announcements.py
@@ -12,7 +12,7 @@
 from google.protobuf.message import DecodeError
 
 from hingesill_api.generated import hingesill_pb2 as pb
-from hingesill_node.crashes.spreading import MOST_BYTES, is_batch
+from hingesill_node.crashes.datagrams import MOST_BYTES, is_batch
 from hingesill_node.listeners import split_address
 
 __all__ = ["Announcements"]
