--- a/packages/hingesill-node/hingesill_node/crashes/keeper.py
+++ b/packages/hingesill-node/hingesill_node/crashes/keeper.py
@@ -105,26 +105,19 @@
         record = HeldRequest(
             fingerprint, day + request.since, day + request.until, request.times
         )
-        answer = self.source.hold(record, request.until - now)
-        if isinstance(answer, StoreFailure):
-            log_event(
-                Event.HOLD_NOT_KEPT, fingerprint=fingerprint, detail=answer.reason
-            )
+        note_kept(fingerprint, self.source.hold(record, request.until - now))
 
     def _remove_cleared(self, now):
         """Let go in the store what was answered since it was held back."""
         if not self.may_write_first():
             return
-        for fingerprint in self.directory.held:
+        held = self.directory.held
+        self._remove_from = {n: t for n, t in self._remove_from.items() if n in held}
+        for fingerprint in held:
             is_tried = now < self._remove_from.get(fingerprint, now)
-            if is_tried or not self.guard.decisions.is_cleared(fingerprint):
-                continue
-            self._remove_from[fingerprint] = now + RETRY_SECONDS
-            answer = self.source.let_go(fingerprint)
-            if isinstance(answer, StoreFailure):
-                log_event(
-                    Event.HOLD_NOT_KEPT, fingerprint=fingerprint, detail=answer.reason
-                )
+            if not is_tried and self.guard.decisions.is_cleared(fingerprint):
+                self._remove_from[fingerprint] = now + RETRY_SECONDS
+                note_kept(fingerprint, self.source.let_go(fingerprint))
 
     def take(self, held):
         """Hold back what the store lists.
@@ -142,3 +135,9 @@
             if until > now:
                 request = QuarantinedRequest(record.since - day, until, record.times)
                 self.guard.decisions.adopt(fingerprint, request, FROM_STORE)
+
+
+def note_kept(fingerprint, answer):
+    """Write a line if the store did not take a change of what it keeps."""
+    if isinstance(answer, StoreFailure):
+        log_event(Event.HOLD_NOT_KEPT, fingerprint=fingerprint, detail=answer.reason)
