Living relays are given time without followers knowing of changes later

The store is looked at 1.0 s after the last word where the relays said themselves that they lost it, so that the 0.4 s that they are given end as patience did.

--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -46,8 +46,8 @@
 # a relay's silence, a change is still in force within 2 s.
 PATIENCE_SECONDS = 1.4
 # Relays that said themselves that they lost the store are given a moment more to find
-# it back (`storepauses.RELAYS_SOON_SECONDS`), so the store is looked at earlier.
-PATIENCE_WITH_LIVING_SECONDS = 1.15
+# it back (`storepauses.RELAYS_SOON_SECONDS`), so the store is looked at as much earlier.
+PATIENCE_WITH_LIVING_SECONDS = 1.0
 RELAY_PAUSE = 0.05
 # After a fault of this module's own.
 FAULT_PAUSE = 0.5
