--- a/model/main.py
+++ b/model/main.py
@@ -6,7 +6,7 @@
 
 from minicheck import check_liveness, check_safety
 
-from model import probing, spreading
+from model import probing, restoring, spreading
 
 __all__ = ["Report", "check_all", "main"]
 
@@ -49,10 +49,13 @@
 def check_all():
     """Return the Report of all specifications and variants."""
     report = Report()
-    for module in (spreading, probing):
-        states, found = check_protocol(module.build_protocol())
+    for module in (spreading, probing, restoring):
+        protocol = module.build_protocol()
+        states, found = check_protocol(protocol)
         report.states += states
-        report.properties.update({name: holds for name, (holds, _) in found.items()})
+        for name, (holds, _) in found.items():
+            # Specifications may share a property, which must hold in each.
+            report.properties[f"{name} ({protocol.name})"] = holds
         for variant, rules in module.BROKEN.items():
             _, found = check_protocol(module.build_protocol(rules))
             report.caught[variant] = find_shortest(found)
