A first event that fills the memory of endings no longer hides the next ones

Cause: of a request eight endings were kept, and later ones not noted. Where eight endpoints end under it at once (a service of thirteen, retries and several nodes), no second event was ever known, so each hold stayed one of a moment. Ruled out: the store's restore (none in it), an answer in between (no line 4011). Of too many, those go that have others close before and after them; one that was dropped is no news when it is told again, so gossip ends as before.

--- a/packages/hingesill-core/hingesill_core/crashes/history.py
+++ b/packages/hingesill-core/hingesill_core/crashes/history.py
@@ -94,15 +94,20 @@
 
         Notes
         -----
-        One from before the request's last answer says nothing against it.
+        One from before the request's last answer says nothing against it. Of too many,
+        those go that have others close before and after them, so that each event stays
+        known: a first event that filled the memory hid all later ones, and a request
+        was sent nine times more once three endpoints had ended (one play of six).
         """
         request = self._find(fingerprint)
-        if ending.at <= request.answered_at or len(request.endings) >= MOST_ENDINGS:
+        if ending.at <= request.answered_at:
             return False
         if any(ending.is_same(known) for known in request.endings):
             return False
         request.endings.append(ending)
-        return True
+        if len(request.endings) <= MOST_ENDINGS:
+            return True
+        return drop_closest(request.endings) is not ending
 
     def note_answer(self, fingerprint, at):
         """Take that an endpoint answered a request; return whether others need to know.
@@ -147,3 +152,17 @@
             request.endings = [e for e in request.endings if e.at > oldest]
             if request.get_newest() <= oldest:
                 del self._requests[fingerprint]
+
+
+def drop_closest(endings):
+    """Remove, in place, the ending whose neighbours are closest; return it.
+
+    Parameters
+    ----------
+    endings : list of Ending
+        Three at least; the first and the last in time stay.
+    """
+    endings.sort(key=lambda ending: (ending.at, ending.endpoint))
+    inner = range(1, len(endings) - 1)
+    closest = min(inner, key=lambda i: endings[i + 1].at - endings[i - 1].at)
+    return endings.pop(closest)
--- a/packages/hingesill-core/hingesill_core/crashes/tests/test_guard.py
+++ b/packages/hingesill-core/hingesill_core/crashes/tests/test_guard.py
@@ -50,6 +50,16 @@
         self.end(("i1", 1.0), ("i2", 1.1), ("i1", 5.0))
         self.assertEqual(self.get_seconds(5.0), HOLD_SECONDS)
 
+    def test_many_of_one_event_do_not_hide_the_next_event(self):
+        """Ten end within half a second, which filled the memory; one more ends later.
+
+        The later ones were not noted: the hold stayed one of a moment, and in one of
+        six plays of a day the request was sent nine times more, 19 ended in all.
+        """
+        self.end(*((f"i{number}", 4.5 + number / 20) for number in range(10)))
+        self.end(("i11", 6.4))
+        self.assertGreater(self.get_seconds(6.4), 60.0)
+
     def test_a_companion_that_cannot_be_told_from_it(self):
         for name in (BAD, COMPANION):
             self.end(("i1", 1.0), ("i2", 1.1), ("i3", 5.0), fingerprint=name)
--- a/packages/hingesill-core/hingesill_core/crashes/tests/test_history.py
+++ b/packages/hingesill-core/hingesill_core/crashes/tests/test_history.py
@@ -5,10 +5,12 @@
 
 from hingesill_core.crashes.history import (
     MEMORY_SECONDS,
+    MOST_ENDINGS,
     MOST_REQUESTS,
     Ending,
     EndingHistory,
 )
+from hingesill_core.crashes.verdicts import EVENT_SECONDS
 
 
 class EndingTests(unittest.TestCase):
@@ -53,6 +55,28 @@
 
 
 class BoundTests(unittest.TestCase):
+    def fill(self, *times):
+        history = EndingHistory()
+        for number, at in enumerate(times):
+            history.note_ending("bad", Ending(f"i{number}", at))
+        return history, sorted(ending.at for ending in history.get_endings("bad"))
+
+    def test_too_many_endings_keep_the_first_and_the_last(self):
+        _, kept = self.fill(*range(20), 40)
+        self.assertEqual(len(kept), MOST_ENDINGS)
+        self.assertEqual((kept[0], kept[-1]), (0, 40))
+
+    def test_they_leave_no_gap_where_there_was_none(self):
+        _, kept = self.fill(*(number / 10 for number in range(21)))
+        gaps = [later - at for at, later in zip(kept, kept[1:])]
+        self.assertLess(max(gaps), EVENT_SECONDS)
+
+    def test_one_that_was_dropped_is_no_news_when_it_is_told_again(self):
+        history, kept = self.fill(1.0, 1.1, 1.2, 1.3, 1.4, 1.5, 1.6, 1.7, 4.0)
+        for number, at in enumerate((1.0, 1.1, 1.2, 1.3, 1.4, 1.5, 1.6, 1.7, 4.0)):
+            self.assertFalse(history.note_ending("bad", Ending(f"i{number}", at)))
+        self.assertIn(4.0, kept)
+
     def test_requests_with_most_endings_stay(self):
         history = EndingHistory()
         for endpoint in ("i1", "i2"):
