--- a/packages/hingesill-core/hingesill_core/crashes/gossip.py
+++ b/packages/hingesill-core/hingesill_core/crashes/gossip.py
@@ -35,10 +35,13 @@
     ----------
     rng : random.Random
         Chooses the nodes.
+    most_told : int
+        Pieces of news in a datagram.
     """
 
-    def __init__(self, rng):
+    def __init__(self, rng, most_told=MOST_TOLD):
         self._rng = rng
+        self._most_told = most_told
         self._waiting = {}
 
     def __len__(self):
@@ -63,6 +66,15 @@
             del self._waiting[lowest]
         self._waiting[news] = Rumour(rank, count_rounds(nodes))
 
+    def note_known(self, news):
+        """Pass a piece of news on once less: a node that told of it knew it already."""
+        rumour = self._waiting.get(news)
+        if rumour is None:
+            return
+        rumour.rounds -= 1
+        if rumour.rounds <= 0:
+            del self._waiting[news]
+
     def take_round(self, peers):
         """Return the peers to tell now, and the news for them.
 
@@ -73,7 +85,7 @@
         """
         ranked = sorted(self._waiting.items(), key=lambda pair: -pair[1].rank)
         news = []
-        for piece, rumour in ranked[:MOST_TOLD]:
+        for piece, rumour in ranked[: self._most_told]:
             news.append(piece)
             rumour.rounds -= 1
             if rumour.rounds <= 0:
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -0,0 +1,219 @@
+"""One node's part in keeping the limits of all services' endpoints."""
+
+from hingesill_core.crashes.gossip import Gossip
+from hingesill_core.ratelimits.coordinators import rank_coordinators
+from hingesill_core.ratelimits.grants import PAUSE_SECONDS
+from hingesill_core.ratelimits.ledger import Granted
+from hingesill_core.ratelimits.messages import (
+    GrantReply,
+    GrantRequest,
+    LimitNews,
+    ToldLimit,
+)
+from hingesill_core.ratelimits.service import GONE, ServiceLimits
+from hingesill_core.ratelimits.words import LimitWord
+
+__all__ = ["FleetLimits", "MOST_TOLD"]
+
+# Pieces of news in a datagram, so that it fits into 1,400 bytes.
+MOST_TOLD = 16
+# Asks that a coordinator bears a second; with more nodes that ask, each pauses longer.
+ASKS_A_SECOND = 400.0
+# Over so long nodes that asked are counted.
+ASKED_SECONDS = 4.0
+# The way of a datagram takes at most so long; what it tells may be older by that.
+TRANSIT_SECONDS = 0.1
+
+
+class FleetLimits:
+    """The limits of all services at one node, and what it says to others of them.
+
+    Parameters
+    ----------
+    rng : random.Random
+        For all choices.
+    observe : callable
+        Called with each LimitChange.
+    knows : callable
+        Tells whether a service is declared, by its name.
+
+    Attributes
+    ----------
+    send : callable
+        Sends a message, given the address of a node and the message.
+
+    Notes
+    -----
+    All times are seconds of one clock of the node, which goes on while it is suspended.
+    """
+
+    def __init__(self, rng, observe=lambda change: None, knows=lambda name: True):
+        self.rng = rng
+        self.observe = observe
+        self.knows = knows
+        self.send = lambda node, message: None
+        self.services = {}
+        self.own = None
+        self.nodes = ()
+        self.gossip = Gossip(rng, MOST_TOLD)
+        self._asked = {}
+        self._sent = 0
+
+    def get(self, name):
+        """Return the ServiceLimits of a service, made on first use."""
+        limits = self.services.get(name)
+        if limits is None:
+            limits = ServiceLimits(name, self.rng, self._note_change)
+            limits.ask_node = lambda ask: self._send_request(limits, ask)
+            self.services[name] = limits
+            self._place(limits)
+        return limits
+
+    def set_nodes(self, own, nodes):
+        """Take which nodes there are.
+
+        Parameters
+        ----------
+        own : tuple
+            IP number and port of this node.
+        nodes : iterable of tuple
+            Of the others.
+        """
+        nodes = tuple(sorted({own, *nodes}))
+        if (own, nodes) == (self.own, self.nodes):
+            return
+        self.own, self.nodes = own, nodes
+        for limits in self.services.values():
+            self._place(limits)
+
+    def _place(self, limits):
+        limits.own = self.own
+        limits.coordinators = rank_coordinators(limits.name, self.nodes)
+
+    def keep(self, names):
+        """Forget services that are no longer declared."""
+        for name in [name for name in self.services if name not in names]:
+            del self.services[name]
+
+    def count_limited(self):
+        """Return the endpoints that name a limit now."""
+        return sum(len(limits.limited) for limits in self.services.values())
+
+    def _note_change(self, change):
+        if change.source != GONE:
+            word = change.word
+            key = (change.service, word.endpoint, word.born)
+            self.gossip.add(key, max(2, len(self.nodes)))
+        self.observe(change)
+
+    def _send_request(self, limits, ask):
+        """Ask a coordinator, and tell it of limits that it may not know."""
+        now = limits.pace.asked_at
+        words = limits.book.list_limited()
+        chosen = self.rng.sample(words, min(MOST_TOLD, len(words)))
+        told = tuple(build_told(limits, word, now) for word in chosen)
+        request = GrantRequest(ask.number, limits.name, ask.wanted, ask.horizon, told)
+        self.send(ask.node, request)
+
+    def tell(self, now):
+        """Pass news on to some nodes, and forget what is old."""
+        for limits in self.services.values():
+            limits.book.forget(now)
+        others = [node for node in self.nodes if node != self.own]
+        if not self.gossip or not others:
+            return
+        chosen, keys = self.gossip.take_round(others)
+        told = tuple(self._build_news(keys, now))
+        if not told:
+            return
+        self._sent += 1
+        for node in chosen:
+            self.send(node, LimitNews(told, self._sent))
+
+    def _build_news(self, keys, now):
+        """Yield what is known now of what changed."""
+        for service, endpoint, born in keys:
+            limits = self.services.get(service)
+            word = limits.book.get(endpoint) if limits is not None else None
+            if word is not None and word.born == born:
+                yield build_told(limits, word, now)
+
+    def take(self, message, sender, now):
+        """Take a message of another node.
+
+        Parameters
+        ----------
+        message : LimitNews, GrantRequest or GrantReply
+            As it was decoded.
+        sender : tuple
+            IP number and port.
+        now : float
+            The time.
+        """
+        for told in message.told:
+            self._hear(told, now)
+        if isinstance(message, GrantRequest):
+            if self.knows(message.service):
+                self.send(sender, self._grant(message, sender, now))
+        elif isinstance(message, GrantReply):
+            granted = Granted(message.runs, message.again_in, message.wait)
+            limits = self.services.get(message.service)
+            if limits is not None:
+                limits.take_reply(message.number, granted, message.pause, now)
+
+    def _hear(self, told, now):
+        if not self.knows(told.service):
+            return
+        latest = now - told.age
+        earliest = latest - told.span - TRANSIT_SECONDS
+        word = LimitWord(told.endpoint, told.born, told.per_second, earliest, latest)
+        limits = self.get(told.service)
+        # A node that was told asks no questions there, so it can't find out itself.
+        limits.is_in_health = limits.is_in_health or told.is_in_health
+        if not limits.take(word, "node") and limits.has_same(word):
+            self.gossip.note_known((told.service, told.endpoint, told.born))
+
+    def _grant(self, request, sender, now):
+        """Return the GrantReply to a node that asks."""
+        limits = self.get(request.service)
+        pause = self._count_pause(sender, now)
+        granted = Granted((), pause, pause)
+        if limits.own in limits.coordinators:
+            granted = limits.grant(request.wanted, request.horizon, now)
+        return GrantReply(
+            request.number,
+            request.service,
+            granted.runs,
+            granted.again_in,
+            granted.wait,
+            pause,
+            tuple(self._list_better(request, limits, now)),
+        )
+
+    def _list_better(self, request, limits, now):
+        """Yield what this node knows better than one that asks."""
+        for told in request.told:
+            word = limits.book.get(told.endpoint)
+            if word is not None and word.per_second != told.per_second:
+                yield build_told(limits, word, now)
+
+    def _count_pause(self, sender, now):
+        """Return how long a node that asks should wait until it asks again."""
+        self._asked.pop(sender, None)
+        self._asked[sender] = now
+        while now - next(iter(self._asked.values())) > ASKED_SECONDS:
+            del self._asked[next(iter(self._asked))]
+        return max(PAUSE_SECONDS, len(self._asked) / ASKS_A_SECOND)
+
+
+def build_told(limits, word, now):
+    """Return the ToldLimit of a word that the ServiceLimits hold."""
+    return ToldLimit(
+        limits.name,
+        word.endpoint,
+        word.born,
+        word.per_second,
+        now - word.latest,
+        word.latest - word.earliest,
+        limits.is_in_health,
+    )
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/ratelimits/grants.py
@@ -0,0 +1,183 @@
+"""The grants that a node holds, and when it asks for more."""
+
+from math import ceil, exp, floor
+
+from msgspec import Struct
+
+from hingesill_core.ratelimits.ledger import HORIZON_SECONDS
+
+__all__ = ["AskPace", "Grant", "HeldGrants"]
+
+# From when on it may be used, a grant is good for so long. Source: longer than a
+# question for the load and its reply take.
+GRANT_SECONDS = 0.4
+# Between two asks of a node, where the coordinator names no longer pause; and those
+# that it may make at once after a rest.
+PAUSE_SECONDS = 0.6
+MOST_AT_ONCE = 2.0
+# An ask without a reply for so long is lost.
+REPLY_SECONDS = 0.15
+# Of the time for which a request waits, what the way to the coordinator and back and a
+# round of this node take. Where all ask for more than there is, grants come at the end
+# of the time that is asked for; without this all came just too late.
+MARGIN_SECONDS = 0.05
+# Of the requests that come within the life of a grant in the mean, those that other
+# nodes count on.
+LIKELY_USED = 0.8
+# Requests that come within the life of a grant at a node that asks ahead of need.
+BUSY_USES = 3.0
+# Over so long requests that need a grant are counted.
+COUNTED_SECONDS = 1.0
+# Grants that are asked for at once; guard of the coordinator.
+MOST_WANTED = 1024
+
+
+class Grant(Struct, frozen=True):
+    """One request that an endpoint takes from this node; times of the node's clock."""
+
+    endpoint: str
+    usable_from: float
+    until: float
+
+
+class HeldGrants:
+    """Grants that were not used yet, the first one first."""
+
+    def __init__(self):
+        self._grants = []
+
+    def add(self, run, now):
+        """Take the grants of a GrantRun."""
+        for number in range(run.count):
+            usable_from = now + run.delay + number * run.interval
+            until = usable_from + GRANT_SECONDS
+            self._grants.append(Grant(run.endpoint, usable_from, until))
+        self._grants.sort(key=lambda grant: grant.usable_from)
+
+    def find(self, endpoint, now):
+        """Return a Grant that may be used now at an endpoint, or None."""
+        for grant in self._grants:
+            if grant.endpoint == endpoint and grant.usable_from <= now < grant.until:
+                return grant
+        return None
+
+    def use(self, grant):
+        """Take a grant out."""
+        self._grants.remove(grant)
+
+    def count(self, now):
+        """Return how many may still be used, now or soon."""
+        self._grants = [grant for grant in self._grants if now < grant.until]
+        return len(self._grants)
+
+    def list_times(self, now):
+        """Return from when on the grants may be used, the first one first."""
+        return [grant.usable_from for grant in self._grants if now < grant.until]
+
+    def drop(self, endpoint):
+        """Forget the grants at an endpoint."""
+        self._grants = [g for g in self._grants if g.endpoint != endpoint]
+
+
+class AskPace(Struct):
+    """When a node may ask, and for how many.
+
+    Attributes
+    ----------
+    pause : float
+        Seconds between two asks.
+    allowed : float
+        Asks that may be made at once.
+    counted_at : float
+        When that was counted.
+    demand : float
+        Requests in about the last second that needed a grant.
+    noted_at : float
+        When these were counted.
+    number : int
+        Of the last ask.
+    asked_at : float
+        When it was made; infinite in the past if it was replied to.
+    """
+
+    pause: float = PAUSE_SECONDS
+    allowed: float = MOST_AT_ONCE
+    counted_at: float = 0.0
+    demand: float = 0.0
+    noted_at: float = 0.0
+    number: int = 0
+    asked_at: float | None = None
+
+    def note_request(self, now):
+        """Count a request that needs a grant."""
+        self.demand = self._count_demand(now) + 1
+        self.noted_at = now
+
+    def _count_demand(self, now):
+        return self.demand * exp(-max(0.0, now - self.noted_at) / COUNTED_SECONDS)
+
+    def is_busy(self, now):
+        """Tell whether a grant that comes at any time is used before it ends."""
+        return self._count_demand(now) / COUNTED_SECONDS * GRANT_SECONDS >= BUSY_USES
+
+    def count_wanted(self, waiting, held, now):
+        """Return how many grants are worth asking for.
+
+        Notes
+        -----
+        A busy node asks ahead of need: with most of the traffic it would otherwise get
+        one request at a time. Elsewhere a grant that comes when the request that waits
+        for it is gone would be lost.
+        """
+        rate = self._count_demand(now) / COUNTED_SECONDS
+        if self.is_busy(now):
+            ahead = max(0, ceil(rate * self.pause) - waiting)
+        else:
+            ahead = floor(rate * GRANT_SECONDS * LIKELY_USED)
+        waiting += ahead
+        return min(MOST_WANTED, waiting) - held
+
+    def choose_horizon(self, patience, now):
+        """Return the seconds within which grants are of use."""
+        if self.is_busy(now):
+            return HORIZON_SECONDS
+        return max(0.0, min(patience - MARGIN_SECONDS, HORIZON_SECONDS))
+
+    def take_turn(self, now):
+        """Tell whether an ask may be made now, and count it."""
+        gained = max(0.0, now - self.counted_at) / self.pause
+        self.allowed = min(MOST_AT_ONCE, self.allowed + gained)
+        self.counted_at = now
+        if self.allowed < 1.0:
+            return False
+        self.allowed -= 1.0
+        return True
+
+    def get_pause(self, now):
+        """Return the seconds until the next ask may be made."""
+        rested = max(0.0, now - self.counted_at) / self.pause
+        return max(0.0, (1.0 - self.allowed - rested) * self.pause)
+
+    def begin(self, now):
+        """Note an ask that is sent; return its number."""
+        self.number += 1
+        self.asked_at = now
+        return self.number
+
+    def is_open(self, now):
+        """Tell whether an ask waits for its reply."""
+        return self.asked_at is not None and now - self.asked_at < REPLY_SECONDS
+
+    def take_lost(self, now):
+        """Tell, once for each, whether an ask got no reply."""
+        if self.asked_at is None or self.is_open(now):
+            return False
+        self.asked_at = None
+        return True
+
+    def end(self, number, now):
+        """Tell whether a reply is in time and the one that is waited for."""
+        if number != self.number or not self.is_open(now):
+            return False
+        self.asked_at = None
+        return True
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/ratelimits/ledger.py
@@ -0,0 +1,148 @@
+"""What a coordinator has granted of the limits of one service's endpoints."""
+
+from collections import Counter
+from math import exp
+
+from msgspec import Struct, field
+
+__all__ = ["GrantLedger", "GrantRun", "Granted", "HORIZON_SECONDS", "MOST_RUNS"]
+
+# So far ahead requests are granted at the most, so that a node which asks twice a
+# second gets what comes free in between.
+HORIZON_SECONDS = 0.7
+# Endpoints that one ask brings grants for, so that the reply fits into a datagram.
+MOST_RUNS = 24
+# Over so long refused requests count as still wanted.
+UNMET_SECONDS = 1.0
+# Below this an endpoint counts as taking nothing; guards against waits beyond all use.
+LEAST_RATE = 1e-6
+
+
+class GrantRun(Struct, frozen=True, array_like=True):
+    """Requests that one endpoint takes from a node, one after another.
+
+    Parameters
+    ----------
+    endpoint : str
+        Its identity.
+    delay : float
+        Seconds from now at which it takes the first one.
+    interval : float
+        Seconds between two of them.
+    count : int
+        How many.
+    """
+
+    endpoint: str
+    delay: float
+    interval: float
+    count: int
+
+
+class Granted(Struct, frozen=True):
+    """What one ask brought.
+
+    Parameters
+    ----------
+    runs : tuple of GrantRun
+        What endpoints take.
+    again_in : float
+        Seconds until more may be granted; 0 if all was that was wanted.
+    wait : float
+        Seconds after which a request that came now may be granted.
+    """
+
+    runs: tuple[GrantRun, ...] = ()
+    again_in: float = 0.0
+    wait: float = 0.0
+
+
+class GrantLedger(Struct):
+    """Gives out the requests that endpoints take, one after another.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Chooses where an endpoint that is new here begins.
+
+    Notes
+    -----
+    Nothing is saved up: an endpoint that was left alone for long takes one request at
+    once, and the next one when its limit allows it. One whose limit is new here begins
+    within its first interval, as another node may have granted for it until now.
+    """
+
+    rng: object
+    free_at: dict = field(default_factory=dict)
+    rates: dict = field(default_factory=dict)
+    unmet: float = 0.0
+    unmet_at: float = 0.0
+
+    def grant(self, rates, wanted, horizon, now):
+        """Grant requests at the endpoints that are free first.
+
+        Parameters
+        ----------
+        rates : dict
+            Requests a second by identity of the endpoints that may be used.
+        wanted : int
+            How many.
+        horizon : float
+            Seconds from now within which they are of use.
+        now : float
+            The time.
+
+        Returns
+        -------
+        Granted
+        """
+        rates = {name: rate for name, rate in rates.items() if rate > LEAST_RATE}
+        self._adopt(rates, now)
+        runs = self._give_out(wanted, now + min(horizon, HORIZON_SECONDS), now)
+        missing = wanted - sum(run.count for run in runs)
+        self._note_unmet(missing, now)
+        if not missing:
+            return Granted(runs)
+        return Granted(runs, *self._estimate(horizon, now))
+
+    def _give_out(self, wanted, until, now):
+        """Return GrantRuns, of the endpoints that are free first."""
+        begun = {}
+        counts = Counter()
+        while self.rates and counts.total() < wanted:
+            endpoint = min(self.rates, key=self.free_at.__getitem__)
+            at = max(now, self.free_at[endpoint])
+            if at > until or (endpoint not in begun and len(begun) >= MOST_RUNS):
+                break
+            begun.setdefault(endpoint, at - now)
+            counts[endpoint] += 1
+            self.free_at[endpoint] = at + 1 / self.rates[endpoint]
+        return tuple(
+            GrantRun(endpoint, delay, 1 / self.rates[endpoint], counts[endpoint])
+            for endpoint, delay in begun.items()
+        )
+
+    def _adopt(self, rates, now):
+        """Take the limits as they are now; what is not limited is forgotten."""
+        free_at = {}
+        for endpoint, rate in rates.items():
+            interval = 1 / rate
+            at = self.free_at.get(endpoint)
+            if at is None:
+                at = now + interval * self.rng.random()
+            free_at[endpoint] = min(at, now + max(interval, HORIZON_SECONDS + interval))
+        self.free_at = free_at
+        self.rates = rates
+
+    def _note_unmet(self, missing, now):
+        age = max(0.0, now - self.unmet_at)
+        self.unmet = self.unmet * exp(-age / UNMET_SECONDS) + missing
+        self.unmet_at = now
+
+    def _estimate(self, horizon, now):
+        """Return again_in and wait of a Granted that lacks some."""
+        if not self.rates:
+            return UNMET_SECONDS, UNMET_SECONDS
+        first = max(0.0, min(self.free_at.values()) - now)
+        again_in = max(0.0, first - horizon)
+        return again_in, first + self.unmet / sum(self.rates.values())
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/ratelimits/words.py
@@ -0,0 +1,138 @@
+"""What endpoints named as their limits, and which of two words is the newer."""
+
+from msgspec import Struct
+
+__all__ = ["LimitBook", "LimitWord", "NO_LIMIT", "NamedLimit"]
+
+# So long what an endpoint no longer names is remembered, so that a word of before
+# which other nodes still pass on doesn't come back; in seconds.
+REMEMBERED_SECONDS = 60.0
+
+
+# Of a service; guard of memory against words of endpoints that nobody knows.
+MOST_WORDS = 65_536
+
+
+class NamedLimit(Struct, frozen=True):
+    """What the head of an answer names.
+
+    Parameters
+    ----------
+    per_second : float or None
+        Requests that the endpoint takes from all nodes together; None for no limit.
+    """
+
+    per_second: float | None
+
+
+NO_LIMIT = NamedLimit(None)
+
+
+class LimitWord(Struct, frozen=True):
+    """An endpoint's word on the requests that it takes.
+
+    Parameters
+    ----------
+    endpoint : str
+        Its identity.
+    born : int
+        The life that said it.
+    per_second : float or None
+        Requests from all nodes together; None if it named no limit.
+    earliest, latest : float
+        Between which times it was said, in seconds of the node's clock.
+    """
+
+    endpoint: str
+    born: int
+    per_second: float | None
+    earliest: float
+    latest: float
+
+    def is_stricter(self, other):
+        """Tell whether it allows less than another word."""
+        if self.per_second is None:
+            return False
+        return other.per_second is None or self.per_second < other.per_second
+
+
+class LimitBook:
+    """The newest word of each endpoint of a service that ever named a limit.
+
+    Attributes
+    ----------
+    limited : dict
+        Requests a second by identity, of the endpoints that name a limit now.
+    """
+
+    def __init__(self):
+        self.limited = {}
+        self._words = {}
+
+    def get(self, endpoint):
+        """Return the newest LimitWord of an endpoint, or None."""
+        return self._words.get(endpoint)
+
+    def list_limited(self):
+        """Return the LimitWords of endpoints that name a limit now."""
+        return [self._words[endpoint] for endpoint in self.limited]
+
+    def take(self, word):
+        """Take a word; return whether the endpoint's limit is another one now."""
+        held = self._words.get(word.endpoint)
+        if held is None and (word.per_second is None or self.is_full()):
+            return False
+        if held is not None and not replaces(word, held):
+            return False
+        self._words[word.endpoint] = word
+        if word.per_second is None:
+            self.limited.pop(word.endpoint, None)
+        else:
+            self.limited[word.endpoint] = word.per_second
+        before = None if held is None or held.born != word.born else held.per_second
+        return word.per_second != before
+
+    def is_full(self):
+        """Tell whether no word of another endpoint is taken."""
+        return len(self._words) >= MOST_WORDS
+
+    def keep(self, lives):
+        """Forget the words of lives that are over; return them.
+
+        Parameters
+        ----------
+        lives : dict
+            The life by identity of the endpoints that are there.
+        """
+        gone = [word for word in self._words.values() if is_over(word, lives)]
+        for word in gone:
+            del self._words[word.endpoint]
+            self.limited.pop(word.endpoint, None)
+        return gone
+
+    def forget(self, now):
+        """Forget words that name no limit and are old, at a time."""
+        for endpoint, word in list(self._words.items()):
+            if word.per_second is None and now - word.latest > REMEMBERED_SECONDS:
+                del self._words[endpoint]
+
+
+def is_over(word, lives):
+    """Tell whether another life has followed the one that said a word, or none."""
+    return lives.get(word.endpoint) != word.born
+
+
+def replaces(word, held):
+    """Tell whether a word counts in place of the one that is held.
+
+    Notes
+    -----
+    When an answer's head was written is known only to lie between its request and its
+    arrival. Of two words whose order isn't certain the stricter one counts: an answer
+    that was under way when the need began must not end it.
+    """
+    if word.born != held.born:
+        return word.born > held.born
+    if word.earliest >= held.latest:
+        return True
+    return word.latest > held.earliest and word.is_stricter(held)
--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -23,6 +23,7 @@
     NO_ROUTE = "no-route"
     NO_CONFIGURATION = "no-configuration"
     NO_ENDPOINT = "no-endpoint"
+    ENDPOINTS_LIMITED = "endpoints-limited"
     QUARANTINED = "quarantined"
     BAD_FRAMING = "bad-framing"
     BAD_HEADER = "bad-header"
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -10,6 +10,7 @@
 
 from msgspec import Struct
 
+from hingesill_core.ratelimits.words import NamedLimit
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd
 
@@ -120,6 +121,10 @@
         It says that it is not well, or leaving; None if it did not tell.
     born : int or None
         The life of the endpoint that was asked; None if that is not known.
+    limit : NamedLimit or None
+        What the reply named; None if that can't be read.
+    sent_at : float or None
+        When the question was sent; None if the reply is to no question.
     """
 
     endpoint: str
@@ -128,6 +133,8 @@
     warm_in: float | None = None
     is_ill: bool | None = None
     born: int | None = None
+    limit: NamedLimit | None = None
+    sent_at: float | None = None
 
 
 def is_good_enough(report, stage, usable, most_slowness):
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -6,6 +6,7 @@
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.queue import RequestQueue
 from hingesill_core.limits.shares import compute_send_limit
+from hingesill_core.ratelimits.service import ServiceLimits
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.retries.budget import TokenBudget
 from hingesill_core.retries.decision import mark_exposure
@@ -14,8 +15,10 @@
 from hingesill_core.routing.hedging import Hedging
 from hingesill_core.routing.latebinding import LateBinding
 from hingesill_core.routing.messages import Hold, Refusal, Send, SendEnd
+from hingesill_core.routing.needs import LimitedRequests
 from hingesill_core.routing.policies import POLICIES
 from hingesill_core.routing.retrying import Retrying
+from hingesill_core.routing.selection import takes_work
 
 __all__ = ["Dispatcher", "FleetView"]
 
@@ -58,9 +61,11 @@
         Shared with other services of the node.
     curves : SlotCurves or None
         Of all services of the node.
+    limits : ServiceLimits or None
+        What the service's endpoints in need still take; of this node alone if None.
     """
 
-    def __init__(self, service, fleet, rng, ask_pool=None, curves=None):
+    def __init__(self, service, fleet, rng, ask_pool=None, curves=None, limits=None):
         self.rng = rng
         self.states = {}
         self.view = ServiceView()
@@ -72,6 +77,9 @@
         self.hedging = Hedging(self, service.sends.hedge_share)
         self.retries = TokenBudget(service.sends.retry_share)
         self.retrying = Retrying(self)
+        self.limits = limits or ServiceLimits(service.name, rng)
+        self.limits.usable = self._takes_work
+        self.limited_requests = LimitedRequests(self)
         self.binding = LateBinding(self, ask_pool or AskBudget(), curves)
         self.configure(service, fleet)
 
@@ -95,6 +103,8 @@
             endpoint.identity: self._build_state(endpoint)
             for endpoint in service.endpoints
         }
+        self.limits.nodes = fleet.nodes
+        self.limits.keep({name: state.born for name, state in self.states.items()})
         self.places = sum(state.send_limit for state in self.states.values())
         self.paces = {
             route: pace for route, pace in self.paces.items() if route in service.routes
@@ -107,6 +117,7 @@
             born = endpoint.born
             state = EndpointState(endpoint.identity, common=self.view, born=born)
         near = endpoint.data_centre == self.fleet.data_centre
+        state.limits = self.limits
         state.slots = endpoint.slots
         state.is_near = near
         state.region = endpoint.region
@@ -116,6 +127,30 @@
         )
         return state
 
+    def _takes_work(self, endpoint, now):
+        """Tell whether an endpoint takes new work, whatever limit it names."""
+        state = self.states.get(endpoint)
+        if state is None or not takes_work(state, now):
+            return False
+        return not state.health.is_ejected(now)
+
+    def note_limit(self, send, named, now):
+        """Take what the head of a send's answer named as the endpoint's limit.
+
+        Parameters
+        ----------
+        send : Send
+            As it was given out.
+        named : NamedLimit or None
+            None if what it named can't be read.
+        now : float
+            The time.
+        """
+        if named is not None:
+            self.limits.note(
+                send.endpoint, send.born, named.per_second, send.started, now
+            )
+
     def get_pace(self, route):
         """Return how long the answers of a route take."""
         pace = self.paces.get(route)
@@ -157,6 +192,8 @@
         """Return Hold if a request can wait and still be in time, else its Refusal."""
         if not self.has_takers(ticket.route, now):
             return self.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
+        if self.limits.limited and self.limited_requests.is_surplus(ticket, now):
+            return self.refuse(ticket, RefusalReason.ENDPOINTS_LIMITED, now)
         ahead = self.queue.count_ahead(ticket)
         wait = self.pace.estimate_queue_time(ahead, self.places)
         if now + wait + self.get_pace(ticket.route).quick > ticket.deadline:
@@ -179,6 +216,9 @@
     def refuse(self, ticket, reason, now):
         """Return the final answer of a request that is given up."""
         outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
+        if reason is RefusalReason.ENDPOINTS_LIMITED:
+            wait = self.limits.get_wait(now)
+            return Refusal(reason, outcome, self.pace.suggest_return(wait, self.rng))
         return Refusal(reason, outcome, self.suggest_return(now))
 
     def suggest_return(self, now):
@@ -226,6 +266,9 @@
 
     def pump(self, now):
         """Yield a Send for each held request that can go now."""
+        if self.limits.limited:
+            patience = max((t.deadline - now for t in self.queue), default=0.0)
+            self.limits.want(len(self.queue), patience, now)
         for live in (True, False):
             while True:
                 ticket = self.queue.get_first(live)
@@ -253,6 +296,12 @@
                 late = RefusalReason.DEADLINE_UNREACHABLE
                 reason = late if takers else RefusalReason.NO_ENDPOINT
                 yield ticket, self.refuse(ticket, reason, now)
+        if self.limits.limited:
+            waiting = [(ticket, ticket.deadline) for ticket in self.queue]
+            for ticket in self.limited_requests.list_surplus(waiting, now):
+                self.queue.remove(ticket)
+                reason = RefusalReason.ENDPOINTS_LIMITED
+                yield ticket, self.refuse(ticket, reason, now)
         while self._displaced:
             ticket = self._displaced.pop()
             yield ticket, self.refuse(ticket, RefusalReason.DISPLACED, now)
@@ -327,6 +376,9 @@
         if result.report is not None:
             state.report = result.report
             self.view.note_report(result.report)
+        if result.limit is not None:
+            limit = result.limit.per_second
+            self.limits.note(endpoint, state.born, limit, now, now, is_health=True)
         if state.health.needs_trial(now):
             state.health.on_trial = True
         if state.health.note(result.end, now, self._may_eject(now)) or result.cold:
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -5,6 +5,7 @@
 
 from msgspec import Struct, field
 
+from hingesill_core.ratelimits.service import ServiceLimits
 from hingesill_core.routing.health import Health
 from hingesill_core.routing.messages import SendEnd
 
@@ -118,6 +119,8 @@
         has not been looked at yet.
     last_send_at : float
         When this node last sent there.
+    limits : ServiceLimits or None
+        Of the service: what its endpoints in need still take.
     """
 
     identity: str
@@ -147,6 +150,7 @@
     health: Health = field(default_factory=Health)
     reach: Health = field(default_factory=build_reach)
     born: int = 0
+    limits: ServiceLimits | None = None
 
     @property
     def in_flight(self):
@@ -157,6 +161,8 @@
         """Note the start of a send."""
         self.sent[send] = None
         self.last_send_at = now
+        if self.limits is not None:
+            self.limits.use(self.identity, now)
         self.common.turns += 1
         self.turn = self.common.turns
         if self.health.needs_trial(now):
@@ -218,6 +224,8 @@
             return False
         if now < self.refused_until or not self.is_home_of(ticket.route):
             return False
+        if not self.is_within_limit(now):
+            return False
         health = self.health
         if health.ejected_until:
             return self.accepts_trial(ticket, now)
@@ -329,6 +337,23 @@
         """Tell whether a route's requests may be sent there at all."""
         return not route.homes or self.region in route.homes
 
+    def is_within_limit(self, now):
+        """Tell whether the limit that it may have named leaves room for a request.
+
+        Notes
+        -----
+        It is looked at for each send, also retries and hedges: an endpoint in need that
+        took three requests a second from all nodes got nine.
+        """
+        limits = self.limits
+        if limits is None or not limits.limited:
+            return True
+        return limits.allows(self.identity, now)
+
+    def is_limited(self):
+        """Tell whether it names a limit."""
+        return self.limits is not None and self.identity in self.limits.limited
+
     def is_draining(self, now):
         """Tell whether the endpoint takes no new work."""
         return now < self.draining_until
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from hingesill_core.configuration.services import Route
+from hingesill_core.ratelimits.words import NamedLimit
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.load_report import LoadReport
 
@@ -142,6 +143,8 @@
         The endpoint said that it has just started.
     retry_after : float
         How long a refusing endpoint wants to be left alone, in seconds.
+    limit : NamedLimit or None
+        What the answer named; None if no head came or what it named can't be read.
     """
 
     end: SendEnd
@@ -149,3 +152,4 @@
     draining: bool = False
     cold: bool = False
     retry_after: float = 0.0
+    limit: NamedLimit | None = None
--- a/packages/hingesill-core/hingesill_core/routing/selection.py
+++ b/packages/hingesill-core/hingesill_core/routing/selection.py
@@ -2,7 +2,7 @@
 
 from hingesill_core.routing.quantile import Quantile
 
-__all__ = ["EndpointSelection", "can_get_work"]
+__all__ = ["EndpointSelection", "can_get_work", "takes_work"]
 
 # Share of replies that are less slow than what counts as usual.
 USUAL_SHARE = 0.25
@@ -126,8 +126,13 @@
         return usable
 
 
+def takes_work(state, now):
+    """Tell whether an endpoint wants any, whatever the limit that it may name."""
+    return not state.is_draining(now) and now >= state.refused_until
+
+
 def can_get_work(state, now):
     """Tell whether an endpoint may get new work, as far as known."""
-    if state.is_draining(now) or now < state.refused_until:
+    if not takes_work(state, now) or not state.is_within_limit(now):
         return False
     return state.health.is_open() or state.health.needs_trial(now)
--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -9,9 +9,12 @@
 from hingesill_node.control.publisher import Publisher
 from hingesill_node.control.thread import ControlThread
 from hingesill_node.crashes.spreading import Spreader
+from hingesill_node.datagramport import DatagramPort
 from hingesill_node.datapath.announcements import Announcements
 from hingesill_node.datapath.prober import Prober
 from hingesill_node.explanation import Explainer
+from hingesill_node.listeners import split_address
+from hingesill_node.ratelimits.exchange import LimitExchange
 
 __all__ = ["LogControl"]
 
@@ -65,8 +68,13 @@
         error = self.thread.start()
         if error:
             return error
-        spreader = Spreader(runners.guard, self._list_peers, self.counters)
-        self.announcements.start(self.address, runners.note_suspicion, spreader)
+        port = DatagramPort(self.counters)
+        port.start(self.address)
+        self.announcements.start(port, runners.note_suspicion)
+        Spreader(runners.guard, self._list_peers, self.counters).start(port)
+        LimitExchange(
+            runners.limits, port, self._list_peers, runners, self.counters
+        ).start(split_address(self.address))
         eventlet.spawn(Prober(self.blackboard, runners, self.counters).run)
         return ""
 
--- a/packages/hingesill-node/hingesill_node/crashes/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/crashes/datagrams.py
@@ -8,10 +8,8 @@
 from hingesill_core.crashes.messages import Batch, ToldKind
 from hingesill_core.crashes.quarantine import LONGEST_HOLD_SECONDS, MOST_HELD
 
-__all__ = ["MOST_BYTES", "decode_batch", "encode_batch", "is_batch"]
+__all__ = ["BATCH_MARK", "decode_batch", "encode_batch", "is_batch"]
 
-# Of a datagram; what nodes send fits into 1,400.
-MOST_BYTES = 4096
 LONGEST_FINGERPRINT = 64
 LONGEST_ENDPOINT = 128
 
--- a/packages/hingesill-node/hingesill_node/crashes/spreading.py
+++ b/packages/hingesill-node/hingesill_node/crashes/spreading.py
@@ -3,12 +3,10 @@
 import random
 
 import eventlet
-from eventlet.green import socket as green_socket
 
 from hingesill_core.crashes.gossip import MOST_TOLD, PEERS_A_ROUND, ROUND_SECONDS
 from hingesill_core.crashes.messages import Batch
-from hingesill_node.crashes.datagrams import MOST_BYTES, decode_batch, encode_batch
-from hingesill_node.listeners import split_address
+from hingesill_node.crashes.datagrams import BATCH_MARK, decode_batch, encode_batch
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["Spreader"]
@@ -53,35 +51,13 @@
         self._senders = {}
         self._complain_from = 0.0
 
-    def start(self, address):
-        """Begin with a socket of its own; OSError if that cannot be bound."""
-        sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_DGRAM)
-        sock.bind(split_address(address))
-        eventlet.spawn(self._listen, sock)
-        self.start_with(sock.sendto)
-
-    def start_with(self, send):
-        """Begin with the socket of another part, which hands datagrams to `take`.
-
-        Parameters
-        ----------
-        send : callable
-            Takes bytes, and IP number and port.
-        """
-        self._send_datagram = send
+    def start(self, port):
+        """Begin with the DatagramPort of the node."""
+        port.register(BATCH_MARK, self.take)
+        self._send_datagram = port.send
         eventlet.spawn(self._tell)
         eventlet.spawn(self._ask)
 
-    def _listen(self, sock):
-        while True:
-            try:
-                data, sender = sock.recvfrom(MOST_BYTES)
-            except OSError:
-                # A peer's port that is closed shows here; the next datagram will do.
-                self.counters.add("gossip", "failed")
-                continue
-            self.take(data, sender)
-
     def take(self, data, sender):
         """Take a datagram; one that is not understood is dropped whole."""
         try:
--- a/packages/hingesill-node/hingesill_node/crashes/tests/test_spreading.py
+++ b/packages/hingesill-node/hingesill_node/crashes/tests/test_spreading.py
@@ -12,6 +12,7 @@
 from hingesill_node.crashes.datagrams import decode_batch, is_batch
 from hingesill_node.crashes.requestguard import RequestGuard
 from hingesill_node.crashes.spreading import Spreader
+from hingesill_node.datagramport import DatagramPort
 from hingesill_node.datapath.announcements import Announcements
 from hingesill_node.telemetry.counters import Counters
 
@@ -38,7 +39,9 @@
             self.start(guard, f"{own[0]}:{own[1]}", peers)
 
     def start(self, guard, address, peers):
-        Spreader(guard, lambda: peers, self.counters).start(address)
+        port = DatagramPort(self.counters)
+        port.start(address)
+        Spreader(guard, lambda: peers, self.counters).start(port)
 
     def end(self, number, endpoint):
         """Have an endpoint end at a node."""
@@ -82,10 +85,12 @@
     """Where a node has a socket for overdue answers already."""
 
     def start(self, guard, address, peers):
-        spreader = Spreader(guard, lambda: peers, self.counters)
+        port = DatagramPort(self.counters)
+        port.start(address)
         board = SimpleNamespace(peers=peers)
         announcements = Announcements(board, "team", None, self.counters)
-        announcements.start(address, lambda *told: None, spreader)
+        announcements.start(port, lambda *told: None)
+        Spreader(guard, lambda: peers, self.counters).start(port)
 
     def test_the_two_kinds_of_datagrams_are_told_apart(self):
         suspicion = pb.Suspicion(team="team", endpoint="i1", ratio=2.0)
--- a/packages/hingesill-node/hingesill_node/datapath/announcements.py
+++ b/packages/hingesill-node/hingesill_node/datapath/announcements.py
@@ -7,13 +7,9 @@
 
 import time
 
-import eventlet
-from eventlet.green import socket as green_socket
 from google.protobuf.message import DecodeError
 
 from hingesill_api.generated import hingesill_pb2 as pb
-from hingesill_node.crashes.datagrams import MOST_BYTES, is_batch
-from hingesill_node.listeners import split_address
 
 __all__ = ["Announcements"]
 
@@ -47,46 +43,34 @@
         self.clock = clock
         self.is_heard = True
         self._told = {}
-        self._sock = None
+        self._port = None
+        self._hear = None
         self._second = 0
         self._sent = 0
 
-    def start(self, address, hear, spreader=None):
-        """Listen on a UDP address.
+    def start(self, port, hear):
+        """Begin with the node's socket.
 
         Parameters
         ----------
-        address : str
-            ``IP:PORT``, the control address.
+        port : DatagramPort
+            The node's; what has no other taker is taken here.
         hear : callable
             Called with an endpoint's address and a ratio.
-        spreader : Spreader or None
-            Shares the socket: sends by it, and takes the datagrams meant for it.
-
-        Raises
-        ------
-        OSError
-            If the address cannot be listened on.
         """
-        self._sock = green_socket.socket(green_socket.AF_INET, green_socket.SOCK_DGRAM)
-        self._sock.bind(split_address(address))
-        eventlet.spawn(self._listen, hear, spreader)
-        if spreader is not None:
-            spreader.start_with(self._sock.sendto)
-
-    def _listen(self, hear, spreader):
-        while True:
-            data, sender = self._sock.recvfrom(MOST_BYTES)
-            if spreader is not None and is_batch(data):
-                spreader.take(data, sender)
-                continue
-            try:
-                message = pb.Suspicion.FromString(data)
-            except DecodeError:
-                continue
-            if message.team == self.team and message.ratio > 1.0:
-                self.counters.add("suspicions", "heard")
-                hear(message.endpoint, message.ratio)
+        self._port = port
+        self._hear = hear
+        port.register_other(self._take)
+
+    def _take(self, data, sender):
+        try:
+            message = pb.Suspicion.FromString(data)
+        except DecodeError:
+            self.counters.add("suspicions", "invalid")
+            return
+        if message.team == self.team and message.ratio > 1.0:
+            self.counters.add("suspicions", "heard")
+            self._hear(message.endpoint, message.ratio)
 
     def tell_suspicion(self, endpoint, ratio, now):
         """Tell other nodes that an endpoint's answer is overdue.
@@ -96,7 +80,7 @@
         Bounded: once in `PAUSE_SECONDS` an endpoint, to `MOST_PEERS` nodes,
         `MOST_A_SECOND` datagrams a second in all.
         """
-        if self._sock is None or now - self._told.get(endpoint, 0.0) < PAUSE_SECONDS:
+        if self._port is None or now - self._told.get(endpoint, 0.0) < PAUSE_SECONDS:
             return
         self._told[endpoint] = now
         message = pb.Suspicion(team=self.team, endpoint=endpoint, ratio=ratio)
@@ -106,7 +90,7 @@
             if not self._may_send(now):
                 return
             try:
-                self._sock.sendto(data, peer)
+                self._port.send(data, peer)
             except OSError:
                 continue  # A datagram that cannot be sent counts as lost.
 
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -5,7 +5,7 @@
 from msgspec.structs import replace
 
 from hingesill_core.reasons import Outcome, RefusalReason
-from hingesill_core.routing.asking import Reply
+from hingesill_core.routing.asking import Ask, Reply
 from hingesill_core.routing.messages import Refusal, SendEnd
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed, PoolFull
@@ -88,6 +88,11 @@
         if send is not None:
             self._hand(send.ticket, Found(send))
 
+    def look_at(self, endpoints):
+        """Ask endpoints, as the budget allows, to learn what they tell."""
+        count = self.binding.budget.take(len(endpoints), self.runner.clock())
+        self._ask(Ask(tuple(endpoints[:count])))
+
     def withdraw(self, ticket):
         """Let a request wait no longer; its green thread goes on with nothing."""
         self.binding.leave(ticket)
@@ -144,8 +149,9 @@
         connection.set_time_limit(REPLY_SECONDS)
         connection.collect()
         connection.begin("GET", service.probes.path)
-        connection.putheader("Host", self._host)
+        connection.putheader("Host", self._host or connection.address)
         connection.endheaders()
+        sent_at = self.runner.clock()
         connection.flush()
         response = connection.read_head()
         response.read_short(LONGEST_BODY)
@@ -156,7 +162,15 @@
         # An endpoint that is asked for its state and tells nothing of warmth is warm.
         warm_in = signals.warm_in or 0.0
         is_ill = response.status >= FIRST_FAULT_STATUS
-        reply = Reply(endpoint, SendEnd.ANSWERED, signals.report, warm_in, is_ill)
+        reply = Reply(
+            endpoint,
+            SendEnd.ANSWERED,
+            signals.report,
+            warm_in,
+            is_ill,
+            limit=signals.limit,
+            sent_at=sent_at,
+        )
         return reply, response if response.can_keep else None
 
     def _take(self, reply, pool, connection, response):
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -313,6 +313,7 @@
             result = read_result(
                 live, self.clock(), in_flight, self.wire, self.request.request_id
             )
+            self.runner.note_limit(live.send, result.limit)
             if result.end is SendEnd.REFUSED:
                 keep = self._drain_short_body(live)
                 return self._end(live, result, keep)
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -1,9 +1,14 @@
 """Header names, and which headers pass from one side to the other."""
 
+import re
+
+from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
+
 __all__ = [
     "HOP_BY_HOP",
     "Names",
     "filter_headers",
+    "read_limit",
     "read_milliseconds",
 ]
 
@@ -20,6 +25,7 @@
     RUNNING = "Hingesill-Running"
     DRAINING = "Hingesill-Draining"
     COLD = "Hingesill-Cold"
+    LIMIT = "Hingesill-Limit"
 
 
 LAYER_TAKEN = "taken"
@@ -53,10 +59,15 @@
         Names.RUNNING.lower(),
         Names.DRAINING.lower(),
         Names.COLD.lower(),
+        Names.LIMIT.lower(),
     }
 )
 LARGEST_MILLISECONDS = 86_400_000
 MOST_DIGITS = 9
+# A plain decimal number without a sign.
+LIMIT_PATTERN = re.compile(r"[0-9]{1,300}(\.[0-9]{0,300})?|\.[0-9]{1,300}")
+# Requests a second from which on an endpoint is taken to name no limit.
+LARGEST_LIMIT = 1e6
 
 
 def list_connection_options(pairs):
@@ -87,6 +98,31 @@
             yield name, value
 
 
+def read_limit(response, name):
+    """Return the NamedLimit of an answer's head, None if it can't be read.
+
+    Parameters
+    ----------
+    response : EndpointResponse
+        Its headers are there.
+    name : str
+        Of the header.
+
+    Notes
+    -----
+    Of several values the smallest counts. One that can't be read is no word at all: it
+    begins no limit, and ends none.
+    """
+    if response.get(name) is None:
+        return NO_LIMIT
+    parts = ",".join(response.get_all(name)).split(",")
+    readable = [float(part) for part in parts if LIMIT_PATTERN.fullmatch(part.strip())]
+    if not readable:
+        return None
+    limit = min(readable)
+    return NamedLimit(limit) if limit < LARGEST_LIMIT else NO_LIMIT
+
+
 def read_milliseconds(environ, name):
     """Return the seconds that a header gives in milliseconds, None if it is absent.
 
--- a/packages/hingesill-node/hingesill_node/datapath/responses.py
+++ b/packages/hingesill-node/hingesill_node/datapath/responses.py
@@ -142,6 +142,11 @@
                 return value
         return None
 
+    def get_all(self, name):
+        """Return the values of a header, in the order in which they came."""
+        lowered = name.lower()
+        return [value for known, value in self.headers if known.lower() == lowered]
+
     @property
     def idle_seconds(self):
         """How long the endpoint keeps a connection at rest; None if unsaid."""
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -7,6 +7,7 @@
 
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.shares import compute_connection_share
+from hingesill_core.ratelimits.fleet import FleetLimits
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.curves import SlotCurves, pool_profiles
 from hingesill_core.routing.dispatcher import Dispatcher
@@ -16,6 +17,7 @@
 from hingesill_node.datapath.asking import WaitingRoom
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import Pool
+from hingesill_node.ratelimits.exchange import log_limit
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["RunnerTable", "ServiceRunner"]
@@ -23,6 +25,8 @@
 TICK_SECONDS = 0.002
 SUSPICION_REPEAT_SECONDS = 0.02
 CALLER_CHECK_SECONDS = 0.05
+# A line in the log for limits that can't be read, at most so often.
+COMPLAINT_SECONDS = 5.0
 
 
 class ServiceRunner:
@@ -46,6 +50,8 @@
         Monotonic seconds.
     guard : RequestGuard or None
         Knows which requests must not be sent; shared by all services.
+    limits : ServiceLimits or None
+        What the service's endpoints in need still take.
     """
 
     def __init__(
@@ -58,9 +64,11 @@
         curves=None,
         clock=time.monotonic,
         guard=None,
+        limits=None,
     ):
         self.guard = guard or RequestGuard()
-        self.dispatcher = Dispatcher(service, fleet, rng, ask_pool, curves)
+        self.dispatcher = Dispatcher(service, fleet, rng, ask_pool, curves, limits)
+        self._complain_from = 0.0
         self.announce = announce
         self.clock = clock
         self.pools = {}
@@ -135,6 +143,14 @@
         if self.held:
             self.pump()
 
+    def note_limit(self, send, named):
+        """Take what an answer's head named as the endpoint's limit."""
+        now = self.clock()
+        if named is None and now >= self._complain_from:
+            self._complain_from = now + COMPLAINT_SECONDS
+            log_event(Event.LIMIT_INVALID, endpoint=send.endpoint)
+        self.dispatcher.note_limit(send, named, now)
+
     def give_back(self, send, connection):
         """Leave an endpoint that was found for a send as it is."""
         pool = self.find_pool(send.endpoint)
@@ -219,6 +235,9 @@
         self.ask_pool = AskBudget()
         self.curves = SlotCurves()
         self.guard = RequestGuard()
+        self.limits = FleetLimits(rng, log_limit, self._is_declared)
+        self._wire = None
+        self._counters = None
         blackboard.watch("configuration", self.refresh)
         blackboard.watch("profile", self.refresh_profile)
         blackboard.watch("fleet", self.refresh)
@@ -239,15 +258,32 @@
                 self.curves,
                 self.clock,
                 self.guard,
+                self.limits.get(name),
             )
             self.runners[name] = runner
             self._apply_signs(runner)
             self._apply_profile(runner)
         return runner
 
+    def _is_declared(self, name):
+        """Tell whether a service is in force."""
+        return name in self.blackboard.configuration.services
+
+    def open_rooms(self, wire, counters):
+        """Let services ask endpoints though no request has come for them yet."""
+        self._wire = wire
+        self._counters = counters
+
+    def look_at(self, name, endpoints):
+        """Ask some endpoints of a service for their load, on behalf of no request."""
+        if endpoints and self._is_declared(name):
+            room = self.get(name).get_room(self._wire, self._counters)
+            room.look_at(endpoints)
+
     def refresh(self):
         """Bring all runners to the configuration and fleet in force."""
         board = self.blackboard
+        self.limits.keep(board.configuration.services)
         for name, runner in list(self.runners.items()):
             service = board.configuration.services.get(name)
             if service is None:
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -135,6 +135,7 @@
         draining=signals.draining,
         cold=signals.cold,
         retry_after=signals.retry_after,
+        limit=signals.limit,
     )
 
 
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -7,12 +7,14 @@
 
 from msgspec import Struct
 
+from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_node.datapath.headers import (
     LAYER_TAKEN,
     OWN_OF_ENDPOINT,
     SET_BY_NODE,
     Names,
+    read_limit,
     read_milliseconds,
 )
 from hingesill_node.datapath.refusals import build_refusal_answer
@@ -39,6 +41,8 @@
         How long it wants to be left alone, in seconds.
     warm_in : float or None
         Seconds for which it is cold, 0 if it is warm; None if it did not tell.
+    limit : NamedLimit or None
+        Requests that it takes from all nodes; None if that can't be read.
     """
 
     report: LoadReport | None = None
@@ -47,6 +51,7 @@
     cold: bool = False
     retry_after: float = 0.0
     warm_in: float | None = None
+    limit: NamedLimit | None = NO_LIMIT
 
 
 class OwnFormat:
@@ -115,6 +120,7 @@
             draining=response.get(Names.DRAINING) == "1",
             cold=response.get(Names.COLD) == "1",
             retry_after=parse_retry_after(response.get("Retry-After")),
+            limit=read_limit(response, Names.LIMIT),
         )
 
     def is_promise(self, status):
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -16,6 +16,7 @@
 from hingesill_node.clocks import read_boot_time
 from hingesill_node.crashes.keeper import HoldKeeper
 from hingesill_node.crashes.spreading import Spreader
+from hingesill_node.datagramport import DatagramPort
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.discovery.follower import Follower
 from hingesill_node.discovery.peers import PeerApplication, PeerClient
@@ -25,6 +26,7 @@
 from hingesill_node.discovery.reports import Reporter
 from hingesill_node.discovery.source import open_source
 from hingesill_node.listeners import split_address
+from hingesill_node.ratelimits.exchange import LimitExchange
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["DirectoryControl", "NoAnnouncements"]
@@ -132,10 +134,11 @@
         )
         eventlet.spawn(self.profiles.run)
         eventlet.spawn(Reporter(follower.find_relay, runners, self.clock).run)
-        return self._start_guard(runners.guard)
+        self._start_guard(runners.guard)
+        return self._start_datagrams(runners)
 
     def _start_guard(self, guard):
-        """Let nodes know of requests under which endpoints end; see `start`."""
+        """Keep in the store which requests are held back."""
         follower = self.follower
         self.holds = HoldKeeper(
             follower.source,
@@ -146,10 +149,18 @@
         )
         self.holds.take(follower.directory.held)
         eventlet.spawn(self.holds.run)
+
+    def _start_datagrams(self, runners):
+        """Let nodes tell each other what they need not agree on; see `start`."""
+        port = DatagramPort(self.counters)
         try:
-            Spreader(guard, self.list_peers, self.counters).start(self.address)
+            port.start(self.address)
         except OSError as error:
             return f"control_address {self.address}: {error.strerror}"
+        Spreader(runners.guard, self.list_peers, self.counters).start(port)
+        LimitExchange(
+            runners.limits, port, self.list_peers, runners, self.counters
+        ).start(split_address(self.address))
         return ""
 
     def list_peers(self):
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -15,6 +15,7 @@
 from hingesill_node.datapath.application import Application
 from hingesill_node.datapath.runner import RunnerTable
 from hingesill_node.datapath.server import listen, start_server
+from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.lifecycle import Lifecycle
 from hingesill_node.reload import Reloader
 from hingesill_node.telemetry.counters import Counters
@@ -94,6 +95,7 @@
         self.runners = RunnerTable(
             self.blackboard, random.Random(), self.control.announcements, clock
         )
+        self.runners.open_rooms(wire or OwnFormat(), self.counters)
         self.lifecycle = Lifecycle(self.blackboard, settings, self.control)
         self.application = Application(
             self.blackboard,
@@ -109,6 +111,7 @@
         return {
             "in_flight": self.blackboard.in_flight,
             "held": self.runners.count_held(),
+            "limited_endpoints": self.runners.limits.count_limited(),
             "quarantined": len(self.runners.guard.decisions.quarantine),
             "revision": self.blackboard.configuration.revision,
             "confirmed_age_seconds": self.control.get_confirmed_age(),
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
@@ -0,0 +1,100 @@
+"""Datagrams between nodes on endpoints' limits, and their checks."""
+
+from math import inf
+
+from msgspec import DecodeError
+from msgspec.msgpack import Decoder, encode
+
+from hingesill_core.ratelimits.fleet import MOST_TOLD
+from hingesill_core.ratelimits.grants import MOST_WANTED
+from hingesill_core.ratelimits.ledger import MOST_RUNS
+from hingesill_core.ratelimits.messages import GrantReply, GrantRequest, LimitNews
+
+__all__ = ["MARKS", "decode_message", "encode_message"]
+
+LONGEST_NAME = 256
+# Of words that are still passed on; and of all waits that a coordinator tells.
+LONGEST_SECONDS = 3600.0
+MESSAGES = Decoder(LimitNews | GrantRequest | GrantReply)
+# With what each kind begins; other datagrams of nodes begin with something else.
+MARKS = b"".join(
+    encode(message)[:1]
+    for message in (
+        LimitNews(()),
+        GrantRequest(0, "", 0),
+        GrantReply(0, "", (), 0.0, 0.0, 0.0),
+    )
+)
+
+
+def encode_message(message):
+    """Return the bytes of a message."""
+    return encode(message)
+
+
+def decode_message(data):
+    """Return the message that a datagram holds.
+
+    Raises
+    ------
+    ValueError
+        If it holds none, or figures beyond all bounds.
+    """
+    try:
+        message = MESSAGES.decode(data)
+    except (DecodeError, RecursionError) as error:
+        raise ValueError(f"not on limits: {error}") from error
+    if len(message.told) > MOST_TOLD:
+        raise ValueError(f"{len(message.told)} limits in one datagram")
+    for told in message.told:
+        check_told(told)
+    if isinstance(message, GrantRequest):
+        check_request(message)
+    if isinstance(message, GrantReply):
+        check_reply(message)
+    return message
+
+
+def check_told(told):
+    """Raise ValueError for a limit that no node of this project tells."""
+    check_name(told.service)
+    check_name(told.endpoint)
+    check_seconds(told.age)
+    check_seconds(told.span)
+    if told.per_second is not None and not 0.0 <= told.per_second < inf:
+        raise ValueError(f"a limit of {told.per_second}")
+
+
+def check_request(request):
+    """Raise ValueError for an ask that no node of this project makes."""
+    check_name(request.service)
+    check_seconds(request.horizon)
+    if not 0 < request.wanted <= MOST_WANTED:
+        raise ValueError(f"{request.wanted} grants are wanted")
+
+
+def check_reply(reply):
+    """Raise ValueError for grants that no node of this project gives."""
+    if len(reply.runs) > MOST_RUNS:
+        raise ValueError(f"grants at {len(reply.runs)} endpoints in one datagram")
+    for run in reply.runs:
+        check_name(run.endpoint)
+        check_seconds(run.delay)
+        check_seconds(run.count * run.interval)
+        if not 0 < run.count <= MOST_WANTED:
+            raise ValueError(f"{run.count} grants at one endpoint")
+    check_seconds(reply.again_in)
+    check_seconds(reply.wait)
+    check_seconds(reply.pause)
+
+
+def check_name(name):
+    """Raise ValueError for a name that nothing has."""
+    if not 0 < len(name) <= LONGEST_NAME:
+        raise ValueError(f"a name of {len(name)} characters")
+
+
+def check_seconds(seconds):
+    """Raise ValueError for a time that no node tells."""
+    if not 0.0 <= seconds <= LONGEST_SECONDS:
+        raise ValueError(f"a time of {seconds} s")
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -19,6 +19,8 @@
     "store_calls": "Calls to the platform's key-value service by kind.",
     "peer_bytes": "Bytes between nodes by direction.",
     "gossip": "Datagrams between nodes on ended endpoints: told, heard, not valid.",
+    "datagrams": "Datagrams to the node that nothing takes: failed, unknown.",
+    "limits": "Datagrams between nodes on endpoints' limits: told, heard, not valid.",
     "suspicions": "Overdue answers told to other nodes, and heard of.",
 }
 
@@ -26,6 +28,7 @@
     "in_flight": "Requests in flight.",
     "held": "Requests held in the node's queues.",
     "quarantined": "Requests held back as endpoints ended under them, or on trial.",
+    "limited_endpoints": "Endpoints that name a limit now.",
     "revision": "Revision of the configuration in force.",
     "confirmed_age_seconds": "Age of the store's last word that it is the newest.",
 }
