--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_limited.py
@@ -0,0 +1,153 @@
+"""Tests of decisions for endpoints that name limits."""
+
+import random
+import unittest
+
+from msgspec.structs import replace
+
+from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
+from hingesill_core.reasons import Outcome, RefusalReason
+from hingesill_core.routing.asking import Ask
+from hingesill_core.routing.dispatcher import Dispatcher, FleetView
+from hingesill_core.routing.messages import Refusal, Send, SendEnd, SendResult, Ticket
+from hingesill_core.routing.tests.test_latebinding import ROUTE, build_service, reply
+
+OWN = ("10.0.0.1", 80)
+
+
+def name(endpoint, limit, at, running=0):
+    """Return an endpoint's reply that names a limit, or none."""
+    named = NO_LIMIT if limit is None else NamedLimit(limit)
+    return replace(reply(endpoint, running), limit=named, sent_at=at)
+
+
+class LimitedCase(unittest.TestCase):
+    policy = "fresh_report"
+
+    def setUp(self):
+        service = replace(build_service(2), policy=self.policy)
+        self.dispatcher = Dispatcher(service, FleetView("a", 1, 2), random.Random(1))
+        self.limits = self.dispatcher.limits
+        self.limits.own = OWN
+        self.limits.coordinators = [OWN]
+        self.binding = self.dispatcher.binding
+
+    def name_all(self, limit, at=0.0):
+        for endpoint in ("i0", "i1"):
+            self.binding.take(name(endpoint, limit, at), at + 0.01)
+
+    def submit(self, now):
+        return self.dispatcher.submit(Ticket(ROUTE, now, now + 2.0), now)
+
+    def send(self, now):
+        """Submit a request, let all that is asked reply; return what became of it."""
+        decision = self.submit(now)
+        if not isinstance(decision, Ask):
+            return decision
+        sends = [self.binding.take(reply(e, 0), now) for e in decision.endpoints]
+        return next((send for send in sends if send is not None), None)
+
+
+class AskedTests(LimitedCase):
+    def test_endpoints_without_a_need_go_first(self):
+        self.binding.take(name("i0", 3.0, 0.0), 0.01)
+        for number in range(10):
+            ask = self.submit(0.1 + number / 1000)
+            self.assertEqual(ask.endpoints, ("i1",))
+
+    def test_those_in_need_are_used_when_the_others_are_full(self):
+        self.binding.take(name("i0", 3.0, 0.0), 0.01)
+        self.submit(1.0)
+        self.assertIsNone(self.binding.take(reply("i1", 3), 1.0))
+        asked = [self.binding.ask_again(1.0 + n * 0.015) for n in range(40)]
+        endpoints = {name for ask in asked if ask for name in ask.endpoints}
+        self.assertIn("i0", endpoints)
+        self.assertIsInstance(self.binding.take(reply("i0", 0), 1.6), Send)
+
+    def test_all_are_in_need(self):
+        self.name_all(2.0)
+        decisions = [self.send(1.0 + number / 50) for number in range(200)]
+        sends = [d for d in decisions if isinstance(d, Send)]
+        refusals = [d for d in decisions if isinstance(d, Refusal)]
+        # Two endpoints, two a second each, four seconds.
+        self.assertLessEqual(len(sends), 17)
+        self.assertGreater(len(refusals), 100)
+        self.assertEqual(
+            {refusal.reason for refusal in refusals}, {RefusalReason.ENDPOINTS_LIMITED}
+        )
+        self.assertEqual({refusal.outcome for refusal in refusals}, {Outcome.NOT_RUN})
+        self.assertTrue(all(refusal.retry_after > 0 for refusal in refusals))
+
+    def test_who_comes_back_as_told_while_nobody_else_does_is_served(self):
+        self.name_all(1.0)
+        now = 1.0
+        while not isinstance(decision := self.send(now), Refusal):
+            now += 0.001
+        later = now + decision.retry_after
+        ask = self.submit(later)
+        self.assertIsInstance(ask, Ask)
+
+    def test_a_limit_of_nothing(self):
+        self.name_all(0.0)
+        for number in range(20):
+            self.assertIsInstance(self.send(1.0 + number), Refusal)
+
+    def test_the_need_is_over(self):
+        self.name_all(0.0)
+        self.name_all(None, 1.0)
+        self.assertIsInstance(self.send(2.0), Send)
+
+    def test_a_started_endpoint_has_no_limit(self):
+        self.name_all(0.0)
+        service = self.dispatcher.service
+        endpoints = tuple(replace(e, born=7) for e in service.endpoints)
+        self.dispatcher.configure(
+            replace(service, endpoints=endpoints), self.dispatcher.fleet
+        )
+        self.assertEqual(self.limits.limited, {})
+
+    def test_retries_and_hedges_need_a_grant_too(self):
+        self.name_all(0.5)
+        sends = [self.send(1.0 + number / 100) for number in range(600)]
+        sends = [send for send in sends if isinstance(send, Send)]
+        before = len(sends)
+        ticket = sends[-1].ticket
+        self.dispatcher.retries.tokens = 5.0
+        self.assertNotIsInstance(self.dispatcher.hedging.start(ticket, 7.0), Send)
+        self.assertLessEqual(before, 2 * 0.5 * 6.0 + 2)
+
+    def test_without_a_need_nothing_is_asked_for(self):
+        self.limits.want = None
+        self.assertIsInstance(self.send(1.0), Send)
+        self.binding.ask_again(1.1)
+
+
+class UnaskedTests(LimitedCase):
+    """Endpoints that are not asked before each send."""
+
+    policy = "expected_wait"
+
+    def name_all(self, limit, at=0.0):
+        for endpoint in ("i0", "i1"):
+            self.limits.note(endpoint, 0, limit, at, at + 0.01)
+
+    def test_all_are_in_need(self):
+        self.name_all(2.0)
+        sends, refused = 0, 0
+        for number in range(200):
+            now = 1.0 + number / 50
+            decision = self.submit(now)
+            refused += isinstance(decision, Refusal)
+            begun = [decision] if isinstance(decision, Send) else []
+            for send in [*begun, *self.dispatcher.pump(now + 0.01)]:
+                sends += 1
+                answer = SendResult(SendEnd.ANSWERED)
+                self.dispatcher.settle(send, answer, now + 0.01)
+        self.assertLessEqual(sends, 17)
+        self.assertGreater(sends, 8)
+        self.assertGreater(refused, 0)
+
+    def test_one_is_in_need(self):
+        self.limits.note("i0", 0, 0.0, 0.0, 0.01)
+        sends = [self.submit(1.0 + number) for number in range(2)]
+        self.assertEqual({send.endpoint for send in sends}, {"i1"})
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
@@ -0,0 +1,147 @@
+"""Tests of datagrams on limits, and of nodes that exchange them."""
+
+import random
+import socket
+import unittest
+
+import eventlet
+
+from hingesill_core.ratelimits.fleet import FleetLimits
+from hingesill_core.ratelimits.grants import MOST_WANTED
+from hingesill_core.ratelimits.ledger import MOST_RUNS, GrantRun
+from hingesill_core.ratelimits.messages import (
+    GrantReply,
+    GrantRequest,
+    LimitNews,
+    ToldLimit,
+)
+from hingesill_node.crashes.datagrams import BATCH_MARK
+from hingesill_node.datagramport import DatagramPort
+from hingesill_node.ratelimits.datagrams import MARKS, decode_message, encode_message
+from hingesill_node.ratelimits.exchange import LimitExchange
+from hingesill_node.telemetry.counters import Counters
+
+TOLD = ToldLimit("arena", "i-0123456789", 1_764_720_000_000, 2.5, 0.1, 0.2, True)
+RUN = GrantRun("i-0123456789", 0.123456, 0.4, 3)
+MESSAGES = (
+    LimitNews((TOLD,), 7),
+    GrantRequest(3, "arena", 2, 0.5, (TOLD,)),
+    GrantReply(3, "arena", (RUN,), 0.1, 0.2, 0.6, (TOLD,)),
+)
+LARGEST_BYTES = 1400
+
+
+class CodeTests(unittest.TestCase):
+    def test_what_is_told_is_heard(self):
+        for message in MESSAGES:
+            self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_kinds_of_datagrams_are_told_apart(self):
+        self.assertEqual(len(set(MARKS)), 3)
+        self.assertNotIn(BATCH_MARK, MARKS)
+
+    def test_the_largest_fit_into_a_datagram(self):
+        reply = GrantReply(9, "arena", (RUN,) * MOST_RUNS, 0.1, 0.2, 0.6)
+        self.assertLess(len(encode_message(reply)), LARGEST_BYTES)
+        self.assertLess(len(encode_message(LimitNews((TOLD,) * 16, 9))), LARGEST_BYTES)
+
+    def test_figures_beyond_all_bounds(self):
+        for message in (
+            LimitNews((ToldLimit("arena", "", 1, 2.5, 0.1, 0.2),)),
+            LimitNews((ToldLimit("arena", "i1", 1, -1.0, 0.1, 0.2),)),
+            LimitNews((ToldLimit("arena", "i1", 1, float("inf"), 0.1, 0.2),)),
+            LimitNews((ToldLimit("arena", "i1", 1, float("nan"), 0.1, 0.2),)),
+            LimitNews((ToldLimit("arena", "i1", 1, 1.0, -0.1, 0.2),)),
+            LimitNews((TOLD,) * 17),
+            GrantRequest(1, "arena", 0),
+            GrantRequest(1, "arena", MOST_WANTED + 1),
+            GrantRequest(1, "", 1),
+            GrantReply(1, "arena", (RUN,) * (MOST_RUNS + 1), 0.0, 0.0, 0.0),
+            GrantReply(1, "arena", (GrantRun("i1", 0.0, 0.0, -1),), 0.0, 0.0, 0.0),
+            GrantReply(1, "arena", (), float("nan"), 0.0, 0.0),
+        ):
+            with self.subTest(message=message), self.assertRaises(ValueError):
+                decode_message(encode_message(message))
+
+    def test_changed_bytes_never_end_in_anything_else(self):
+        rng = random.Random(1)
+        for _ in range(5000):
+            data = bytearray(encode_message(rng.choice(MESSAGES)))
+            for _ in range(rng.randint(1, 4)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            try:
+                decode_message(bytes(data[: rng.randint(0, len(data))]))
+            except ValueError:
+                continue
+
+
+class Runners:
+    """What an exchange needs of a node's services."""
+
+    def __init__(self, limits):
+        self.limits = limits
+
+    def clock(self):
+        return eventlet.hubs.get_hub().clock()
+
+    def look_at(self, name, endpoints):
+        pass
+
+
+class ExchangeTests(unittest.TestCase):
+    """Three nodes, over real sockets."""
+
+    def setUp(self):
+        self.counters = Counters()
+        addresses = [self.draw_address() for _ in range(3)]
+        self.nodes = [self.start(address, addresses) for address in addresses]
+
+    def draw_address(self):
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.0.1", 0))
+            return sock.getsockname()
+
+    def start(self, own, addresses):
+        limits = FleetLimits(random.Random(1), knows=lambda name: name == "arena")
+        port = DatagramPort(self.counters)
+        port.start("%s:%d" % own)
+        others = [address for address in addresses if address != own]
+        LimitExchange(
+            limits, port, lambda: others, Runners(limits), self.counters
+        ).start(own)
+        return limits
+
+    def wait(self, condition):
+        with eventlet.Timeout(5.0):
+            while not condition():
+                eventlet.sleep(0.01)
+
+    def test_a_node_that_is_not_the_coordinator_gets_grants(self):
+        now = Runners(None).clock()
+        for node in self.nodes:
+            node.get("arena").note("i1", 1, 50.0, now, now)
+        asker = next(n for n in self.nodes if not n.get("arena").is_first())
+        limits = asker.get("arena")
+        limits.want(3, 0.5, now)
+        self.wait(lambda: limits.held.count(Runners(None).clock()) == 3)
+
+    def test_one_tells_the_others(self):
+        now = Runners(None).clock()
+        self.nodes[0].get("arena").note("i1", 1, 2.5, now, now)
+        self.wait(lambda: all(n.get("arena").limited for n in self.nodes))
+
+    def test_services_that_are_not_declared_are_passed_over(self):
+        now = Runners(None).clock()
+        told = ToldLimit("other", "i1", 1, 2.5, 0.0, 0.0)
+        self.nodes[0].take(LimitNews((told,)), ("127.0.0.1", 1), now)
+        self.nodes[0].take(GrantRequest(1, "other", 1), ("127.0.0.1", 1), now)
+        self.assertEqual(list(self.nodes[0].services), [])
+
+    def test_bytes_that_are_no_message_change_nothing(self):
+        sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(sock.close)
+        for data in (b"", MARKS, MARKS[:1] * 2000, encode_message(MESSAGES[1])[:9]):
+            sock.sendto(data, self.nodes[0].own)
+        now = Runners(None).clock()
+        self.nodes[1].get("arena").note("i1", 1, 2.5, now, now)
+        self.wait(lambda: self.nodes[0].get("arena").limited)
