--- a/packages/hingesill-core/hingesill_core/ratelimits/share.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/share.py
@@ -4,8 +4,11 @@
 
 __all__ = ["FleetShare"]
 
-# What came free while the node did not look counts for so long; in seconds.
-COUNTED_SECONDS = 0.1
+# What came free while the node did not look counts for so long; in seconds. All nodes
+# together save up that much of the rate, however many they are.
+COUNTED_SECONDS = 0.5
+# Of the rate, what all nodes together aim at; the rest is for luck.
+USED_SHARE = 0.6
 
 
 class FleetShare(Struct):
@@ -37,4 +40,4 @@
         """
         seconds = min(COUNTED_SECONDS, max(0.0, now - self.looked_at))
         self.looked_at = now
-        return rng.random() < rate / max(1, nodes) * seconds
+        return rng.random() < USED_SHARE * rate / max(1, nodes) * seconds
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_warmup.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_warmup.py
@@ -89,6 +89,28 @@
         self.assertTrue(limit.allows_unasked(state, 4.1))
 
 
+class RestTests(unittest.TestCase):
+    """Callers rest, and then one comes to each node of a large fleet at once."""
+
+    NODES = 95
+    ALLOWED = RATE * 1.5 + 8.0
+
+    def test_what_was_not_used_is_not_saved_up(self):
+        sent = 0
+        for number in range(self.NODES):
+            service = replace(
+                build_service(1), warm_up_rate=RATE, policy="expected_wait"
+            )
+            service = replace(
+                service, endpoints=(replace(service.endpoints[0], warm_in=60.0),)
+            )
+            fleet = FleetView("a", self.NODES, 200)
+            dispatcher = Dispatcher(service, fleet, random.Random(number))
+            decision = dispatcher.submit(Ticket(ROUTE, 50.0, 52.0), 50.0)
+            sent += isinstance(decision, Send)
+        self.assertLessEqual(sent, self.ALLOWED)
+
+
 class FleetTests(unittest.TestCase):
     """A cold endpoint that fails each request at once, so that it is always idle."""
 
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -26,6 +26,7 @@
     "slow_factor": "times that",
     "drain": "say that it is leaving",
     "cold": "say that it has just started",
+    "limit": "name so many requests a second that it takes from all nodes",
     "shed_above": "refuse as not run when more than this many are there",
     "fail_fast": "answer 500 at once",
     "hang": "never answer",
@@ -113,6 +114,8 @@
             signs.append(("Hingesill-Draining", "1"))
         if faults.get("cold"):
             signs.append(("Hingesill-Cold", "1"))
+        if faults.get("limit") is not None:
+            signs.append(("Hingesill-Limit", str(faults["limit"])))
         return signs
 
     def run(self, environ, start_response):
