Cold endpoints that tell no load get what they bear, however many nodes rested

What callers and endpoints saw: after a rest each node sent a cold endpoint its first request at once, 95 from 95 nodes where 11.75 in a second are allowed.

Mend: the part is taken by chance, and what came free counts for half a second: all nodes together save up half a second of the rate. One type serves this and limits without a granting node. Why it holds: its sum over nodes does not depend on how many there are.

--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -252,7 +252,9 @@
     def _is_free(self, state, ticket, now):
         """Tell whether an endpoint may get a request by what is known already."""
         warm_up = self.binding.warm_up
-        return state.has_place(ticket, now) and warm_up.allows_unasked(state, now)
+        if not state.has_place(ticket, now):
+            return False
+        return warm_up.allows_unasked(state, now, self.rng)
 
     def start_send(self, ticket, state, now, hedge=False):
         """Return a Send to an endpoint, with all that is noted of it."""
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -6,6 +6,7 @@
 from msgspec import Struct, field
 
 from hingesill_core.ratelimits.service import ServiceLimits
+from hingesill_core.ratelimits.share import FleetShare
 from hingesill_core.routing.health import Health
 from hingesill_core.routing.messages import SendEnd
 
@@ -121,6 +122,8 @@
         When this node last sent there.
     limits : ServiceLimits or None
         Of the service: what its endpoints in need still take.
+    cold_share : FleetShare
+        This node's part of what it bears while it is cold.
     """
 
     identity: str
@@ -151,6 +154,7 @@
     reach: Health = field(default_factory=build_reach)
     born: int = 0
     limits: ServiceLimits | None = None
+    cold_share: FleetShare = field(default_factory=FleetShare)
 
     @property
     def in_flight(self):
--- a/packages/hingesill-core/hingesill_core/routing/warmup.py
+++ b/packages/hingesill-core/hingesill_core/routing/warmup.py
@@ -111,12 +111,13 @@
         own = self._count_questions(now) / self.endpoints / COUNTED_SECONDS
         return min(1.0, USED_SHARE * self.rate / (self.nodes * max(own, LEAST_OWN)))
 
-    def allows_unasked(self, state, now):
+    def allows_unasked(self, state, now, rng):
         """Tell whether this node may send to an endpoint that tells no load.
 
         Notes
         -----
-        Nothing is known but its entry, so each node keeps to an even part of the bound.
+        Nothing is known but its entry, so each node takes an even part by chance. One
+        request each, saved up while callers rest, were 95 at once from 95 nodes.
         """
         if not self.rate:
             return True
@@ -125,4 +126,4 @@
             state.note_warmth(state.entered_warm_in, now)
         if now >= state.warm_at:
             return True
-        return now - state.last_send_at >= self.nodes / self.rate
+        return state.cold_share.take(self.rate, self.nodes, now, rng)
