Limits: asking, waiting requests and services apart; words of other endpoints

LateBinding's part on limits is LimitedWaiting, the runners' table has a module of its own.

A limit that can't be read is told apart from none heard, so that its line stands for real ones only.

--- a/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -64,7 +64,7 @@
         limits = self.services.get(name)
         if limits is None:
             limits = ServiceLimits(name, self.rng, self._note_change)
-            limits.ask_node = lambda ask: self._send_request(limits, ask)
+            limits.asker.ask_node = lambda ask: self._send_request(limits, ask)
             self.services[name] = limits
             self._place(limits)
         return limits
@@ -108,7 +108,7 @@
 
     def _send_request(self, limits, ask):
         """Ask a coordinator, and tell it of limits that it may not know."""
-        now = limits.pace.asked_at
+        now = limits.asker.pace.asked_at
         words = limits.book.list_limited()
         chosen = self.rng.sample(words, min(MOST_TOLD, len(words)))
         told = tuple(build_told(limits, word, now) for word in chosen)
@@ -159,7 +159,7 @@
             granted = Granted(message.runs, message.again_in, message.wait)
             limits = self.services.get(message.service)
             if limits is not None:
-                limits.take_reply(message.number, granted, message.pause, now)
+                limits.asker.take_reply(message.number, granted, message.pause, now)
 
     def _hear(self, told, now):
         if not self.knows(told.service):
--- a/packages/hingesill-core/hingesill_core/ratelimits/words.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/words.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-__all__ = ["LimitBook", "LimitWord", "NO_LIMIT", "NamedLimit"]
+__all__ = ["LimitBook", "LimitWord", "NO_LIMIT", "NamedLimit", "UNREADABLE_LIMIT"]
 
 # So long what an endpoint no longer names is remembered, so that a word of before
 # which other nodes still pass on doesn't come back; in seconds.
@@ -20,12 +20,16 @@
     ----------
     per_second : float or None
         Requests that the endpoint takes from all nodes together; None for no limit.
+    is_readable : bool
+        False if it names something that is no limit; that is no word at all.
     """
 
     per_second: float | None
+    is_readable: bool = True
 
 
 NO_LIMIT = NamedLimit(None)
+UNREADABLE_LIMIT = NamedLimit(None, is_readable=False)
 
 
 class LimitWord(Struct, frozen=True):
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -122,7 +122,7 @@
     born : int or None
         The life of the endpoint that was asked; None if that is not known.
     limit : NamedLimit or None
-        What the reply named; None if that can't be read.
+        What the reply named; None if it did not come.
     sent_at : float or None
         When the question was sent; None if the reply is to no question.
     """
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -14,8 +14,8 @@
 from hingesill_core.routing.endpoint_state import EndpointState, ServiceView
 from hingesill_core.routing.hedging import Hedging
 from hingesill_core.routing.latebinding import LateBinding
+from hingesill_core.routing.limitedrequests import LimitedRequests
 from hingesill_core.routing.messages import Hold, Refusal, Send, SendEnd
-from hingesill_core.routing.needs import LimitedRequests
 from hingesill_core.routing.policies import POLICIES
 from hingesill_core.routing.retrying import Retrying
 from hingesill_core.routing.selection import takes_work
@@ -103,7 +103,7 @@
             endpoint.identity: self._build_state(endpoint)
             for endpoint in service.endpoints
         }
-        self.limits.nodes = fleet.nodes
+        self.limits.asker.nodes = fleet.nodes
         self.limits.keep({name: state.born for name, state in self.states.items()})
         self.places = sum(state.send_limit for state in self.states.values())
         self.paces = {
@@ -142,14 +142,12 @@
         send : Send
             As it was given out.
         named : NamedLimit or None
-            None if what it named can't be read.
+            None if it was not this endpoint's.
         now : float
             The time.
         """
         if named is not None:
-            self.limits.note(
-                send.endpoint, send.born, named.per_second, send.started, now
-            )
+            self.limits.note(send.endpoint, send.born, named, send.started, now)
 
     def get_pace(self, route):
         """Return how long the answers of a route take."""
@@ -217,7 +215,7 @@
         """Return the final answer of a request that is given up."""
         outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
         if reason is RefusalReason.ENDPOINTS_LIMITED:
-            wait = self.limits.get_wait(now)
+            wait = self.limits.asker.get_wait(now)
             return Refusal(reason, outcome, self.pace.suggest_return(wait, self.rng))
         return Refusal(reason, outcome, self.suggest_return(now))
 
@@ -270,7 +268,7 @@
         """Yield a Send for each held request that can go now."""
         if self.limits.limited:
             patience = max((t.deadline - now for t in self.queue), default=0.0)
-            self.limits.want(len(self.queue), patience, now)
+            self.limits.asker.want(len(self.queue), patience, now)
         for live in (True, False):
             while True:
                 ticket = self.queue.get_first(live)
@@ -379,7 +377,7 @@
             state.report = result.report
             self.view.note_report(result.report)
         if result.limit is not None:
-            limit = result.limit.per_second
+            limit = result.limit
             self.limits.note(endpoint, state.born, limit, now, now, is_health=True)
         if state.health.needs_trial(now):
             state.health.on_trial = True
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -7,8 +7,8 @@
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
 from hingesill_core.routing.illness import IllWords
+from hingesill_core.routing.limitedwaiting import LimitedWaiting
 from hingesill_core.routing.messages import SendEnd
-from hingesill_core.routing.needs import PATIENCE_SECONDS
 from hingesill_core.routing.selection import EndpointSelection, can_get_work
 from hingesill_core.routing.slotknowledge import SlotKnowledge
 from hingesill_core.routing.waiting import Waiting
@@ -17,8 +17,6 @@
 __all__ = ["LateBinding"]
 
 ROOM_FOR_WAITING = 2
-# A request that is late already waits for so long for an endpoint in need; in seconds.
-SOON_SECONDS = 0.05
 
 
 class LateBinding:
@@ -49,7 +47,7 @@
         self.has_reports = True
         self.waiting = {}
         self.limits = dispatcher.limits
-        self.limited_requests = dispatcher.limited_requests
+        self.limited = LimitedWaiting(self, dispatcher.limited_requests)
         self._asked_late_at = float("-inf")
 
     def configure(self, service, fleet):
@@ -78,7 +76,8 @@
         if not self._count_waiting():
             self.turnover.begin(now)
         waiting = self.waiting[ticket] = self._build_waiting(ticket, now)
-        if self.limits.limited and self._is_refused_for_limits(ticket, now):
+        if self.limits.limited and not self.limited.admit(ticket, now):
+            self.waiting.pop(ticket)
             return self.dispatcher.refuse(ticket, RefusalReason.ENDPOINTS_LIMITED, now)
         if waiting.get_stage(now, self.rules) is Stage.LATE:
             return Ask(())
@@ -86,52 +85,6 @@
             self._choose(self.rules.at_once, now, (ticket.route,), is_first=True)
         )
 
-    def _is_refused_for_limits(self, ticket, now):
-        """Take a new request out again if only endpoints in need could serve it.
-
-        Notes
-        -----
-        It stays if grants are there or may come; another one that is less urgent is
-        refused in its place with the next round.
-        """
-        self.limits.want_trial(now)
-        if not self.limited_requests.needs_grant(ticket.route, now):
-            return False
-        self.limits.pace.note_request(now)
-        self._want_grants(now)
-        surplus = self._list_surplus(now)
-        if ticket not in surplus:
-            return False
-        self.waiting.pop(ticket)
-        return True
-
-    def _want_grants(self, now):
-        """Have grants asked for, for requests that endpoints without a need leave."""
-        waiting = [item for item in self.waiting.values() if not item.hedge]
-        routes = {item.ticket.route for item in waiting}
-        short = {r for r in routes if self.limited_requests.needs_grant(r, now)}
-        patient_since = now - PATIENCE_SECONDS
-        needing = sum(
-            item.since <= patient_since or item.ticket.route in short
-            for item in waiting
-        )
-        patience = max((item.late_at - now for item in waiting), default=0.0)
-        self.limits.want(needing, max(patience, SOON_SECONDS), now)
-
-    def _list_surplus(self, now):
-        """Return the waiting tickets that will get no grant in time.
-
-        Notes
-        -----
-        What the endpoints take is given to requests that can still meet their targets;
-        those that can't are served by what is there now, or refused at once.
-        """
-        waiting = [item for item in self.waiting.values() if not item.hedge]
-        waiting.sort(key=lambda item: item.get_order(now))
-        soon = now + SOON_SECONDS
-        items = [(i.ticket, min(i.until, max(i.late_at, soon))) for i in waiting]
-        return self.limited_requests.list_surplus(items, now)
-
     def _has_endpoint(self, route):
         """Tell whether there is any endpoint to which a route's requests may go."""
         return any(state.is_home_of(route) for state in self.dispatcher.states.values())
@@ -189,7 +142,7 @@
         if not self.waiting:
             return None
         if self.limits.limited:
-            self._want_grants(now)
+            self.limited.want_grants(now)
         routes = {waiting.ticket.route for waiting in self.waiting.values()}
         endpoints = self._choose(self._count_wanted(now), now, routes)
         return Ask(endpoints) if endpoints else None
@@ -288,8 +241,7 @@
             if reply.is_ill is not None:
                 self.ill_words.note(reply.is_ill)
             if reply.limit is not None and reply.sent_at is not None:
-                limit = reply.limit.per_second
-                sent_at = reply.sent_at
+                limit, sent_at = reply.limit, reply.sent_at
                 self.limits.note(
                     reply.endpoint, state.born, limit, sent_at, now, is_health=True
                 )
@@ -311,7 +263,7 @@
     def expire(self, now):
         """Yield (ticket, decision) for each request that waits no longer."""
         if self.limits.limited:
-            for ticket in self._list_surplus(now):
+            for ticket in self.limited.list_surplus(now):
                 self.waiting.pop(ticket)
                 reason = RefusalReason.ENDPOINTS_LIMITED
                 yield ticket, self.dispatcher.refuse(ticket, reason, now)
--- a/packages/hingesill-core/hingesill_core/routing/needs.py
+++ b/packages/hingesill-core/hingesill_core/routing/limitedrequests.py
@@ -2,11 +2,7 @@
 
 from hingesill_core.routing.selection import can_get_work
 
-__all__ = ["LimitedRequests", "PATIENCE_SECONDS"]
-
-# A request waits for so long for endpoints without a need before those in need are
-# used for it; in seconds. Source: two rounds of questions.
-PATIENCE_SECONDS = 0.03
+__all__ = ["LimitedRequests"]
 
 
 class LimitedRequests:
@@ -35,10 +31,10 @@
         if not self.needs_grant(ticket.route, now):
             return False
         dispatcher = self._dispatcher
-        dispatcher.limits.pace.note_request(now)
+        dispatcher.limits.asker.note_request(now)
         tickets = [*dispatcher.queue, ticket]
         patience = ticket.deadline - now
-        dispatcher.limits.want(len(tickets), patience, now)
+        dispatcher.limits.asker.want(len(tickets), patience, now)
         return ticket in self.list_surplus([(t, t.deadline) for t in tickets], now)
 
     def list_surplus(self, waiting, now):
@@ -52,7 +48,7 @@
             Seconds of the node's clock.
         """
         limits = self._dispatcher.limits
-        surplus = limits.list_surplus([until for _, until in waiting], now)
+        surplus = limits.asker.list_surplus([until for _, until in waiting], now)
         tickets = [waiting[index][0] for index in surplus]
         needing = {}
         for route in {ticket.route for ticket in tickets}:
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -144,7 +144,7 @@
     retry_after : float
         How long a refusing endpoint wants to be left alone, in seconds.
     limit : NamedLimit or None
-        What the answer named; None if no head came or what it named can't be read.
+        What the answer named; None if no head of this endpoint's came.
     """
 
     end: SendEnd
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -170,7 +170,10 @@
         if state is None or state.report is None:
             return "no report"
         age = round((send.started - state.report.received_at) * 1000)
-        return f"{describe_report(state.report)} {age}ms old"
+        evidence = f"{describe_report(state.report)} {age}ms old"
+        if state.is_limited():
+            evidence += f" limit {state.limits.limited[send.endpoint]:g}/s"
+        return evidence
 
     def _end(self, live, result, keep=False):
         """Settle a send, and keep or close its connection."""
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -2,7 +2,7 @@
 
 import re
 
-from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
+from hingesill_core.ratelimits.words import NO_LIMIT, UNREADABLE_LIMIT, NamedLimit
 
 __all__ = [
     "HOP_BY_HOP",
@@ -99,7 +99,7 @@
 
 
 def read_limit(response, name):
-    """Return the NamedLimit of an answer's head, None if it can't be read.
+    """Return the NamedLimit of an answer's head.
 
     Parameters
     ----------
@@ -118,7 +118,7 @@
     parts = ",".join(response.get_all(name)).split(",")
     readable = [float(part) for part in parts if LIMIT_PATTERN.fullmatch(part.strip())]
     if not readable:
-        return None
+        return UNREADABLE_LIMIT
     limit = min(readable)
     return NamedLimit(limit) if limit < LARGEST_LIMIT else NO_LIMIT
 
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -5,22 +5,17 @@
 import eventlet
 from eventlet import event as green_event
 
-from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.shares import compute_connection_share
-from hingesill_core.ratelimits.fleet import FleetLimits
 from hingesill_core.reasons import Outcome, RefusalReason
-from hingesill_core.routing.curves import SlotCurves, pool_profiles
 from hingesill_core.routing.dispatcher import Dispatcher
 from hingesill_core.routing.messages import Refusal, SendEnd, SendResult
-from hingesill_core.routing.profile import Profile
 from hingesill_node.crashes.requestguard import RequestGuard
 from hingesill_node.datapath.asking import WaitingRoom
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import Pool
-from hingesill_node.ratelimits.exchange import log_limit
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["RunnerTable", "ServiceRunner"]
+__all__ = ["ServiceRunner"]
 
 TICK_SECONDS = 0.002
 SUSPICION_REPEAT_SECONDS = 0.02
@@ -146,7 +141,8 @@
     def note_limit(self, send, named):
         """Take what an answer's head named as the endpoint's limit."""
         now = self.clock()
-        if named is None and now >= self._complain_from:
+        is_readable = named is None or named.is_readable
+        if not is_readable and now >= self._complain_from:
             self._complain_from = now + COMPLAINT_SECONDS
             log_event(Event.LIMIT_INVALID, endpoint=send.endpoint)
         self.dispatcher.note_limit(send, named, now)
@@ -211,170 +207,3 @@
         pool = self.pools.get(identity)
         if pool is not None and until > self.clock():
             pool.close_idle()
-
-
-class RunnerTable:
-    """The runners of all services that were asked for, made on first use.
-
-    Parameters
-    ----------
-    blackboard : Blackboard
-        Configuration, fleet and drain signs in force.
-    rng : random.Random
-        For the dispatchers.
-    announce : Announcements
-        Told of endpoints that leave and of overdue answers.
-    """
-
-    def __init__(self, blackboard, rng, announce, clock=time.monotonic):
-        self.blackboard = blackboard
-        self.rng = rng
-        self.announce = announce
-        self.clock = clock
-        self.runners = {}
-        self.ask_pool = AskBudget()
-        self.curves = SlotCurves()
-        self.guard = RequestGuard()
-        self.limits = FleetLimits(rng, log_limit, self._is_declared)
-        self._wire = None
-        self._counters = None
-        blackboard.watch("configuration", self.refresh)
-        blackboard.watch("profile", self.refresh_profile)
-        blackboard.watch("fleet", self.refresh)
-        blackboard.watch("signs", self.refresh_signs)
-
-    def get(self, name):
-        """Return the runner of a service that is in force."""
-        runner = self.runners.get(name)
-        if runner is None:
-            board = self.blackboard
-            service = board.configuration.services[name]
-            runner = ServiceRunner(
-                service,
-                board.fleet,
-                self.rng,
-                self.announce,
-                self.ask_pool,
-                self.curves,
-                self.clock,
-                self.guard,
-                self.limits.get(name),
-            )
-            self.runners[name] = runner
-            self._apply_signs(runner)
-            self._apply_profile(runner)
-        return runner
-
-    def _is_declared(self, name):
-        """Tell whether a service is in force."""
-        return name in self.blackboard.configuration.services
-
-    def open_rooms(self, wire, counters):
-        """Let services ask endpoints though no request has come for them yet."""
-        self._wire = wire
-        self._counters = counters
-
-    def look_at(self, name, endpoints):
-        """Ask some endpoints of a service for their load, on behalf of no request."""
-        if endpoints and self._is_declared(name):
-            room = self.get(name).get_room(self._wire, self._counters)
-            room.look_at(endpoints)
-
-    def refresh(self):
-        """Bring all runners to the configuration and fleet in force."""
-        board = self.blackboard
-        self.limits.keep(board.configuration.services)
-        for name, runner in list(self.runners.items()):
-            service = board.configuration.services.get(name)
-            if service is None:
-                self.runners.pop(name)
-            elif (service, board.fleet) != (
-                runner.dispatcher.service,
-                runner.dispatcher.fleet,
-            ):
-                runner.configure(service, board.fleet)
-                self._apply_signs(runner)
-
-    def refresh_signs(self):
-        """Bring all runners to the drain signs in force."""
-        for runner in self.runners.values():
-            self._apply_signs(runner)
-
-    def _apply_signs(self, runner):
-        for address, until in self.blackboard.signs.items():
-            if address in runner.dispatcher.states:
-                runner.mark_draining(address, until)
-
-    def refresh_profile(self):
-        """Let all runners know what other nodes have learnt."""
-        services = self.blackboard.profile.services.values()
-        self.curves.adopt(pool_profiles(services), self.clock())
-        for runner in self.runners.values():
-            self._apply_profile(runner)
-
-    def _apply_profile(self, runner):
-        name = runner.dispatcher.service.name
-        profile = self.blackboard.profile.services.get(name)
-        if profile is not None:
-            runner.slots.adopt(profile, self.clock())
-
-    def list_news(self):
-        """Return the names of services of which the fleet should know more."""
-        now = self.clock()
-        return [
-            name
-            for name, runner in self.runners.items()
-            if runner.slots.is_worth_telling(now)
-        ]
-
-    def take_news(self, only_urgent):
-        """Return a Profile of own answers for the relay, or None if there are none.
-
-        Parameters
-        ----------
-        only_urgent : bool
-            Of services only of which the fleet does not know enough yet.
-        """
-        now = self.clock()
-        news = {
-            name: runner.slots.take_news(now)
-            for name, runner in self.runners.items()
-            if not (only_urgent and runner.slots.is_settled(now))
-        }
-        news = {name: profile for name, profile in news.items() if profile is not None}
-        return Profile(news) if news else None
-
-    def add_news(self, profile):
-        """Take a Profile of another node's answers; of unknown services nothing."""
-        now = self.clock()
-        for name, news in profile.services.items():
-            if name in self.blackboard.configuration.services:
-                self.get(name).slots.add_news(news, now)
-
-    def build_profiles(self, names):
-        """Return the ServiceProfile of each of the services."""
-        now = self.clock()
-        return {name: self.runners[name].slots.build_profile(now) for name in names}
-
-    def mark_told(self, profiles):
-        """Note that others know all that is known here of some services.
-
-        Parameters
-        ----------
-        profiles : dict
-            ServiceProfile by name. A service that is gone by now is passed over.
-        """
-        now = self.clock()
-        for name, profile in profiles.items():
-            if name in self.runners:
-                self.runners[name].slots.mark_told(profile, now)
-
-    def note_suspicion(self, endpoint, ratio):
-        """Take another node's word on an endpoint."""
-        now = self.clock()
-        for runner in self.runners.values():
-            runner.dispatcher.note_suspicion(endpoint, ratio, now)
-
-    def count_held(self):
-        """Return the requests held at this node."""
-        return sum(len(runner.held) for runner in self.runners.values())
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -42,7 +42,7 @@
     warm_in : float or None
         Seconds for which it is cold, 0 if it is warm; None if it did not tell.
     limit : NamedLimit or None
-        Requests that it takes from all nodes; None if that can't be read.
+        Requests that it takes from all nodes; None if another one answered.
     """
 
     report: LoadReport | None = None
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -13,7 +13,7 @@
 from hingesill_node.admin import AdminApplication
 from hingesill_node.blackboard import Blackboard
 from hingesill_node.datapath.application import Application
-from hingesill_node.datapath.runner import RunnerTable
+from hingesill_node.datapath.runnertable import RunnerTable
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.lifecycle import Lifecycle
--- a/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
@@ -15,6 +15,7 @@
     LimitNews,
     ToldLimit,
 )
+from hingesill_core.ratelimits.words import NamedLimit
 from hingesill_node.crashes.datagrams import BATCH_MARK
 from hingesill_node.datagramport import DatagramPort
 from hingesill_node.ratelimits.datagrams import MARKS, decode_message, encode_message
@@ -119,15 +120,15 @@
     def test_a_node_that_is_not_the_coordinator_gets_grants(self):
         now = Runners(None).clock()
         for node in self.nodes:
-            node.get("arena").note("i1", 1, 50.0, now, now)
+            node.get("arena").note("i1", 1, NamedLimit(50.0), now, now)
         asker = next(n for n in self.nodes if not n.get("arena").is_first())
         limits = asker.get("arena")
-        limits.want(3, 0.5, now)
-        self.wait(lambda: limits.held.count(Runners(None).clock()) == 3)
+        limits.asker.want(3, 0.5, now)
+        self.wait(lambda: limits.asker.held.count(Runners(None).clock()) == 3)
 
     def test_one_tells_the_others(self):
         now = Runners(None).clock()
-        self.nodes[0].get("arena").note("i1", 1, 2.5, now, now)
+        self.nodes[0].get("arena").note("i1", 1, NamedLimit(2.5), now, now)
         self.wait(lambda: all(n.get("arena").limited for n in self.nodes))
 
     def test_services_that_are_not_declared_are_passed_over(self):
@@ -143,5 +144,5 @@
         for data in (b"", MARKS, MARKS[:1] * 2000, encode_message(MESSAGES[1])[:9]):
             sock.sendto(data, self.nodes[0].own)
         now = Runners(None).clock()
-        self.nodes[1].get("arena").note("i1", 1, 2.5, now, now)
+        self.nodes[1].get("arena").note("i1", 1, NamedLimit(2.5), now, now)
         self.wait(lambda: self.nodes[0].get("arena").limited)
