--- a/matrix/faults.py
+++ b/matrix/faults.py
@@ -70,6 +70,8 @@
 register_endpoint_fault("endpoint drained by itself", drain=True)
 register_endpoint_fault("endpoint cold", cold=True, service_ms=SERVICE_MS * 3)
 register_endpoint_fault("endpoint lies about its load", lie_running=0, fail_fast=True)
+register_endpoint_fault("endpoint limited", limit=2)
+register_endpoint_fault("all limited", True, limit=1)
 register_endpoint_fault("endpoint sheds", shed_above=-1)
 register_endpoint_fault("all shed", True, shed_above=-1)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 from hingesill_core.registry import Registry
 from soak.proxy import Trouble
 
-__all__ = ["FAULTS"]
+__all__ = ["FAULTS", "limit_endpoints"]
 
 # A fault takes the Scene and a random source, begins, and returns what ends it.
 FAULTS = Registry("soak fault")
@@ -86,6 +86,20 @@
     return lambda: scene.fleet.set_faults(endpoint, service_ms=4.0)
 
 
+def limit_endpoints(scene, rng):
+    """Have half of the endpoints name a limit."""
+    chosen = rng.sample(scene.fleet.endpoints, len(scene.fleet.endpoints) // 2)
+    limit = rng.choice((0, 1, 20))
+    for endpoint in chosen:
+        scene.fleet.set_faults(endpoint, service_ms=4.0, limit=limit)
+
+    def end():
+        for endpoint in chosen:
+            scene.fleet.set_faults(endpoint, service_ms=4.0)
+
+    return end
+
+
 @FAULTS.register("node paused")
 def pause_node(scene, rng):
     """Stop a node's process and let it go on."""
--- a/soak/main.py
+++ b/soak/main.py
@@ -10,7 +10,7 @@
 
 from matrix.evidence import Evidence, Violation
 from matrix.promises import PROMISES
-from soak.faults import FAULTS
+from soak.faults import FAULTS, limit_endpoints
 from soak.report import Finding, choose_seeds, report_seeds
 from soak.scene import Scene
 
@@ -19,6 +19,8 @@
 SERIES = 6
 FIRST_PAUSE = 0.5
 REST_SECONDS = 2.0
+# Of the faults, beside so many of which endpoints name limits.
+LIMITED_SHARE = 0.3
 CHECKED = (
     "whole own answer",
     "not run did not run",
@@ -47,21 +49,37 @@
         try:
             scene.start()
             time.sleep(FIRST_PAUSE)
-            faults = play_faults(scene, rng, names or FAULTS.list_names())
+            limits = None if names else random.Random(f"limits of {seed}")
+            faults = play_faults(scene, rng, names or FAULTS.list_names(), limits)
             time.sleep(REST_SECONDS)
             return judge(scene, seed, faults)
         finally:
             scene.close()
 
 
-def play_faults(scene, rng, known):
-    """Begin faults one after another, overlapping; return their names."""
+def play_faults(scene, rng, known, limits):
+    """Begin faults one after another, overlapping; return their names.
+
+    Parameters
+    ----------
+    scene : Scene
+        Where.
+    rng : random.Random
+        Draws the faults.
+    known : list of str
+        To choose from.
+    limits : random.Random or None
+        Draws when endpoints name limits, beside the faults; None for never.
+    """
     names = []
     ends = []
     for _ in range(SERIES):
         name = rng.choice(known)
         names.append(name)
         ends.append(FAULTS.get(name)(scene, rng))
+        if limits is not None and limits.random() < LIMITED_SHARE:
+            names.append("endpoints limited")
+            ends.append(limit_endpoints(scene, limits))
         time.sleep(rng.uniform(0.1, 0.8))
         while len(ends) > 2 or (ends and rng.random() < 0.4):
             ends.pop(rng.randrange(len(ends)))()
