--- a/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -41,6 +41,8 @@
     ----------
     send : callable
         Sends a message, given the address of a node and the message.
+    refresh : callable
+        Calls `set_nodes` with the nodes that there are now.
 
     Notes
     -----
@@ -52,6 +54,7 @@
         self.observe = observe
         self.knows = knows
         self.send = lambda node, message: None
+        self.refresh = lambda: None
         self.services = {}
         self.own = None
         self.nodes = ()
@@ -100,6 +103,8 @@
         return sum(len(limits.limited) for limits in self.services.values())
 
     def _note_change(self, change):
+        if change.before is None:
+            self.refresh()
         if change.source != GONE:
             word = change.word
             key = (change.service, word.endpoint, word.born)
--- a/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
@@ -41,17 +41,26 @@
         self.counters = counters
         self.own = None
         self._complain_from = 0.0
+        self._noted_at = 0.0
 
     def start(self, own):
         """Begin, given the IP number and port of the node's own control address."""
         self.own = own
         self.limits.send = self._send
+        self.limits.refresh = self._note_nodes
         self.port.register(MARKS, self.take)
-        self.note_nodes()
+        self._note_nodes()
         eventlet.spawn(self._work)
 
-    def note_nodes(self):
-        """Take which nodes there are."""
+    def _note_nodes(self):
+        """Take which nodes there are.
+
+        Notes
+        -----
+        Only while that matters: a node whose endpoints name no limits works nothing
+        out, however many nodes come and go.
+        """
+        self._noted_at = self.runners.clock()
         self.limits.set_nodes(self.own, self.list_peers())
 
     def take(self, data, sender):
@@ -63,7 +72,10 @@
             self._complain(str(error), sender)
             return
         self.counters.add("limits", "heard")
-        self.limits.take(message, sender, self.runners.clock())
+        now = self.runners.clock()
+        if now - self._noted_at > ROUND_SECONDS:
+            self._note_nodes()
+        self.limits.take(message, sender, now)
 
     def _complain(self, detail, sender):
         now = self.runners.clock()
@@ -82,7 +94,8 @@
     def _work(self):
         while True:
             eventlet.sleep(ROUND_SECONDS * random.uniform(0.8, 1.2))
-            self.note_nodes()
+            if self.limits.count_limited():
+                self._note_nodes()
             now = self.runners.clock()
             self.limits.tell(now)
             self._ask_endpoints(now)
