The own soak ends a pause before it waits for a planned stop

Cause: the soak's. The node was paused by another fault whose end was drawn to come later, so the signal to stop waited. Process state T, no line of a stop in the node's log. Mend: as the platform's soak does, the pause is ended first.

--- a/soak/main.py
+++ b/soak/main.py
@@ -28,7 +28,9 @@
     "answered ran",
 )
 # Seeds that failed once are run with every soak; a line says why they failed.
-REGRESSIONS = {}
+REGRESSIONS = {
+    30634: "the soak's fault: a planned stop was waited for while the node was paused",
+}
 
 
 def run_seed(seed, mutation="", names=None):
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -1,5 +1,6 @@
 """The processes of one soak: nodes and endpoints, with proxies between them."""
 
+import signal
 import time
 from pathlib import Path
 
@@ -129,7 +130,13 @@
         self.add_node()
 
     def end_stop(self, node):
-        """Wait for the end of a planned stop; start another node."""
+        """Wait for the end of a planned stop; start another node.
+
+        Notes
+        -----
+        A pause that is still on would keep the node from stopping.
+        """
+        node.process.send_signal(signal.SIGCONT)
         self.exit_codes.append(node.process.wait(STOP_SECONDS))
         self.replace(node)
 
