--- a/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
@@ -144,6 +144,33 @@
         self.assertEqual(sum(grants.count(played.now) for grants in held), 0)
 
 
+class ViewTests(LimitCase):
+    """Nodes see endpoints differently; the coordinator serves all of them."""
+
+    def setUp(self):
+        self.played = LimitPlay(Scenario(6, 3.0, 90.0, endpoints=2))
+        self.played.name(3.0)
+        first = next(iter(self.played.nodes.values())).limits.coordinators[0]
+        self.coordinator = self.played.nodes[first].limits
+
+    def test_endpoints_that_the_coordinator_does_not_reach_are_used_by_others(self):
+        self.coordinator.usable = lambda endpoint, now: False
+        self.played.run()
+        self.assertGreater(self.played.measure_use(SETTLED_SECONDS), 0.85)
+
+    def test_an_endpoint_that_it_takes_for_well_and_ill_by_turns(self):
+        self.coordinator.usable = lambda endpoint, now: int(now * 20) % 2 == 0
+        self.played.run()
+        self.assert_kept(self.played, 3.0)
+
+    def test_a_node_gets_no_grants_at_endpoints_that_it_does_not_reach(self):
+        for node in self.played.nodes.values():
+            node.limits.usable = lambda endpoint, now: endpoint != "i0"
+        self.played.run()
+        self.assertEqual(self.played.arrivals["i0"], [])
+        self.assertGreater(len(self.played.arrivals["i1"]), 0.8 * 3.0 * 20.0)
+
+
 class NewsTests(LimitCase):
     """How nodes come to know of a limit, and of its end."""
 
