What the coordinator sees of an endpoint decides nothing for other nodes

What callers and endpoints would see: a granting node that is cut from a service's limited endpoints has all callers of all nodes refused; one that takes an endpoint for well and ill by turns lets it get 25 in 4 s at a limit of 3 (23 allowed).

Cause: the list of endpoints that are granted was the granting node's own view, and what was granted at an endpoint was forgotten as soon as it left that list.

Mend: all limited endpoints are in the ledger for as long as they name a limit; each ask names those that its node does not use now. Why it holds: the pace of an endpoint is kept whatever anyone sees of it. Nodes get no grants where they send nothing.

--- a/packages/hingesill-core/hingesill_core/ratelimits/asker.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/asker.py
@@ -122,7 +122,8 @@
             return
         horizon = self.pace.choose_horizon(patience, now)
         if coordinator == self.limits.own:
-            self._take_granted(self.limits.grant(wanted, horizon, now), now)
+            avoid = self.limits.list_avoided(now)
+            self._take_granted(self.limits.grant(wanted, horizon, now, avoid), now)
             return
         self._asked = coordinator
         number = self.pace.begin(now)
@@ -149,7 +150,9 @@
 
     def _take_share(self, now):
         """Take this node's part of what the endpoints allow, by chance."""
-        rates = self.limits.list_rates(now)
+        avoid = self.limits.list_avoided(now)
+        rates = self.limits.list_rates()
+        rates = {name: rate for name, rate in rates.items() if name not in avoid}
         total = sum(rates.values())
         if self.share.take(total, self.nodes, now, self.rng):
             endpoint = self.rng.choices(list(rates), list(rates.values()))[0]
--- a/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -117,7 +117,10 @@
         words = limits.book.list_limited()
         chosen = self.rng.sample(words, min(MOST_TOLD, len(words)))
         told = tuple(build_told(limits, word, now) for word in chosen)
-        request = GrantRequest(ask.number, limits.name, ask.wanted, ask.horizon, told)
+        avoid = tuple(limits.list_avoided(now)[:MOST_TOLD])
+        request = GrantRequest(
+            ask.number, limits.name, ask.wanted, ask.horizon, told, avoid
+        )
         self.send(ask.node, request)
 
     def tell(self, now):
@@ -184,7 +187,7 @@
         pause = self._count_pause(sender, now)
         granted = Granted((), pause, pause)
         if limits.own in limits.coordinators:
-            granted = limits.grant(request.wanted, request.horizon, now)
+            granted = limits.grant(request.wanted, request.horizon, now, request.avoid)
         return GrantReply(
             request.number,
             request.service,
--- a/packages/hingesill-core/hingesill_core/ratelimits/ledger.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/ledger.py
@@ -78,19 +78,22 @@
     unmet: float = 0.0
     unmet_at: float = 0.0
 
-    def grant(self, rates, wanted, horizon, now):
+    def grant(self, rates, wanted, horizon, now, avoid=()):
         """Grant requests at the endpoints that are free first.
 
         Parameters
         ----------
         rates : dict
-            Requests a second by identity of the endpoints that may be used.
+            Requests a second by identity of all limited endpoints.
         wanted : int
             How many.
         horizon : float
             Seconds from now within which they are of use.
         now : float
             The time.
+        avoid : collection of str
+            Endpoints that the node which asks does not use now. What was granted
+            there is remembered all the same.
 
         Returns
         -------
@@ -98,19 +101,21 @@
         """
         rates = {name: rate for name, rate in rates.items() if rate > LEAST_RATE}
         self._adopt(rates, now)
-        runs = self._give_out(wanted, now + min(horizon, HORIZON_SECONDS), now)
+        usable = [name for name in rates if name not in avoid]
+        until = now + min(horizon, HORIZON_SECONDS)
+        runs = self._give_out(usable, wanted, until, now)
         missing = wanted - sum(run.count for run in runs)
         self._note_unmet(missing, now)
         if not missing:
             return Granted(runs)
-        return Granted(runs, *self._estimate(horizon, now))
+        return Granted(runs, *self._estimate(usable, horizon, now))
 
-    def _give_out(self, wanted, until, now):
-        """Return GrantRuns, of the endpoints that are free first."""
+    def _give_out(self, usable, wanted, until, now):
+        """Return GrantRuns, of the usable endpoints that are free first."""
         begun = {}
         counts = Counter()
-        while self.rates and counts.total() < wanted:
-            endpoint = min(self.rates, key=self.free_at.__getitem__)
+        while usable and counts.total() < wanted:
+            endpoint = min(usable, key=self.free_at.__getitem__)
             at = max(now, self.free_at[endpoint])
             if at > until or (endpoint not in begun and len(begun) >= MOST_RUNS):
                 break
@@ -139,10 +144,10 @@
         self.unmet = self.unmet * exp(-age / UNMET_SECONDS) + missing
         self.unmet_at = now
 
-    def _estimate(self, horizon, now):
+    def _estimate(self, usable, horizon, now):
         """Return again_in and wait of a Granted that lacks some."""
-        if not self.rates:
+        if not usable:
             return UNMET_SECONDS, UNMET_SECONDS
-        first = max(0.0, min(self.free_at.values()) - now)
+        first = max(0.0, min(self.free_at[name] for name in usable) - now)
         again_in = max(0.0, first - horizon)
-        return again_in, first + self.unmet / sum(self.rates.values())
+        return again_in, first + self.unmet / sum(self.rates[name] for name in usable)
--- a/packages/hingesill-core/hingesill_core/ratelimits/messages.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/messages.py
@@ -65,6 +65,8 @@
         Seconds within which grants are of use.
     told : tuple of ToldLimit
         Limits as the sender knows them.
+    avoid : tuple of str
+        Endpoints in need that the sender does not use now.
     """
 
     number: int
@@ -72,6 +74,7 @@
     wanted: int
     horizon: float = 0.0
     told: tuple[ToldLimit, ...] = ()
+    avoid: tuple[str, ...] = ()
 
 
 class GrantReply(Struct, frozen=True, array_like=True, tag=3):
--- a/packages/hingesill-core/hingesill_core/ratelimits/service.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/service.py
@@ -183,18 +183,26 @@
         if grant is not None:
             self.asker.held.use(grant)
 
-    def grant(self, wanted, horizon, now):
-        """Return the Granted for a node that wants grants, as a coordinator does."""
-        return self.ledger.grant(self.list_rates(now), wanted, horizon, now)
+    def grant(self, wanted, horizon, now, avoid):
+        """Return the Granted for a node that wants grants, as a coordinator does.
 
-    def list_rates(self, now):
+        Notes
+        -----
+        What this node itself sees of an endpoint decides nothing for others: it may
+        reach none of them, and others all.
+        """
+        return self.ledger.grant(self.list_rates(), wanted, horizon, now, avoid)
+
+    def list_avoided(self, now):
+        """Return the limited endpoints that this node does not use now."""
+        return [name for name in self.limited if not self.usable(name, now)]
+
+    def list_rates(self):
         """Return what this node gives out a second, by endpoint."""
         part = SECOND_PART if self._is_second() else 1.0
         least = 0.0 if self.is_in_health else LEAST_TRIED_RATE
         return {
-            endpoint: max(part * rate, least)
-            for endpoint, rate in self.limited.items()
-            if self.usable(endpoint, now)
+            endpoint: max(part * rate, least) for endpoint, rate in self.limited.items()
         }
 
     def _is_second(self):
--- a/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
@@ -69,6 +69,10 @@
     """Raise ValueError for an ask that no node of this project makes."""
     check_name(request.service)
     check_seconds(request.horizon)
+    if len(request.avoid) > MOST_TOLD:
+        raise ValueError(f"{len(request.avoid)} endpoints are avoided")
+    for endpoint in request.avoid:
+        check_name(endpoint)
     if not 0 < request.wanted <= MOST_WANTED:
         raise ValueError(f"{request.wanted} grants are wanted")
 
--- a/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
@@ -26,7 +26,7 @@
 RUN = GrantRun("i-0123456789", 0.123456, 0.4, 3)
 MESSAGES = (
     LimitNews((TOLD,), 7),
-    GrantRequest(3, "arena", 2, 0.5, (TOLD,)),
+    GrantRequest(3, "arena", 2, 0.5, (TOLD,), ("i1",)),
     GrantReply(3, "arena", (RUN,), 0.1, 0.2, 0.6, (TOLD,)),
 )
 LARGEST_BYTES = 1400
@@ -45,6 +45,9 @@
         reply = GrantReply(9, "arena", (RUN,) * MOST_RUNS, 0.1, 0.2, 0.6)
         self.assertLess(len(encode_message(reply)), LARGEST_BYTES)
         self.assertLess(len(encode_message(LimitNews((TOLD,) * 16, 9))), LARGEST_BYTES)
+        avoid = (TOLD.endpoint,) * 16
+        request = GrantRequest(9, "arena", 1024, 0.7, (TOLD,) * 16, avoid)
+        self.assertLess(len(encode_message(request)), LARGEST_BYTES)
 
     def test_figures_beyond_all_bounds(self):
         for message in (
@@ -57,6 +60,7 @@
             GrantRequest(1, "arena", 0),
             GrantRequest(1, "arena", MOST_WANTED + 1),
             GrantRequest(1, "", 1),
+            GrantRequest(1, "arena", 1, avoid=("i1",) * 17),
             GrantReply(1, "arena", (RUN,) * (MOST_RUNS + 1), 0.0, 0.0, 0.0),
             GrantReply(1, "arena", (GrantRun("i1", 0.0, 0.0, -1),), 0.0, 0.0, 0.0),
             GrantReply(1, "arena", (), float("nan"), 0.0, 0.0),
