Datagrams on limits have a mark of their own; held grants by endpoint

News on limits had a number that nobody read, only so that their first byte differed from that of other datagrams: one mark byte says it now. A reply with more grants in all than a node may want is dropped (test). Held grants are looked up by endpoint, as a request looks at all endpoints of its service. No decision changes.

--- a/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -60,7 +60,6 @@
         self.nodes = ()
         self.gossip = Gossip(rng, MOST_TOLD)
         self._asked = {}
-        self._sent = 0
 
     def get(self, name):
         """Return the ServiceLimits of a service, made on first use."""
@@ -134,9 +133,8 @@
         told = tuple(self._build_news(keys, now))
         if not told:
             return
-        self._sent += 1
         for node in chosen:
-            self.send(node, LimitNews(told, self._sent))
+            self.send(node, LimitNews(told))
 
     def _build_news(self, keys, now):
         """Yield what is known now of what changed."""
--- a/packages/hingesill-core/hingesill_core/ratelimits/grants.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/grants.py
@@ -1,5 +1,6 @@
 """The grants that a node holds, and when it asks for more."""
 
+from itertools import chain
 from math import ceil, exp, floor
 
 from msgspec import Struct
@@ -21,11 +22,11 @@
 # round of this node take. Where all ask for more than there is, grants come at the end
 # of the time that is asked for; without this all came just too late.
 MARGIN_SECONDS = 0.05
-# Of the requests that come within the life of a grant in the mean, those that other
-# nodes count on.
-LIKELY_USED = 0.8
-# Requests that come within the life of a grant at a node that asks ahead of need.
+# Requests that come within the life of a grant, in the mean, at a busy node: it asks
+# for all that will come until its next ask.
 BUSY_USES = 3.0
+# Of those, what any other node counts on, as it may ask for too much.
+LIKELY_USED = 0.8
 # Over so long requests that need a grant are counted.
 COUNTED_SECONDS = 1.0
 # Grants that are asked for at once; guard of the coordinator.
@@ -41,42 +42,53 @@
 
 
 class HeldGrants:
-    """Grants that were not used yet, the first one first."""
+    """Grants that were not used yet, by endpoint, the first one first."""
 
     def __init__(self):
-        self._grants = []
+        self._grants = {}
 
     def add(self, run, now):
         """Take the grants of a GrantRun."""
+        grants = self._grants.setdefault(run.endpoint, [])
         for number in range(run.count):
             usable_from = now + run.delay + number * run.interval
             until = usable_from + GRANT_SECONDS
-            self._grants.append(Grant(run.endpoint, usable_from, until))
-        self._grants.sort(key=lambda grant: grant.usable_from)
+            grants.append(Grant(run.endpoint, usable_from, until))
+        grants.sort(key=lambda grant: grant.usable_from)
 
     def find(self, endpoint, now):
         """Return a Grant that may be used now at an endpoint, or None."""
-        for grant in self._grants:
-            if grant.endpoint == endpoint and grant.usable_from <= now < grant.until:
+        for grant in self._grants.get(endpoint, ()):
+            if grant.usable_from <= now < grant.until:
                 return grant
         return None
 
     def use(self, grant):
         """Take a grant out."""
-        self._grants.remove(grant)
+        self._grants[grant.endpoint].remove(grant)
 
     def count(self, now):
         """Return how many may still be used, now or soon."""
-        self._grants = [grant for grant in self._grants if now < grant.until]
-        return len(self._grants)
+        return len(self.list_times(now))
 
     def list_times(self, now):
         """Return from when on the grants may be used, the first one first."""
-        return [grant.usable_from for grant in self._grants if now < grant.until]
+        self._forget(now)
+        grants = chain.from_iterable(self._grants.values())
+        return sorted(grant.usable_from for grant in grants)
+
+    def _forget(self, now):
+        """Forget the grants that have ended."""
+        for endpoint, grants in list(self._grants.items()):
+            left = [grant for grant in grants if now < grant.until]
+            if left:
+                self._grants[endpoint] = left
+            else:
+                del self._grants[endpoint]
 
     def drop(self, endpoint):
         """Forget the grants at an endpoint."""
-        self._grants = [g for g in self._grants if g.endpoint != endpoint]
+        self._grants.pop(endpoint, None)
 
 
 class AskPace(Struct):
@@ -96,8 +108,8 @@
         When these were counted.
     number : int
         Of the last ask.
-    asked_at : float
-        When it was made; infinite in the past if it was replied to.
+    asked_at : float or None
+        When it was made; None if it was replied to, or is lost.
     """
 
     pause: float = PAUSE_SECONDS
--- a/packages/hingesill-core/hingesill_core/ratelimits/messages.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/messages.py
@@ -42,12 +42,9 @@
     ----------
     told : tuple of ToldLimit
         The news.
-    number : int
-        Of the sender's datagrams.
     """
 
     told: tuple[ToldLimit, ...]
-    number: int = 0
 
 
 class GrantRequest(Struct, frozen=True, array_like=True, tag=2):
--- a/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
@@ -10,26 +10,19 @@
 from hingesill_core.ratelimits.ledger import MOST_RUNS
 from hingesill_core.ratelimits.messages import GrantReply, GrantRequest, LimitNews
 
-__all__ = ["MARKS", "decode_message", "encode_message"]
+__all__ = ["MARK", "decode_message", "encode_message"]
 
 LONGEST_NAME = 256
 # Of words that are still passed on; and of all waits that a coordinator tells.
 LONGEST_SECONDS = 3600.0
 MESSAGES = Decoder(LimitNews | GrantRequest | GrantReply)
-# With what each kind begins; other datagrams of nodes begin with something else.
-MARKS = b"".join(
-    encode(message)[:1]
-    for message in (
-        LimitNews(()),
-        GrantRequest(0, "", 0),
-        GrantReply(0, "", (), 0.0, 0.0, 0.0),
-    )
-)
+# With what each one begins; other datagrams of nodes begin with something else.
+MARK = b"L"
 
 
 def encode_message(message):
     """Return the bytes of a message."""
-    return encode(message)
+    return MARK + encode(message)
 
 
 def decode_message(data):
@@ -40,8 +33,10 @@
     ValueError
         If it holds none, or figures beyond all bounds.
     """
+    if data[:1] != MARK:
+        raise ValueError("not on limits: another mark")
     try:
-        message = MESSAGES.decode(data)
+        message = MESSAGES.decode(data[1:])
     except (DecodeError, RecursionError) as error:
         raise ValueError(f"not on limits: {error}") from error
     if len(message.told) > MOST_TOLD:
@@ -81,6 +76,8 @@
     """Raise ValueError for grants that no node of this project gives."""
     if len(reply.runs) > MOST_RUNS:
         raise ValueError(f"grants at {len(reply.runs)} endpoints in one datagram")
+    if sum(run.count for run in reply.runs) > MOST_WANTED:
+        raise ValueError("more grants than any node wants")
     for run in reply.runs:
         check_name(run.endpoint)
         check_seconds(run.delay)
--- a/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from hingesill_node.ratelimits.datagrams import MARKS, decode_message, encode_message
+from hingesill_node.ratelimits.datagrams import MARK, decode_message, encode_message
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["LimitExchange", "log_limit"]
@@ -48,7 +48,7 @@
         self.own = own
         self.limits.send = self._send
         self.limits.refresh = self._note_nodes
-        self.port.register(MARKS, self.take)
+        self.port.register(MARK, self.take)
         self._note_nodes()
         eventlet.spawn(self._work)
 
--- a/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
@@ -6,6 +6,7 @@
 
 import eventlet
 
+from hingesill_api.generated import hingesill_pb2 as pb
 from hingesill_core.ratelimits.fleet import FleetLimits
 from hingesill_core.ratelimits.grants import MOST_WANTED
 from hingesill_core.ratelimits.ledger import MOST_RUNS, GrantRun
@@ -18,14 +19,14 @@
 from hingesill_core.ratelimits.words import NamedLimit
 from hingesill_node.crashes.datagrams import BATCH_MARK
 from hingesill_node.datagramport import DatagramPort
-from hingesill_node.ratelimits.datagrams import MARKS, decode_message, encode_message
+from hingesill_node.ratelimits.datagrams import MARK, decode_message, encode_message
 from hingesill_node.ratelimits.exchange import LimitExchange
 from hingesill_node.telemetry.counters import Counters
 
 TOLD = ToldLimit("arena", "i-0123456789", 1_764_720_000_000, 2.5, 0.1, 0.2, True)
 RUN = GrantRun("i-0123456789", 0.123456, 0.4, 3)
 MESSAGES = (
-    LimitNews((TOLD,), 7),
+    LimitNews((TOLD,)),
     GrantRequest(3, "arena", 2, 0.5, (TOLD,), ("i1",)),
     GrantReply(3, "arena", (RUN,), 0.1, 0.2, 0.6, (TOLD,)),
 )
@@ -38,13 +39,14 @@
             self.assertEqual(decode_message(encode_message(message)), message)
 
     def test_kinds_of_datagrams_are_told_apart(self):
-        self.assertEqual(len(set(MARKS)), 3)
-        self.assertNotIn(BATCH_MARK, MARKS)
+        suspicion = pb.Suspicion(team="team", endpoint="i1", ratio=2.0)
+        marks = {MARK, BATCH_MARK, suspicion.SerializeToString()[:1]}
+        self.assertEqual(len(marks), 3)
 
     def test_the_largest_fit_into_a_datagram(self):
         reply = GrantReply(9, "arena", (RUN,) * MOST_RUNS, 0.1, 0.2, 0.6)
         self.assertLess(len(encode_message(reply)), LARGEST_BYTES)
-        self.assertLess(len(encode_message(LimitNews((TOLD,) * 16, 9))), LARGEST_BYTES)
+        self.assertLess(len(encode_message(LimitNews((TOLD,) * 16))), LARGEST_BYTES)
         avoid = (TOLD.endpoint,) * 16
         request = GrantRequest(9, "arena", 1024, 0.7, (TOLD,) * 16, avoid)
         self.assertLess(len(encode_message(request)), LARGEST_BYTES)
@@ -63,6 +65,7 @@
             GrantRequest(1, "arena", 1, avoid=("i1",) * 17),
             GrantReply(1, "arena", (RUN,) * (MOST_RUNS + 1), 0.0, 0.0, 0.0),
             GrantReply(1, "arena", (GrantRun("i1", 0.0, 0.0, -1),), 0.0, 0.0, 0.0),
+            GrantReply(1, "arena", (GrantRun("i1", 0.0, 0.0, 900),) * 2, 0.0, 0.0, 0.0),
             GrantReply(1, "arena", (), float("nan"), 0.0, 0.0),
         ):
             with self.subTest(message=message), self.assertRaises(ValueError):
@@ -145,7 +148,7 @@
     def test_bytes_that_are_no_message_change_nothing(self):
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.addCleanup(sock.close)
-        for data in (b"", MARKS, MARKS[:1] * 2000, encode_message(MESSAGES[1])[:9]):
+        for data in (b"", MARK, MARK * 2000, encode_message(MESSAGES[1])[:9]):
             sock.sendto(data, self.nodes[0].own)
         now = Runners(None).clock()
         self.nodes[1].get("arena").note("i1", 1, NamedLimit(2.5), now, now)
