--- a/packages/hingesill-core/hingesill_core/ratelimits/grants.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/grants.py
@@ -9,8 +9,8 @@
 
 __all__ = ["AskPace", "Grant", "HeldGrants"]
 
-# From when on it may be used, a grant is good for so long. Source: longer than a
-# question for the load and its reply take.
+# From when on it may be used, a grant is good for so long: longer than a question for
+# the load and its reply take.
 GRANT_SECONDS = 0.4
 # Between two asks of a node, where the coordinator names no longer pause; and those
 # that it may make at once after a rest.
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -28,40 +28,34 @@
     at_once : int
         Endpoints asked for a new request, all but one in its data centre, or all
         of them where there are many.
-        Source: simulated days with load and faults, where a second near one cost
-        more probes and late answers than it saved.
     most_at_once : int
         Endpoints asked in a later round, for all waiting requests together.
     many_near : int
-        With so many endpoints in its data centre, a new request asks there only.
-        Source: chosen so that sites with two or three a data centre keep asking
-        elsewhere; no other figure was tried.
+        With so many endpoints in its data centre, a new request asks there only;
+        where there are two or three, it keeps asking elsewhere.
     selective : float
-        For so long a request takes only an endpoint with two free slots, as the
-        last one is often gone when the request arrives. Source: two replies.
+        For so long, two replies, a request takes only an endpoint with two free
+        slots, as the last one is often gone when the request arrives.
     patience : float
         Share of a route's target in which only a free slot of an endpoint that
         is not slow will do.
     hedge_wait : float
-        For so long a hedge looks for an endpoint. Source: some rounds of
-        questions; what is not found by then is a sign of load.
+        For so long a hedge looks for an endpoint: some rounds of questions. What
+        is not found by then is a sign of load.
     longest_wait : float
         Share of a request's time after which it is refused, so that its caller
         still has more than half of it to try again.
     late_pause : float
-        Between two questions while all requests that wait are late. After a loss of
-        all nodes the late ones used up the questions of those in time: the share in
-        time in the two seconds after it rose from 0.77 to 0.86 (17 nodes, one run
-        each without processor time). Source: some three rounds; not tuned.
+        Between two questions while all requests that wait are late: some three
+        rounds, so that late ones leave questions to those that can be in time.
     default_target : float
         Taken for a route without a declared target.
     most_slowness : float
-        An endpoint that works slower than usual by this factor is passed by.
-        Source: slow spells on shared VMs are a factor of five, and ordinary
-        spread stays below two.
+        An endpoint that works slower than usual by this factor is passed by: slow
+        spells on shared VMs are a factor of five, ordinary spread stays below two.
     slow_holds : float
         For so long after it said that it is slow, an idle connection to an endpoint
-        is no reason to ask it. Source: chosen, several spells of slow VMs.
+        is no reason to ask it: several spells of slow VMs.
     """
 
     at_once: int = 2
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -347,7 +347,7 @@
         Notes
         -----
         It is looked at for each send, also retries and hedges: an endpoint in need that
-        took three requests a second from all nodes got nine.
+        takes three requests a second from all nodes must not get nine.
         """
         limits = self.limits
         if limits is None or not limits.limited:
--- a/packages/hingesill-core/hingesill_core/routing/limitedwaiting.py
+++ b/packages/hingesill-core/hingesill_core/routing/limitedwaiting.py
@@ -2,8 +2,8 @@
 
 __all__ = ["LimitedWaiting"]
 
-# A request waits for so long for endpoints without a need before those in need are
-# used for it; in seconds. Source: two rounds of questions.
+# A request waits for so long, two rounds of questions, for endpoints without a need
+# before those in need are used for it; in seconds.
 PATIENCE_SECONDS = 0.03
 # A request that is late already waits for so long for an endpoint in need; in seconds.
 SOON_SECONDS = 0.05
--- a/packages/hingesill-core/hingesill_core/routing/selection.py
+++ b/packages/hingesill-core/hingesill_core/routing/selection.py
@@ -71,14 +71,10 @@
         Notes
         -----
         A node of a large fleet asks each endpoint less often than connections may
-        rest: choosing among all, 99 nodes opened 15,400 connections for 21,900
-        requests, and 4,500 with this preference (a day of load and faults,
-        simulated). It is for a request's first questions only: in a burst those with
-        a connection are full, and 0.03 to 0.07 more of the requests missed their
-        targets when they were asked again (17 nodes, first ten seconds of a day with
-        a burst, simulated). One that was slow a moment ago is not preferred either:
-        it stays free, and 0.06 more of the requests missed their targets while some
-        endpoints were slow for seconds (the 99 nodes' day).
+        rest, so that choosing among all opens a connection for most questions. It is
+        for a request's first questions only: in a burst those with a connection are
+        full, and asking them again makes requests miss their targets. One that was slow
+        a moment ago is not preferred either: it stays free, and would draw requests.
         """
         rng = self.dispatcher.rng
         if len(candidates) <= count:
--- a/packages/hingesill-core/hingesill_core/routing/warmup.py
+++ b/packages/hingesill-core/hingesill_core/routing/warmup.py
@@ -12,11 +12,7 @@
   together take no more than the endpoint bears, however fast it fails. Where few nodes
   are busy, or questions are few, the share is whole and nothing is left unused.
 
-Played with 95 nodes, a quarter of 120 endpoints cold and a burst of 1.8 of callers of
-whom 30% repeat at once (`test_heavyload`), most requests to one cold endpoint in a
-second, of 11.75 that are allowed: 7 without the rules and 3 with them, and 80 and 7
-where cold endpoints fail nine in ten requests at once (the most of three seeds). Where
-all endpoints are cold fewer requests are in time, 0.2 in place of 0.43.
+Where all endpoints are cold this costs callers: less is used than the endpoints bear.
 """
 
 from math import exp
@@ -25,17 +21,14 @@
 
 __all__ = ["WarmUpLimit"]
 
-# Over so long questions are counted, in seconds. Source: the bound is by the second.
+# Over so long questions are counted, in seconds: the bound is by the second.
 COUNTED_SECONDS = 1.0
 # An endpoint may become cold at any moment; its last word on that counts for so long,
-# in seconds. Source: longer than a usual answer, so that the slot which an answer frees
-# is taken, and as long as the time over which requests are counted.
+# in seconds: longer than a usual answer, so that the slot which an answer frees is
+# taken, and as long as the time over which requests are counted.
 WORD_HOLDS = 1.0
 # Of the rate, what all nodes together aim at. The rest is for luck, and for the first
-# moments of a burst, when a node has not counted many questions yet: an endpoint that
-# fails at once, asked 100 times a second from nothing, got up to 16 requests in a
-# second of 11.75 allowed with the whole rate, and 11 with this share (17 nodes, six
-# seeds, `test_warmup`).
+# moments of a burst, when a node has not counted many questions yet.
 USED_SHARE = 0.7
 # Questions to an endpoint and second that are too few to be shared out.
 LEAST_OWN = 0.001
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -181,9 +181,8 @@
 
     Notes
     -----
-    What loading left behind is kept too: some 740 objects, for which ``gc.collect``
-    searched 13 to 16 ms in the first second in which callers are served (three
-    starts).
+    What loading left behind is kept too: a search for it would stop the node in the
+    first second in which callers are served.
     """
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
