A limit that falls or rises: the failing tests

Played: 18 nodes, a limit that falls from 30 to 1: 16 requests in the 4 s after it (11 count, 10 by the aim), as grants of before are still used. Six nodes, a rise from 0.1 to 3: 0.06 of it used in 6 s, as nodes go on refusing for the time that the old limit meant.

--- a/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
@@ -144,6 +144,31 @@
         self.assertEqual(sum(grants.count(played.now) for grants in held), 0)
 
 
+class ChangeTests(LimitCase):
+    """What was granted while an endpoint took more."""
+
+    def test_a_limit_that_falls_holds_at_once(self):
+        for nodes in (1, 6, 18):
+            with self.subTest(nodes=nodes):
+                scenario = Scenario(nodes, 30.0, 400.0, endpoints=2, seconds=6.0)
+                played = LimitPlay(scenario)
+                played.name(30.0)
+                played.run()
+                fell = played.now
+                played.name(1.0)
+                played.run()
+                self.assert_kept(played, 1.0, fell)
+
+    def test_a_limit_that_rises_is_used_at_once(self):
+        played = LimitPlay(Scenario(6, 3.0, 90.0, endpoints=2, seconds=6.0))
+        played.name(0.1)
+        played.run()
+        rose = played.now
+        played.name(3.0)
+        played.run()
+        self.assertGreater(played.measure_use(rose), 0.8)
+
+
 class ViewTests(LimitCase):
     """Nodes see endpoints differently; the coordinator serves all of them."""
 
