A limit that falls or rises holds at once

What callers and endpoints would see: after a fall from 30 to 1 an endpoint got 16 in 4 s from 18 nodes (11 allowed); after a rise from 0.1 to 3 callers were refused for seconds more, 0.06 of the limit used in 6 s.

Cause: grants and refusals of the limit before were kept when the word changed.

Mend: a change ends the refusals, a fall also the grants that are held. Why it holds: the ledger takes the new pace with the next ask, and nothing of the old one is left.

--- a/packages/hingesill-core/hingesill_core/ratelimits/asker.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/asker.py
@@ -81,6 +81,26 @@
         """Count a request that needs a grant."""
         self.pace.note_request(now)
 
+    def note_change(self, word, before):
+        """Take that an endpoint names another limit.
+
+        Parameters
+        ----------
+        word : LimitWord
+            What it names now.
+        before : float or None
+            Requests a second that it named before.
+
+        Notes
+        -----
+        What was granted of a higher limit is of no use any more, and what was refused
+        by the old one may be granted now.
+        """
+        self._denied_until = float("-inf")
+        is_higher = before is None or (word.per_second or 0.0) >= before
+        if word.per_second is None or not is_higher:
+            self.held.drop(word.endpoint)
+
     def want(self, waiting, patience, now):
         """See to it that grants come for requests that wait for one.
 
--- a/packages/hingesill-core/hingesill_core/ratelimits/service.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/service.py
@@ -127,8 +127,7 @@
         if not self.book.take(word):
             return False
         before = None if held is None else held.per_second
-        if word.per_second is None:
-            self.asker.held.drop(word.endpoint)
+        self.asker.note_change(word, before)
         self.observe(LimitChange(self.name, word, before, source))
         return True
 
