Datagrams are sent at once or not at all

What could happen: a decision that asks for grants sends in the middle of its work; where the socket's buffer is full, the green socket would wait and let another green thread find the decision half made. The port now sends by the plain non-blocking socket, and a full buffer is a lost datagram, as before.

--- a/packages/hingesill-node/hingesill_node/datagramport.py
+++ b/packages/hingesill-node/hingesill_node/datagramport.py
@@ -52,8 +52,14 @@
         eventlet.spawn(self._listen)
 
     def send(self, data, peer):
-        """Send a datagram; OSError if that is not possible now."""
-        self._sock.sendto(data, peer)
+        """Send a datagram; OSError if that is not possible at once.
+
+        Notes
+        -----
+        Decisions send in the middle of their work, so it must not wait: another green
+        thread would find them half made.
+        """
+        self._sock.fd.sendto(data, peer)
 
     def _listen(self):
         while True:
