--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/limits/tests/test_asking.py
@@ -0,0 +1,26 @@
+"""Tests of a node's part of the fleet's probe budget."""
+
+import unittest
+
+from hingesill_core.configuration.services import ProbeBudget
+from hingesill_core.limits.asking import AskBudget
+
+
+class AskBudgetTests(unittest.TestCase):
+    def test_no_window_sees_more_than_its_part(self):
+        budget = AskBudget()
+        budget.set_part("a", ProbeBudget(40.0, 10.0, 1.0, 0.001, "/h"), 4)
+        times = [
+            step / 100
+            for step in range(4000)
+            if budget.take(1, step / 100)
+            for _ in "x"
+        ]
+        for start in times:
+            inside = sum(start <= at < start + 10.0 for at in times)
+            self.assertLessEqual(inside, 100)
+
+    def test_a_new_process_can_ask_at_once(self):
+        budget = AskBudget()
+        budget.set_part("a", ProbeBudget(40.0, 10.0, 1.0, 0.001, "/h"), 4)
+        self.assertEqual(budget.take(3, 0.0), 3)
--- a/packages/hingesill-core/hingesill_core/ratelimits/service.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/service.py
@@ -7,7 +7,7 @@
 from hingesill_core.ratelimits.ledger import GrantLedger
 from hingesill_core.ratelimits.words import LimitBook, LimitWord
 
-__all__ = ["LimitChange", "ServiceLimits"]
+__all__ = ["GONE", "LimitChange", "ServiceLimits"]
 
 # What an endpoint takes at the least in the eyes of the coordinator, requests a second,
 # where only an answer to a request can tell that its need is over.
@@ -77,7 +77,6 @@
 
     def __init__(self, name, rng, observe=lambda change: None):
         self.name = name
-        self.rng = rng
         self.observe = observe
         self.book = LimitBook()
         self.limited = self.book.limited
