A node that starts asks others which endpoints name limits

Cause: news of a limit ends once all nodes have it, so that a node that starts later learned of it only by the endpoint's answer to a request or question, and all that start together each by one of their own.

--- a/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -8,6 +8,7 @@
     GrantReply,
     GrantRequest,
     LimitNews,
+    LimitQuery,
     ToldLimit,
 )
 from hingesill_core.ratelimits.service import GONE, ServiceLimits
@@ -23,6 +24,13 @@
 ASKED_SECONDS = 4.0
 # The way of a datagram takes at most so long; what it tells may be older by that.
 TRANSIT_SECONDS = 0.1
+# A node that starts asks so many others in each of so many rounds: some of them may
+# have just started as well, and datagrams may be lost.
+QUERIED_NODES = 2
+QUERY_ROUNDS = 3
+# Limits that one of them tells, in datagrams of `MOST_TOLD`; a guard of the links where
+# thousands of endpoints are in need. Their own answers name the others.
+MOST_ANSWERED = 4 * MOST_TOLD
 
 
 class FleetLimits:
@@ -60,6 +68,12 @@
         self.nodes = ()
         self.gossip = Gossip(rng, MOST_TOLD)
         self._asked = {}
+        self._queries_left = QUERY_ROUNDS
+
+    @property
+    def is_starting(self):
+        """Whether other nodes have still to be asked which limits there are."""
+        return self._queries_left > 0
 
     def get(self, name):
         """Return the ServiceLimits of a service, made on first use."""
@@ -123,12 +137,30 @@
         self.send(ask.node, request)
 
     def tell(self, now):
-        """Pass news on to some nodes, and forget what is old."""
+        """Pass news on, ask as a node that starts, and forget what is old."""
         for limits in self.services.values():
             limits.book.forget(now)
         others = [node for node in self.nodes if node != self.own]
-        if not self.gossip or not others:
+        if not others:
             return
+        if self.is_starting:
+            self._query(others)
+        if self.gossip:
+            self._pass_on(others, now)
+
+    def _query(self, others):
+        """Ask some nodes which limits there are.
+
+        Notes
+        -----
+        News of a limit ends once all nodes have it. One that started since would learn
+        of it by sending to the endpoint, as all that start at the same moment would.
+        """
+        self._queries_left -= 1
+        for node in self.rng.sample(others, min(QUERIED_NODES, len(others))):
+            self.send(node, LimitQuery())
+
+    def _pass_on(self, others, now):
         chosen, keys = self.gossip.take_round(others)
         told = tuple(self._build_news(keys, now))
         if not told:
@@ -149,7 +181,7 @@
 
         Parameters
         ----------
-        message : LimitNews, GrantRequest or GrantReply
+        message : LimitNews, LimitQuery, GrantRequest or GrantReply
             As it was decoded.
         sender : tuple
             IP number and port.
@@ -158,7 +190,9 @@
         """
         for told in message.told:
             self._hear(told, now)
-        if isinstance(message, GrantRequest):
+        if isinstance(message, LimitQuery):
+            self._answer(sender, now)
+        elif isinstance(message, GrantRequest):
             if self.knows(message.service):
                 self.send(sender, self._grant(message, sender, now))
         elif isinstance(message, GrantReply):
@@ -167,6 +201,17 @@
             if limits is not None:
                 limits.asker.take_reply(message.number, granted, message.pause, now)
 
+    def _answer(self, node, now):
+        """Tell a node that starts which endpoints name limits."""
+        known = [
+            build_told(limits, word, now)
+            for limits in self.services.values()
+            for word in limits.book.list_limited()
+        ]
+        told = self.rng.sample(known, min(MOST_ANSWERED, len(known)))
+        for begin in range(0, len(told), MOST_TOLD):
+            self.send(node, LimitNews(tuple(told[begin : begin + MOST_TOLD])))
+
     def _hear(self, told, now):
         if not self.knows(told.service):
             return
--- a/packages/hingesill-core/hingesill_core/ratelimits/messages.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/messages.py
@@ -4,7 +4,7 @@
 
 from hingesill_core.ratelimits.ledger import GrantRun
 
-__all__ = ["GrantReply", "GrantRequest", "LimitNews", "ToldLimit"]
+__all__ = ["GrantReply", "GrantRequest", "LimitNews", "LimitQuery", "ToldLimit"]
 
 
 class ToldLimit(Struct, frozen=True, array_like=True):
@@ -100,3 +100,15 @@
     wait: float
     pause: float
     told: tuple[ToldLimit, ...] = ()
+
+
+class LimitQuery(Struct, frozen=True, array_like=True, tag=4):
+    """A node that has just started asks which endpoints name limits.
+
+    Parameters
+    ----------
+    told : tuple of ToldLimit
+        None: it knows of no limit yet.
+    """
+
+    told: tuple[ToldLimit, ...] = ()
--- a/packages/hingesill-core/hingesill_core/ratelimits/tests/limitplay.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/tests/limitplay.py
@@ -17,6 +17,8 @@
 WAY_SECONDS = 0.002
 ROUND_SECONDS = 0.015
 NEWS_SECONDS = 0.5
+# Before the play the nodes have run for so long: what a start costs is over.
+START_SECONDS = 2.0
 # So long a request waits for a grant.
 PATIENCE_SECONDS = 0.2
 
@@ -133,18 +135,28 @@
     def __init__(self, scenario, seed=1):
         self.scenario = scenario
         self.rng = random.Random(seed)
-        self.now = 0.0
+        self.now = -START_SECONDS
         self.arrivals = {f"i{n}": [] for n in range(scenario.endpoints)}
         self.datagrams = 0
         self._events = []
         self._order = count()
         addresses = [(f"10.0.{n // 250}.{n % 250}", 80) for n in range(scenario.nodes)]
-        self.nodes = {a: PlayedLimits(self, a) for a in addresses}
+        self.nodes = {}
+        for address in addresses:
+            self.start_node(address)
         if not scenario.shares_only:
             self.list_nodes(addresses)
-        for node in self.nodes.values():
-            node.fleet.send = lambda to, message, own=node: self._send(own, to, message)
-            self.after(NEWS_SECONDS * self.rng.random(), node.tell)
+        self.pass_time(0.0)
+        self.datagrams = 0
+
+    def start_node(self, address):
+        """Let a node start at an address, in place of one that was there."""
+        if address in self.nodes:
+            self.nodes[address].is_alive = False
+        node = self.nodes[address] = PlayedLimits(self, address)
+        node.fleet.send = lambda to, message: self._send(node, to, message)
+        self.after(NEWS_SECONDS * self.rng.random(), node.tell)
+        return node
 
     def list_nodes(self, addresses, among=None):
         """Let nodes, or some of them, believe that these are all."""
--- a/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
@@ -258,3 +258,25 @@
         before = played.datagrams
         played.pass_time(20.0)
         self.assertEqual(played.datagrams, before)
+
+    def test_a_node_that_starts_learns_of_limits_from_others(self):
+        """Not by sending: it would be told by the first answers, all others by none."""
+        for nodes in (6, 18, 300):
+            with self.subTest(nodes=nodes):
+                played, first = self.spread(nodes)
+                played.pass_time(12.0)
+                started = [played.start_node(a) for a in list(played.nodes)[-5:]]
+                played.list_nodes(list(played.nodes), [n.address for n in started])
+                played.pass_time(14.0)
+                limited = [set(node.limits.limited) for node in started]
+                self.assertEqual(limited, [{"i0", "i1"}] * 5)
+
+    def test_a_node_that_starts_asks_for_a_while_only(self):
+        played, _ = self.spread(18)
+        played.pass_time(12.0)
+        started = played.start_node(next(iter(played.nodes)))
+        played.list_nodes(list(played.nodes), [started.address])
+        played.pass_time(16.0)
+        before = played.datagrams
+        played.pass_time(20.0)
+        self.assertEqual(played.datagrams, before)
--- a/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
@@ -8,14 +8,19 @@
 from hingesill_core.ratelimits.fleet import MOST_TOLD
 from hingesill_core.ratelimits.grants import MOST_WANTED
 from hingesill_core.ratelimits.ledger import MOST_RUNS
-from hingesill_core.ratelimits.messages import GrantReply, GrantRequest, LimitNews
+from hingesill_core.ratelimits.messages import (
+    GrantReply,
+    GrantRequest,
+    LimitNews,
+    LimitQuery,
+)
 
 __all__ = ["MARK", "decode_message", "encode_message"]
 
 LONGEST_NAME = 256
 # Of words that are still passed on; and of all waits that a coordinator tells.
 LONGEST_SECONDS = 3600.0
-MESSAGES = Decoder(LimitNews | GrantRequest | GrantReply)
+MESSAGES = Decoder(LimitNews | GrantRequest | GrantReply | LimitQuery)
 # With what each one begins; other datagrams of nodes begin with something else.
 MARK = b"L"
 
--- a/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
@@ -94,7 +94,7 @@
     def _work(self):
         while True:
             eventlet.sleep(ROUND_SECONDS * random.uniform(0.8, 1.2))
-            if self.limits.count_limited():
+            if self.limits.is_starting or self.limits.count_limited():
                 self._note_nodes()
             now = self.runners.clock()
             self.limits.tell(now)
--- a/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
@@ -14,6 +14,7 @@
     GrantReply,
     GrantRequest,
     LimitNews,
+    LimitQuery,
     ToldLimit,
 )
 from hingesill_core.ratelimits.words import NamedLimit
@@ -29,6 +30,7 @@
     LimitNews((TOLD,)),
     GrantRequest(3, "arena", 2, 0.5, (TOLD,), ("i1",)),
     GrantReply(3, "arena", (RUN,), 0.1, 0.2, 0.6, (TOLD,)),
+    LimitQuery(),
 )
 LARGEST_BYTES = 1400
 
