--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -1,7 +1,5 @@
 """One service at one node: from a request to an endpoint, and what it learns."""
 
-from msgspec import Struct
-
 from hingesill_core.limits.admission import Pace
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.queue import RequestQueue
@@ -20,32 +18,11 @@
 from hingesill_core.routing.retrying import Retrying
 from hingesill_core.routing.selection import takes_work
 
-__all__ = ["Dispatcher", "FleetView"]
+__all__ = ["Dispatcher"]
 
 OTHER_DATA_CENTRE = 0.003
 
 
-class FleetView(Struct, frozen=True):
-    """What a dispatcher has to know of the node and its fleet.
-
-    Parameters
-    ----------
-    data_centre : str
-        The node's own.
-    nodes : int
-        Node processes that are alive, as far as this node knows.
-    fleet_limit : int
-        The largest number of them at once, as the operator declared it.
-    place : int or None
-        Of this node among them by their names, from 0; None if its entry is not there.
-    """
-
-    data_centre: str
-    nodes: int
-    fleet_limit: int
-    place: int | None = 0
-
-
 class Dispatcher:
     """The decisions for one service. Not safe for use by several threads.
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/playednode.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/playednode.py
@@ -7,7 +7,8 @@
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.spent import SpentTime
 from hingesill_core.routing.asking import Ask, Reply
-from hingesill_core.routing.dispatcher import Dispatcher, FleetView
+from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.messages import (
     Refusal,
     Send,
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_dispatcher.py
@@ -8,7 +8,8 @@
 
 from hingesill_core.configuration.declaration import ServiceDeclaration, build_service
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
-from hingesill_core.routing.dispatcher import Dispatcher, FleetView
+from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import (
     Denied,
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_latebinding.py
@@ -14,7 +14,8 @@
 )
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Reply
-from hingesill_core.routing.dispatcher import Dispatcher, FleetView
+from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import Refusal, Send, SendEnd, SendResult, Ticket
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_limited.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_limited.py
@@ -8,7 +8,8 @@
 from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.asking import Ask
-from hingesill_core.routing.dispatcher import Dispatcher, FleetView
+from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.messages import Refusal, Send, SendEnd, SendResult, Ticket
 from hingesill_core.routing.tests.test_latebinding import ROUTE, build_service, reply
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_warmup.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_warmup.py
@@ -6,8 +6,9 @@
 from msgspec.structs import replace
 
 from hingesill_core.routing.asking import Reply
-from hingesill_core.routing.dispatcher import Dispatcher, FleetView
+from hingesill_core.routing.dispatcher import Dispatcher
 from hingesill_core.routing.endpoint_state import EndpointState
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import Send, SendEnd, SendResult, Ticket
 from hingesill_core.routing.tests.test_latebinding import ROUTE, build_service
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -12,7 +12,7 @@
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.discovery.records import Limits
 from hingesill_core.probing.share import Share
-from hingesill_core.routing.dispatcher import FleetView
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.profile import Profile
 
 __all__ = ["Blackboard", "Configuration", "Phase"]
--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -98,6 +98,10 @@
         """See `node.Control`."""
         return self.thread.state.get_confirmed_age_ms() / 1000
 
+    def count_invalid(self):
+        """See `node.Control`; what is written here was checked before."""
+        return 0
+
     def apply(self, settings):
         """See `node.Control`; flags and variables do not change while it runs."""
         return []
--- a/packages/hingesill-node/hingesill_node/control/publisher.py
+++ b/packages/hingesill-node/hingesill_node/control/publisher.py
@@ -5,7 +5,7 @@
 from hingesill_core.configuration.declaration import build_service, parse_declaration
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.findings import Findings
-from hingesill_core.routing.dispatcher import FleetView
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_node.blackboard import Configuration
 from hingesill_node.listeners import split_address
 from hingesill_node.telemetry.events import Event, log_event
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
@@ -14,7 +14,7 @@
     Service,
 )
 from hingesill_core.routing.asking import Ask
-from hingesill_core.routing.dispatcher import FleetView
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import Send, SendEnd, SendResult, Ticket
 from hingesill_node.datapath.hedges import AskedHedge
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -11,7 +11,7 @@
 from hingesill_core.discovery.fleetsize import FleetSize
 from hingesill_core.discovery.records import NodeRecord
 from hingesill_core.discovery.relays import RelayChoice
-from hingesill_core.routing.dispatcher import FleetView
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_node.blackboard import Configuration
 from hingesill_node.clocks import read_boot_time
 from hingesill_node.crashes.keeper import HoldKeeper
@@ -90,7 +90,7 @@
         # How old a belief is counts the time in which the VM was suspended.
         self.clock = read_boot_time
         self.follower = Follower(
-            source, peers, self.publish, choice, RelayClient(), self.clock
+            source, peers, self.publish, choice, RelayClient(), self.clock, counters
         )
         self.registration = Registration(
             source,
@@ -249,6 +249,10 @@
         """See `node.Control`."""
         return self.follower.get_silence()
 
+    def count_invalid(self):
+        """See `node.Control`."""
+        return self.follower.source.count_invalid()
+
     def apply(self, settings):
         """See `node.Control`; the store may move, the rest needs a new start."""
         if settings.directory == self.settings.directory:
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -10,12 +10,11 @@
 
 import eventlet
 
-from hingesill_core.discovery.directory import Directory
 from hingesill_core.discovery.records import Changes, HistoryGone, StoreRestored
 from hingesill_core.store import StoreFailure
-from hingesill_node.discovery.feed import Feed
 from hingesill_node.discovery.frames import FrameKind
 from hingesill_node.discovery.relayclient import RelayLost
+from hingesill_node.discovery.replica import Replica
 from hingesill_node.discovery.storepauses import StorePauses
 from hingesill_node.discovery.storewatch import StoreWatch
 from hingesill_node.telemetry.events import Event, log_event
@@ -63,7 +62,7 @@
 
 
 class Follower:
-    """Follows, holds and publishes what the store holds.
+    """Follows the store, or a relay that does.
 
     Parameters
     ----------
@@ -79,19 +78,33 @@
         Reads a relay's stream.
     clock : callable
         Monotonic seconds.
+    counters : Counters or None
+        See `Replica`.
+
+    Attributes
+    ----------
+    replica : Replica
+        What this node holds.
     """
 
     def __init__(
-        self, source, peers, publish, choice=None, relays=None, clock=time.monotonic
+        self,
+        source,
+        peers,
+        publish,
+        choice=None,
+        relays=None,
+        clock=time.monotonic,
+        counters=None,
     ):
         self.source = source
         self.peers = peers
-        self.publish = publish
         self.choice = choice
         self.relays = relays
         self.clock = clock
-        self.directory = Directory()
-        self.feed = Feed(self.directory, clock)
+        self.replica = Replica(publish, clock, counters)
+        self.directory = self.replica.directory
+        self.feed = self.replica.feed
         self.watch = StoreWatch(clock)
         self.store_answers = True
         self.is_synced = False
@@ -107,7 +120,6 @@
         self._relays_live = False
         self._read_at = float("-inf")
         self._look_from = float("-inf")
-        self._published = 0
 
     def start(self):
         """Begin to follow, in green threads."""
@@ -188,7 +200,7 @@
         self.heard_at = self.clock()
         for snapshot in self._ask_before_start(answer):
             self.directory.learn(snapshot, self.clock())
-        self.publish_changes()
+        self.replica.publish_changes()
         waited = self.clock() - self._started_at
         if self.choice.own.name in self.directory.nodes or waited > START_SECONDS:
             self._has_begun = True
@@ -276,24 +288,8 @@
         if frame.kind is FrameKind.WHOLE:
             self._begin_stream(relay, frame.content)
         elif frame.kind is FrameKind.CHANGES:
-            self._take(self.directory.apply, frame.content)
-        self.publish_changes()
-
-    def _take(self, take, content):
-        """Let the directory take a Snapshot or Changes; return whether it did."""
-        held = self.directory.position
-        is_restored = self.directory.is_restored_by(content.position)
-        was_taken = take(content, self.clock())
-        if is_restored:
-            log_event(
-                Event.STORE_RESTORED,
-                held=str(held),
-                told=str(content.position),
-                version_told=get_version(content.declared),
-                version_kept=get_version(self.directory.declared),
-                doubted=self.directory.count_doubts(),
-            )
-        return was_taken
+            self.replica.take(self.directory.apply, frame.content)
+        self.replica.publish_changes()
 
     def _begin_stream(self, relay, snapshot):
         held, told = self.directory.position, snapshot.position
@@ -306,7 +302,7 @@
         self.pauses.note_news()
         self.is_sure = True
         # One that is behind is no fault: it is asked again once it has caught up.
-        if not self._take(self.directory.adopt, snapshot):
+        if not self.replica.take(self.directory.adopt, snapshot):
             self.directory.learn(snapshot, self.clock())
 
     def _advance(self):
@@ -398,15 +394,15 @@
     def _take_changes(self, changes):
         if changes.position == self.directory.position:
             return
-        self._take(self.directory.apply, changes)
-        self.publish_changes()
+        self.replica.take(self.directory.apply, changes)
+        self.replica.publish_changes()
         eventlet.sleep(SERIES_SECONDS)
 
     def _take_snapshot(self, snapshot):
         if self.directory.is_restored_by(snapshot.position):
             # It may have been away too briefly for any call to fail.
             self.directory.note_return(self.clock())
-        if not self._take(self.directory.adopt, snapshot):
+        if not self.replica.take(self.directory.adopt, snapshot):
             held, read = self.directory.position, snapshot.position
             log_event(Event.STORE_BEHIND, held=str(held), read=str(read))
             self._pause()
@@ -414,26 +410,10 @@
         self.pauses.note_answer()
         self.is_synced = True
         self._read_at = self.clock()
-        self.publish_changes()
+        self.replica.publish_changes()
         if self._is_relay():
             self.feed.open()
 
-    def publish_changes(self):
-        """Publish the directory if it has changed; watch what is in doubt."""
-        if self.directory.generation != self._published:
-            self._published = self.directory.generation
-            self.publish(self.directory)
-            self.feed.tell()
-        expiry = self.directory.get_next_expiry()
-        if expiry is not None:
-            delay = max(0.0, expiry - self.clock())
-            eventlet.spawn_after(delay, self._expire)
-
-    def _expire(self):
-        for instance in self.directory.expire(self.clock()):
-            log_event(Event.ENDPOINT_GONE, endpoint=instance, cause="missing")
-        self.publish_changes()
-
     def _check_often(self):
         """Find out within a second or two that the store is out of reach."""
         while True:
@@ -479,9 +459,9 @@
         if snapshot is None:
             return
         self.heard_at = self.clock()
-        if self._take(self.directory.learn, snapshot):
+        if self.replica.take(self.directory.learn, snapshot):
             log_event(Event.LEARNT_FROM_PEER, position=str(snapshot.position))
-            self.publish_changes()
+            self.replica.publish_changes()
 
 
 def has_caught_up(frame, behind_until):
@@ -489,8 +469,3 @@
     if frame.kind is not FrameKind.CHANGES:
         return False
     return behind_until is not None and behind_until <= frame.content.position
-
-
-def get_version(declared):
-    """Return a declaration's version, None without one."""
-    return None if declared is None else declared.version
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/discovery/replica.py
@@ -0,0 +1,88 @@
+"""What one node holds of the store, published and told on."""
+
+import eventlet
+
+from hingesill_core.discovery.directory import Directory
+from hingesill_node.discovery.feed import Feed
+from hingesill_node.telemetry.counters import Counters
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["Replica"]
+
+
+class Replica:
+    """Holds what the store, a relay or another node told, and publishes it.
+
+    Parameters
+    ----------
+    publish : callable
+        Called with the directory after each change.
+    clock : callable
+        Monotonic seconds.
+    counters : Counters or None
+        Gets ``store_restores``.
+
+    Attributes
+    ----------
+    directory : Directory
+        What is held.
+    feed : Feed
+        Tells it to this node's followers.
+    """
+
+    def __init__(self, publish, clock, counters=None):
+        self.publish = publish
+        self.clock = clock
+        self.counters = counters or Counters()
+        self.directory = Directory()
+        self.feed = Feed(self.directory, clock)
+        self._published = 0
+
+    def take(self, take, content):
+        """Let the directory take a Snapshot or Changes; return whether it did.
+
+        Parameters
+        ----------
+        take : callable
+            The directory's method for it.
+        content : Snapshot or Changes
+            What was told.
+        """
+        held = self.directory.position
+        is_restored = self.directory.is_restored_by(content.position)
+        was_taken = take(content, self.clock())
+        if is_restored:
+            self._note_restore(held, content)
+        return was_taken
+
+    def _note_restore(self, held, content):
+        self.counters.add("store_restores", "")
+        log_event(
+            Event.STORE_RESTORED,
+            held=str(held),
+            told=str(content.position),
+            version_told=get_version(content.declared),
+            version_kept=get_version(self.directory.declared),
+            doubted=self.directory.count_doubts(),
+        )
+
+    def publish_changes(self):
+        """Publish the directory if it has changed; watch what is in doubt."""
+        if self.directory.generation != self._published:
+            self._published = self.directory.generation
+            self.publish(self.directory)
+            self.feed.tell()
+        expiry = self.directory.get_next_expiry()
+        if expiry is not None:
+            delay = max(0.0, expiry - self.clock())
+            eventlet.spawn_after(delay, self._expire)
+
+    def _expire(self):
+        for instance in self.directory.expire(self.clock()):
+            log_event(Event.ENDPOINT_GONE, endpoint=instance, cause="missing")
+        self.publish_changes()
+
+
+def get_version(declared):
+    """Return a declaration's version, None without one."""
+    return None if declared is None else declared.version
--- a/packages/hingesill-node/hingesill_node/discovery/source.py
+++ b/packages/hingesill-node/hingesill_node/discovery/source.py
@@ -38,6 +38,9 @@
         It is the cheapest call there is.
         """
 
+    def count_invalid(self):
+        """Return how many items are left out now, as they cannot be read."""
+
     def enter(self, node, seconds):
         """Enter this node under a lease; return its Held or StoreFailure."""
 
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
@@ -227,6 +227,8 @@
         self.advance(follower, 2)
         self.assertEqual(follower.directory.position, Position(2, 65))
         self.assertEqual(self.published, [24, 24])
+        restores = follower.replica.counters.list_counts("store_restores")
+        self.assertEqual(restores, [("", "", 1)])
 
     def test_after_an_outage(self):
         reads = [FAILED, build_restored(65, 21)]
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -9,7 +9,7 @@
 
 import eventlet
 
-from hingesill_core.routing.dispatcher import FleetView
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_node.admin import AdminApplication
 from hingesill_node.blackboard import Blackboard
 from hingesill_node.datapath.application import Application
@@ -56,6 +56,9 @@
     def get_confirmed_age(self):
         """Return the seconds since what is known was last confirmed."""
 
+    def count_invalid(self):
+        """Return the store's entries that cannot be read, as this node read it."""
+
     def apply(self, settings):
         """Put changed settings in force; return the names of these."""
 
@@ -114,6 +117,7 @@
             "limited_endpoints": self.runners.limits.count_limited(),
             "quarantined": len(self.runners.guard.decisions.quarantine),
             "revision": self.blackboard.configuration.revision,
+            "invalid_entries": self.control.count_invalid(),
             "confirmed_age_seconds": self.control.get_confirmed_age(),
         }
 
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -17,6 +17,7 @@
     "probes": "Probes sent by service.",
     "probes_left_out": "Probes not sent as the connections were used up.",
     "store_calls": "Calls to the platform's key-value service by kind.",
+    "store_restores": "Returns of the store from an older copy that were seen.",
     "peer_bytes": "Bytes between nodes by direction.",
     "gossip": "Datagrams between nodes on ended endpoints: told, heard, not valid.",
     "datagrams": "Datagrams to the node that nothing takes: failed, unknown.",
@@ -29,6 +30,7 @@
     "held": "Requests held in the node's queues.",
     "quarantined": "Requests held back as endpoints ended under them, or on trial.",
     "limited_endpoints": "Endpoints that name a limit now.",
+    "invalid_entries": "Entries of the store that cannot be read, as last read here.",
     "revision": "Revision of the configuration in force.",
     "confirmed_age_seconds": "Age of the store's last word that it is the newest.",
 }
--- a/packages/hingesill-node/hingesill_node/tests/test_lifecycle.py
+++ b/packages/hingesill-node/hingesill_node/tests/test_lifecycle.py
@@ -5,7 +5,7 @@
 
 import eventlet
 
-from hingesill_core.routing.dispatcher import FleetView
+from hingesill_core.routing.fleetview import FleetView
 from hingesill_node import lifecycle
 from hingesill_node.blackboard import Blackboard
 from hingesill_node.lifecycle import QUIET_SECONDS, Lifecycle
