--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,10 +6,15 @@
 from hingesill_core.registry import Registry
 from soak.proxy import Trouble
 
-__all__ = ["FAULTS", "limit_endpoints"]
+__all__ = ["BESIDES", "FAULTS"]
 
 # A fault takes the Scene and a random source, begins, and returns what ends it.
 FAULTS = Registry("soak fault")
+# The same, drawn beside those, each with luck of its own.
+BESIDES = Registry("soak fault beside others")
+
+# An endpoint that is told to end has ended, and one that starts serves, within so long.
+ENDS_SECONDS = 0.1
 
 
 def nothing():
@@ -86,6 +91,22 @@
     return lambda: scene.fleet.set_faults(endpoint, service_ms=4.0)
 
 
+@BESIDES.register("restarts")
+def start_endpoint_again(scene, rng):
+    """Have an endpoint end with all that runs there, and start again at its place.
+
+    Notes
+    -----
+    It is waited for, as an endpoint that is away can be told of no other fault.
+    """
+    endpoint = rng.choice(scene.fleet.endpoints)
+    away = rng.uniform(0.02, 0.6)
+    scene.fleet.set_faults(endpoint, away_s=away)
+    time.sleep(away + ENDS_SECONDS)
+    return nothing
+
+
+@BESIDES.register("limits")
 def limit_endpoints(scene, rng):
     """Have half of the endpoints name a limit."""
     chosen = rng.sample(scene.fleet.endpoints, len(scene.fleet.endpoints) // 2)
--- a/soak/main.py
+++ b/soak/main.py
@@ -10,7 +10,7 @@
 
 from matrix.evidence import Evidence, Violation
 from matrix.promises import PROMISES
-from soak.faults import FAULTS, limit_endpoints
+from soak.faults import BESIDES, FAULTS
 from soak.report import Finding, choose_seeds, report_seeds
 from soak.scene import Scene
 
@@ -19,8 +19,8 @@
 SERIES = 6
 FIRST_PAUSE = 0.5
 REST_SECONDS = 2.0
-# Of the faults, beside so many of which endpoints name limits.
-LIMITED_SHARE = 0.3
+# Of the faults, beside so many of which another one of each kind begins.
+BESIDE_SHARE = 0.3
 CHECKED = (
     "whole own answer",
     "not run did not run",
@@ -31,6 +31,8 @@
 REGRESSIONS = {
     30634: "the soak's fault: a planned stop was waited for while the node was paused",
 }
+# What was drawn beside others when these failed; they play the same for ever.
+KEPT_BESIDES = ("limits",)
 
 
 def run_seed(seed, mutation="", names=None):
@@ -51,15 +53,21 @@
         try:
             scene.start()
             time.sleep(FIRST_PAUSE)
-            limits = None if names else random.Random(f"limits of {seed}")
-            faults = play_faults(scene, rng, names or FAULTS.list_names(), limits)
+            besides = {} if names else draw_besides(seed)
+            faults = play_faults(scene, rng, names or FAULTS.list_names(), besides)
             time.sleep(REST_SECONDS)
             return judge(scene, seed, faults)
         finally:
             scene.close()
 
 
-def play_faults(scene, rng, known, limits):
+def draw_besides(seed):
+    """Return the source of luck of each kind of fault that is drawn beside others."""
+    names = KEPT_BESIDES if seed in REGRESSIONS else BESIDES.list_names()
+    return {name: random.Random(f"{name} of {seed}") for name in names}
+
+
+def play_faults(scene, rng, known, besides):
     """Begin faults one after another, overlapping; return their names.
 
     Parameters
@@ -70,8 +78,8 @@
         Draws the faults.
     known : list of str
         To choose from.
-    limits : random.Random or None
-        Draws when endpoints name limits, beside the faults; None for never.
+    besides : dict of random.Random
+        Draw, by the names of faults of `BESIDES`, when one begins beside another.
     """
     names = []
     ends = []
@@ -79,9 +87,10 @@
         name = rng.choice(known)
         names.append(name)
         ends.append(FAULTS.get(name)(scene, rng))
-        if limits is not None and limits.random() < LIMITED_SHARE:
-            names.append("endpoints limited")
-            ends.append(limit_endpoints(scene, limits))
+        for beside, luck in besides.items():
+            if luck.random() < BESIDE_SHARE:
+                names.append(beside)
+                ends.append(BESIDES.get(beside)(scene, luck))
         time.sleep(rng.uniform(0.1, 0.8))
         while len(ends) > 2 or (ends and rng.random() < 0.4):
             ends.pop(rng.randrange(len(ends)))()
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -19,13 +19,14 @@
 from eventlet.green import socket as green_socket
 from eventlet.semaphore import Semaphore
 
-__all__ = ["EndpointApplication", "FAULTS"]
+__all__ = ["EndpointApplication", "EndpointServer", "FAULTS"]
 
 FAULTS = {
     "service_ms": "mean time in a slot",
     "slow_factor": "times that",
     "drain": "say that it is leaving",
     "cold": "say that it has just started",
+    "away_s": "end now, with all that runs, and start again there after so long",
     "limit": "name so many requests a second that it takes from all nodes",
     "shed_above": "refuse as not run when more than this many are there",
     "fail_fast": "answer 500 at once",
@@ -42,13 +43,18 @@
     "seed": "start the random source again",
 }
 SLOTS = 3
+SERVICE_MS = 4.0
+MOST_CONNECTIONS = 10_000
+# Before it ends an endpoint answers who told it to.
+ANSWER_SECONDS = 0.01
 
 
 class EndpointApplication:
     """A WSGI application that takes time in one of few slots."""
 
-    def __init__(self, slots=SLOTS, service_ms=4.0, seed=0):
+    def __init__(self, slots=SLOTS, service_ms=SERVICE_MS, seed=0):
         self.slots = Semaphore(slots)
+        self.service_ms = service_ms
         self.faults = {"service_ms": service_ms}
         self.seed = seed
         self.random = random.Random(seed)
@@ -63,6 +69,7 @@
         self.arrived_slow = 0
         self.noise_from = 0.0
         self.noise_until = 0.0
+        self.start_again = lambda away: None
 
     def __call__(self, environ, start_response):
         """Answer one request; see PEP 3333."""
@@ -84,6 +91,8 @@
             self.faults = json.loads(environ["wsgi.input"].read() or b"{}")
             self.random = random.Random(f"{self.seed} {self.faults.get('seed')}")
             self.noise_from = self.noise_until = 0.0
+            if self.faults.get("away_s"):
+                self.start_again(self.faults["away_s"])
         content = {
             "ran": self.ran,
             "running": self.running,
@@ -98,6 +107,12 @@
         start_response("200 OK", [("Content-Type", "application/json")])
         return [json.dumps(content).encode()]
 
+    def forget(self):
+        """Begin another life, which knows nothing but what has run before it."""
+        self.faults = {"service_ms": self.service_ms}
+        self.slots = Semaphore(SLOTS)
+        self.running = 0
+
     def shed(self, start_response):
         """Refuse: it did not run."""
         self.refused += 1
@@ -222,44 +237,77 @@
     sock.close()
 
 
-def listen():
-    """Return a listening socket on a free port."""
+class EndpointServer:
+    """Serves one endpoint in green threads; it may end and start again at its port.
+
+    Parameters
+    ----------
+    application : EndpointApplication
+        What it serves.
+    log : file
+        Gets what the server says.
+    """
+
+    def __init__(self, application, log):
+        self.application = application
+        self.log = log
+        application.start_again = lambda away: eventlet.spawn(self._start_again, away)
+        self.port = 0
+        self._listen()
+
+    def _listen(self):
+        self._sock = listen(self.port)
+        self.port = self._sock.getsockname()[1]
+        self._pool = eventlet.GreenPool(MOST_CONNECTIONS)
+        self._thread = eventlet.spawn(
+            wsgi.server,
+            self._sock,
+            self.application,
+            log=self.log,
+            log_output=False,
+            custom_pool=self._pool,
+            debug=False,
+        )
+
+    def _start_again(self, away):
+        """End with all connections; start after so many seconds."""
+        eventlet.sleep(ANSWER_SECONDS)
+        self._thread.kill()
+        self._sock.close()
+        for connection in list(self._pool.coroutines_running):
+            connection.kill()
+        eventlet.sleep(away)
+        self.application.forget()
+        self._listen()
+
+    def wait(self):
+        """Serve for ever."""
+        while True:
+            eventlet.sleep(3600.0)
+
+
+def listen(port=0):
+    """Return a listening socket on a port, or on a free one."""
     sock = green_socket.socket()
     sock.setsockopt(green_socket.SOL_SOCKET, green_socket.SO_REUSEADDR, 1)
     sock.setsockopt(green_socket.IPPROTO_TCP, green_socket.TCP_NODELAY, 1)
-    sock.bind(("127.0.0.1", 0))
+    sock.bind(("127.0.0.1", port))
     sock.listen(512)
     return sock
 
 
-def serve(sock, application, log):
-    """Serve one endpoint in a green thread."""
-    return eventlet.spawn(
-        wsgi.server,
-        sock,
-        application,
-        log=log,
-        log_output=False,
-        custom_pool=eventlet.GreenPool(10_000),
-        debug=False,
-    )
-
-
 def main():
     """Serve until ended; the first line printed has the addresses."""
     count = int(sys.argv[1]) if len(sys.argv) > 1 else 1
-    service_ms = float(sys.argv[2]) if len(sys.argv) > 2 else 4.0
+    service_ms = float(sys.argv[2]) if len(sys.argv) > 2 else SERVICE_MS
     log = open(os.devnull, "w")
-    threads = []
-    addresses = []
+    servers = []
     for index in range(count):
-        sock = listen()
-        addresses.append(f"127.0.0.1:{sock.getsockname()[1]}")
         application = EndpointApplication(service_ms=service_ms, seed=index)
-        threads.append(serve(sock, application, log))
-    print(" ".join(addresses), flush=True)
-    for thread in threads:
-        thread.wait()
+        servers.append(EndpointServer(application, log))
+    print(" ".join(f"127.0.0.1:{server.port}" for server in servers), flush=True)
+    for server in servers:
+        server.wait()
 
 
 if __name__ == "__main__":
