--- a/packages/hingesill-core/hingesill_core/routing/tests/loadplay.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/loadplay.py
@@ -31,6 +31,8 @@
 # A relay tells the fleet what is worth telling, by way of the store.
 REVIEW_SECONDS = 1.5
 TELLING_SECONDS = 0.05
+# Between two rounds in which a node passes news of limits on.
+NEWS_SECONDS = 0.5
 
 
 class Play:
@@ -59,6 +61,8 @@
         self.tried_at = []
         self.profile = None
         self.tellings = 0
+        # Without any nothing of limits is played: other loads keep their luck.
+        self.names_limits = any(spell.limit is not None for spell in load.spells)
         self._events = []
         self._order = count()
         self._start_nodes()
@@ -84,6 +88,8 @@
 
     def _start_nodes(self):
         self.nodes = [PlayedNode(self, number) for number in range(self.load.nodes)]
+        if self.names_limits:
+            self._connect_limits()
         if self.profile is not None:
             self._tell_all(self.nodes, self.profile)
         for relay in self.nodes[:DATA_CENTRES]:
@@ -93,6 +99,25 @@
             pause = FIRST_REPORT_SECONDS * self.rng.random()
             self.after(pause, self._report, node, relay)
 
+    def _connect_limits(self):
+        """Let nodes tell each other of limits, and ask for grants."""
+        nodes = {("10.0.0.1", number): node for number, node in enumerate(self.nodes)}
+        for own, node in nodes.items():
+            node.fleet_limits.send = lambda to, message, own=own: self.after(
+                FAR_SECONDS, self._hear_limits, nodes[to], message, own
+            )
+            node.fleet_limits.set_nodes(own, nodes)
+            self.after(NEWS_SECONDS * self.rng.random(), self._tell_limits, node)
+
+    def _hear_limits(self, node, message, sender):
+        if node.is_alive:
+            node.fleet_limits.take(message, sender, self.now)
+
+    def _tell_limits(self, node):
+        if node.is_alive and self.now <= self.load.seconds:
+            node.fleet_limits.tell(self.now)
+            self.after(NEWS_SECONDS, self._tell_limits, node)
+
     def _report(self, node, relay):
         """Let a node tell its relay what it has learnt."""
         if not node.is_alive or self.now > self.load.seconds:
--- a/packages/hingesill-core/hingesill_core/routing/tests/loads.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/loads.py
@@ -51,6 +51,8 @@
         They are cold, and say so to those who ask.
     ill : bool
         They say that they are not well.
+    limit : float or None
+        Requests a second that they name as their limit.
     """
 
     begin: float
@@ -64,6 +66,7 @@
     shed: float = 0.0
     cold: bool = False
     ill: bool = False
+    limit: float | None = None
 
 
 class Load(Struct, frozen=True):
--- a/packages/hingesill-core/hingesill_core/routing/tests/playedendpoint.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/playedendpoint.py
@@ -1,5 +1,6 @@
 """An endpoint of a played load: its slots, its queue, and what is wrong for a while."""
 
+from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd, SendResult
 from hingesill_core.routing.tests.loads import Spell
@@ -51,6 +52,11 @@
         spell = self.find_spell()
         return spell is not None and spell.ill
 
+    def name_limit(self):
+        """Return what the head of an answer names as its limit."""
+        spell = self.find_spell()
+        return NO_LIMIT if spell is None else NamedLimit(spell.limit)
+
     def arrive(self, node, send):
         """Take a request, or refuse it."""
         self.arrivals.append(self.play.now)
--- a/packages/hingesill-core/hingesill_core/routing/tests/playednode.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/playednode.py
@@ -6,6 +6,7 @@
 
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.limits.spent import SpentTime
+from hingesill_core.ratelimits.fleet import FleetLimits
 from hingesill_core.routing.asking import Ask, Reply
 from hingesill_core.routing.dispatcher import Dispatcher
 from hingesill_core.routing.fleetview import FleetView
@@ -44,7 +45,13 @@
         self.data_centre = f"dc{number % DATA_CENTRES}"
         fleet = FleetView(self.data_centre, load.nodes, 2 * load.nodes, number)
         rng = random.Random(play.rng.random())
-        self.dispatcher = Dispatcher(play.service, fleet, rng, AskBudget())
+        self.fleet_limits = None
+        if play.names_limits:
+            self.fleet_limits = FleetLimits(random.Random(number))
+        limits = self.fleet_limits and self.fleet_limits.get(play.service.name)
+        self.dispatcher = Dispatcher(
+            play.service, fleet, rng, AskBudget(), limits=limits
+        )
         self.spent = SpentTime()
         self.attempts = {}
         self.is_ticking = False
@@ -91,6 +98,8 @@
             endpoint.report(),
             endpoint.get_warm_in(),
             endpoint.is_ill(),
+            limit=endpoint.name_limit(),
+            sent_at=self.play.now - way - PROBE_SECONDS,
         )
         self.play.after(way, self._take, reply)
 
@@ -153,6 +162,8 @@
             return
         attempt.live.remove(send)
         now = self.play.now
+        named = self.play.endpoints[send.endpoint].name_limit()
+        self.dispatcher.note_limit(send, named, now)
         self.dispatcher.settle(send, result, now)
         if result.end is SendEnd.ANSWERED:
             self._close(attempt)
