--- a/model/main.py
+++ b/model/main.py
@@ -6,7 +6,7 @@
 
 from minicheck import check_liveness, check_safety
 
-from model import granting, probing, restoring, spreading, watching
+from model import granting, lives, probing, restoring, spreading, watching
 
 __all__ = ["Report", "check_all", "main"]
 
@@ -49,7 +49,7 @@
 def check_all():
     """Return the Report of all specifications and variants."""
     report = Report()
-    for module in (spreading, probing, restoring, granting, watching):
+    for module in (spreading, probing, restoring, granting, watching, lives):
         protocol = module.build_protocol()
         states, found = check_protocol(protocol)
         report.states += states
