What a node holds of the store is called PublishedDirectory

Replica is already the own mode's copy of all declarations (core configuration/state.py); one name for two things would stop a reader. Renamed only; follower's and relaying's tests hold.

--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -13,8 +13,8 @@
 from hingesill_core.discovery.records import Changes, HistoryGone, StoreRestored
 from hingesill_core.store import StoreFailure
 from hingesill_node.discovery.frames import FrameKind
+from hingesill_node.discovery.publisheddirectory import PublishedDirectory
 from hingesill_node.discovery.relayclient import RelayLost
-from hingesill_node.discovery.replica import Replica
 from hingesill_node.discovery.storepauses import StorePauses
 from hingesill_node.discovery.storewatch import StoreWatch
 from hingesill_node.telemetry.events import Event, log_event
@@ -79,11 +79,11 @@
     clock : callable
         Monotonic seconds.
     counters : Counters or None
-        See `Replica`.
+        See `PublishedDirectory`.
 
     Attributes
     ----------
-    replica : Replica
+    held : PublishedDirectory
         What this node holds.
     """
 
@@ -102,9 +102,9 @@
         self.choice = choice
         self.relays = relays
         self.clock = clock
-        self.replica = Replica(publish, clock, counters)
-        self.directory = self.replica.directory
-        self.feed = self.replica.feed
+        self.held = PublishedDirectory(publish, clock, counters)
+        self.directory = self.held.directory
+        self.feed = self.held.feed
         self.watch = StoreWatch(clock)
         self.store_answers = True
         self.is_synced = False
@@ -200,7 +200,7 @@
         self.heard_at = self.clock()
         for snapshot in self._ask_before_start(answer):
             self.directory.learn(snapshot, self.clock())
-        self.replica.publish_changes()
+        self.held.publish_changes()
         waited = self.clock() - self._started_at
         if self.choice.own.name in self.directory.nodes or waited > START_SECONDS:
             self._has_begun = True
@@ -288,8 +288,8 @@
         if frame.kind is FrameKind.WHOLE:
             self._begin_stream(relay, frame.content)
         elif frame.kind is FrameKind.CHANGES:
-            self.replica.take(self.directory.apply, frame.content)
-        self.replica.publish_changes()
+            self.held.take(self.directory.apply, frame.content)
+        self.held.publish_changes()
 
     def _begin_stream(self, relay, snapshot):
         held, told = self.directory.position, snapshot.position
@@ -302,7 +302,7 @@
         self.pauses.note_news()
         self.is_sure = True
         # One that is behind is no fault: it is asked again once it has caught up.
-        if not self.replica.take(self.directory.adopt, snapshot):
+        if not self.held.take(self.directory.adopt, snapshot):
             self.directory.learn(snapshot, self.clock())
 
     def _advance(self):
@@ -394,15 +394,15 @@
     def _take_changes(self, changes):
         if changes.position == self.directory.position:
             return
-        self.replica.take(self.directory.apply, changes)
-        self.replica.publish_changes()
+        self.held.take(self.directory.apply, changes)
+        self.held.publish_changes()
         eventlet.sleep(SERIES_SECONDS)
 
     def _take_snapshot(self, snapshot):
         if self.directory.is_restored_by(snapshot.position):
             # It may have been away too briefly for any call to fail.
             self.directory.note_return(self.clock())
-        if not self.replica.take(self.directory.adopt, snapshot):
+        if not self.held.take(self.directory.adopt, snapshot):
             held, read = self.directory.position, snapshot.position
             log_event(Event.STORE_BEHIND, held=str(held), read=str(read))
             self._pause()
@@ -410,7 +410,7 @@
         self.pauses.note_answer()
         self.is_synced = True
         self._read_at = self.clock()
-        self.replica.publish_changes()
+        self.held.publish_changes()
         if self._is_relay():
             self.feed.open()
 
@@ -459,9 +459,9 @@
         if snapshot is None:
             return
         self.heard_at = self.clock()
-        if self.replica.take(self.directory.learn, snapshot):
+        if self.held.take(self.directory.learn, snapshot):
             log_event(Event.LEARNT_FROM_PEER, position=str(snapshot.position))
-            self.replica.publish_changes()
+            self.held.publish_changes()
 
 
 def has_caught_up(frame, behind_until):
--- a/packages/hingesill-node/hingesill_node/discovery/replica.py
+++ b/packages/hingesill-node/hingesill_node/discovery/publisheddirectory.py
@@ -7,10 +7,10 @@
 from hingesill_node.telemetry.counters import Counters
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["Replica"]
+__all__ = ["PublishedDirectory"]
 
 
-class Replica:
+class PublishedDirectory:
     """Holds what the store, a relay or another node told, and publishes it.
 
     Parameters
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_follower.py
@@ -227,7 +227,7 @@
         self.advance(follower, 2)
         self.assertEqual(follower.directory.position, Position(2, 65))
         self.assertEqual(self.published, [24, 24])
-        restores = follower.replica.counters.list_counts("store_restores")
+        restores = follower.held.counters.list_counts("store_restores")
         self.assertEqual(restores, [("", "", 1)])
 
     def test_after_an_outage(self):
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
@@ -53,7 +53,7 @@
 
     def change(self, changes):
         self.follower.directory.apply(changes, time.monotonic())
-        self.follower.replica.publish_changes()
+        self.follower.held.publish_changes()
 
     def close(self):
         self.follower.feed.close("the test ends")
