hingesill's own mode ages its beliefs by the boot's clock as well

Change: one clock for the data path, the control thread, drain signs, explanations and the lease of probe shares, whose own copy of the function is gone. Looked at and left on the steady clock: the wait for a configuration at the start, planned stops, retries of the store, the test store's leases.

--- a/packages/hingesill-node/hingesill_node/clocks.py
+++ b/packages/hingesill-node/hingesill_node/clocks.py
@@ -1,9 +1,10 @@
 """Clocks of a node, and which one is for what.
 
-Beliefs of this node alone age by the monotonic clock, which the event loop's timers use
-too. What nodes tell each other with an age, or hold for minutes, goes by the boot-time
-clock: it goes on while the VM is suspended, so that nothing told before is taken for
-news after it. The time of day is for people and for what outlasts all processes.
+Beliefs, requests' times and what nodes tell each other with an age go by the boot-time
+clock: it goes on while the VM is suspended, so that nothing known before is taken for
+news after it, and no request is sent whose time has passed. The monotonic clock is for
+waits of this process alone, as the event loop's timers use it. The time of day is for
+people and for what outlasts all processes.
 """
 
 import time
--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -1,11 +1,11 @@
 """The control of a node that follows hingesill's own change log."""
 
 import sys
-import time
 
 import eventlet
 
 from hingesill_node.bridge import Bridge
+from hingesill_node.clocks import read_boot_time
 from hingesill_node.control.publisher import Publisher
 from hingesill_node.control.thread import ControlThread
 from hingesill_node.crashes.spreading import Spreader
@@ -34,7 +34,7 @@
         Of the node.
     """
 
-    def __init__(self, settings, blackboard, counters, clock=time.monotonic):
+    def __init__(self, settings, blackboard, counters, clock=read_boot_time):
         self.settings = settings
         self.blackboard = blackboard
         self.counters = counters
@@ -43,7 +43,7 @@
         self.announcements = Announcements(
             blackboard, settings.team, self._announce_drain, counters
         )
-        self.explainer = Explainer(blackboard, None, self.bridge)
+        self.explainer = Explainer(blackboard, None, self.bridge, clock)
         self.thread = ControlThread(
             settings,
             counters,
--- a/packages/hingesill-node/hingesill_node/control/probeshares.py
+++ b/packages/hingesill-node/hingesill_node/control/probeshares.py
@@ -2,25 +2,20 @@
 
 import asyncio
 import random
-import time
 
 from hingesill_core.membership.spreading import rank_by_weight
 from hingesill_core.probing.share import SHARE_TTL, SHARES, Share
 from hingesill_core.store import Held, LeaseLost
+from hingesill_node.clocks import read_boot_time
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["ProbeShares", "read_lease_clock"]
+__all__ = ["ProbeShares"]
 
 CANDIDATES = 2
 RENEW_SECONDS = SHARE_TTL / 3
 TRY_SECONDS = 5.0
 
 
-def read_lease_clock():
-    """Return seconds of a clock that runs on while the machine sleeps."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class ProbeShares:
     """Tries to get one share and to keep it.
 
@@ -70,7 +65,7 @@
                 return
 
     async def _acquire(self, number):
-        asked_at = read_lease_clock()
+        asked_at = read_boot_time()
         key = f"{self.team}/probe-share/{number}"
         name = self.state.own.name
         answer = await self.store_calls.run(self.store.acquire, key, name, SHARE_TTL)
@@ -82,13 +77,13 @@
         return True
 
     async def _renew(self):
-        asked_at = read_lease_clock()
+        asked_at = read_boot_time()
         share = self.share
         answer = await self.store_calls.run(self.store.renew, share.lease, SHARE_TTL)
         if isinstance(answer, Held):
             share.renew(answer.ttl, asked_at)
             self.publish(share)
-        elif isinstance(answer, LeaseLost) or not share.is_held(read_lease_clock()):
+        elif isinstance(answer, LeaseLost) or not share.is_held(read_boot_time()):
             log_event(Event.PROBE_SHARE_LOST, share=share.number)
             self.share = None
             self.publish(None)
--- a/packages/hingesill-node/hingesill_node/control/state.py
+++ b/packages/hingesill-node/hingesill_node/control/state.py
@@ -1,7 +1,6 @@
 """What the control thread knows; only its loop touches it."""
 
 import asyncio
-import time
 from collections import OrderedDict
 
 from msgspec import Struct, field
@@ -9,6 +8,7 @@
 from hingesill_core.configuration.state import Applied, Replica
 from hingesill_core.membership.signs import SignBook
 from hingesill_core.membership.vms import Membership
+from hingesill_node.clocks import read_boot_time
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["ControlState", "NEVER_CONFIRMED", "copy_replica"]
@@ -37,6 +37,9 @@
 
     Attributes
     ----------
+    clock : callable
+        Seconds by which what is known here ages, those in which the VM was suspended
+        too: what was confirmed before a suspension is old after it.
     settled : bool
         Whether a started node knows that it holds what others hold.
     """
@@ -45,7 +48,7 @@
     counters: object
     interests: frozenset
     publish: object
-    clock: object = time.monotonic
+    clock: object = read_boot_time
     replica: Replica = field(default_factory=Replica)
     signs: SignBook = field(default_factory=SignBook)
     confirmed_at: float | None = None
--- a/packages/hingesill-node/hingesill_node/datapath/prober.py
+++ b/packages/hingesill-node/hingesill_node/datapath/prober.py
@@ -5,7 +5,7 @@
 from hingesill_core.probing.pace import ProbePacer, compute_pace
 from hingesill_core.probing.planner import choose_probe
 from hingesill_core.routing.messages import SendEnd, SendResult
-from hingesill_node.control.probeshares import read_lease_clock
+from hingesill_node.clocks import read_boot_time
 from hingesill_node.datapath.connections import ConnectFailed, EndpointConnection
 from hingesill_node.datapath.messages import LiveSend
 from hingesill_node.datapath.transport import TRANSPORT_ERRORS, read_result
@@ -59,7 +59,7 @@
         """Tell whether a probe is likely to be allowed, before connecting."""
         pacer = self._pacers.setdefault(name, ProbePacer())
         share = self.blackboard.probe_share
-        now = read_lease_clock()
+        now = read_boot_time()
         return now >= max(pacer.next_at, share.acquired_at + pace.interval)
 
     def _probe(self, name, runner, address, pace):
@@ -90,7 +90,7 @@
         connection.endheaders()
         share = self.blackboard.probe_share
         pacer = self._pacers[name]
-        if share is None or not pacer.take(share, pace, read_lease_clock()):
+        if share is None or not pacer.take(share, pace, read_boot_time()):
             return None
         connection.flush()
         self.counters.add("probes", name)
--- a/packages/hingesill-node/hingesill_node/main.py
+++ b/packages/hingesill-node/hingesill_node/main.py
@@ -6,6 +6,7 @@
 import fire
 
 from hingesill_core.findings import Findings
+from hingesill_node.clocks import read_boot_time
 from hingesill_node.environment import load_settings
 from hingesill_node.node import Node
 from hingesill_node.telemetry.events import start_logging
@@ -50,7 +51,9 @@
         print("hingesilld: the settings are valid")
         return
     start_logging(settings.name, settings.log_level)
-    code = Node(settings, choose_control(settings)).run()
+    # What waited or rested while the VM was suspended is known to be old.
+    node = Node(settings, choose_control(settings), clock=read_boot_time)
+    code = node.run()
     sys.stdout.flush()
     os._exit(code)
 
