The own soak suspends VMs too

The program that leaves suspensions out of the steady clock is one for both soaks now, and so is who uses it (standins/suspension.py).

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -106,6 +106,16 @@
     return nothing
 
 
+@BESIDES.register("suspensions")
+def suspend_node(scene, rng):
+    """Suspend a node's VM for a while."""
+    node = scene.choose_node(rng)
+    if node is None:
+        return nothing
+    node.suspension.begin(node.process)
+    return lambda: node.suspension.end(node.process)
+
+
 @BESIDES.register("limits")
 def limit_endpoints(scene, rng):
     """Have half of the endpoints name a limit."""
--- a/soak/main.py
+++ b/soak/main.py
@@ -49,11 +49,11 @@
     """
     rng = random.Random(seed)
     with tempfile.TemporaryDirectory() as folder:
-        scene = Scene(folder, seed, mutation)
+        besides = {} if names else draw_besides(seed)
+        scene = Scene(folder, seed, mutation, "suspensions" in besides)
         try:
             scene.start()
             time.sleep(FIRST_PAUSE)
-            besides = {} if names else draw_besides(seed)
             faults = play_faults(scene, rng, names or FAULTS.list_names(), besides)
             time.sleep(REST_SECONDS)
             return judge(scene, seed, faults)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -38,12 +38,15 @@
         Of the proxies' choices.
     mutation : str
         A rule that nodes leave out, to show that the checkers see it.
+    can_suspend : bool
+        The nodes' steady clocks can leave time out.
     """
 
-    def __init__(self, folder, seed, mutation=""):
+    def __init__(self, folder, seed, mutation="", can_suspend=False):
         self.fleet = Fleet(Path(folder))
         self.seed = seed
         self.mutation = mutation
+        self.can_suspend = can_suspend
         self.usable = []
         self.leaving = set()
         self.unplanned = []
@@ -101,7 +104,10 @@
         self._number += 1
         store = f"http://{self.store_proxy.address}"
         node = self.fleet.start_node(
-            f"n{self._number}", store=store, mutation=self.mutation
+            f"n{self._number}",
+            store=store,
+            mutation=self.mutation,
+            can_suspend=self.can_suspend,
         )
         self.usable.append(node.address)
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -17,6 +17,7 @@
 import yaml
 
 from hingesill_core.configuration.files import load_declarations
+from standins.suspension import Suspension
 
 __all__ = ["Fleet", "NodeProcess", "find_free_port", "wait_until"]
 
@@ -83,6 +84,7 @@
     control: str
     admin: str
     log: Path | None = None
+    suspension: Suspension | None = None
     holds: str = "all"
 
     def is_ready(self):
@@ -162,7 +164,15 @@
             file.write_text(yaml.safe_dump(content, sort_keys=False))
         return folder
 
-    def start_node(self, name, data_centre="lsn-a", wait=True, mutation="", **settings):
+    def start_node(
+        self,
+        name,
+        data_centre="lsn-a",
+        wait=True,
+        mutation="",
+        can_suspend=False,
+        **settings,
+    ):
         """Start a node, or a mutation of one; return it once it is ready."""
         ports = [find_free_port() for _ in range(3)]
         address, control, admin = (f"127.0.0.1:{port}" for port in ports)
@@ -178,8 +188,11 @@
             **settings,
         }
         log = self.folder / f"{name}.log"
+        suspension = Suspension(self.folder / f"{name}.clock")
         with log.open("wb") as output:
             program = [str(BIN / "hingesilld")]
+            if can_suspend:
+                program = suspension.wrap(*program)
             if mutation:
                 program = [sys.executable, "-m", "matrix.mutant", mutation]
             process = subprocess.Popen(
@@ -189,7 +202,7 @@
             )
         holds = "some" if settings.get("services") else "all"
         node = NodeProcess(
-            name, data_centre, process, address, control, admin, log, holds
+            name, data_centre, process, address, control, admin, log, suspension, holds
         )
         self.processes.append(process)
         self.nodes[name] = node
--- a/platform/adapter/tests/suspendedclock.py
+++ b/standins/suspendedclock.py
@@ -1,8 +1,8 @@
 """Runs a program whose steady clock leaves out the time in which it was suspended.
 
-``python suspendedclock.py FILE PROGRAM``. FILE holds these seconds, a double; who stops
-the process writes them before it goes on. The clock of the boot and the time of day
-count them, as on a VM that was suspended.
+``python suspendedclock.py FILE PROGRAM ARGUMENT...``. FILE holds these seconds, a
+double; who stops the process writes them before it goes on. The clock of the boot and
+the time of day count them, as on a VM that was suspended.
 """
 
 import mmap
@@ -27,9 +27,9 @@
 
 def main():
     """Run the program as if it had been called alone."""
-    path, program = sys.argv[1:]
+    _, path, program, *arguments = sys.argv
     leave_out(path)
-    sys.argv = [program]
+    sys.argv = [program, *arguments]
     runpy.run_path(program, run_name="__main__")
 
 
