A program under another steady clock finds the modules beside it

Cause: a script's folder is where Python looks for modules first, and the wrapping program stood in its place; by hand it passed, as the path was set in the environment. Now the program's own folder is first. Run without that variable: test_suspension and the soak test of test_processes hold.

--- a/standins/suspendedclock.py
+++ b/standins/suspendedclock.py
@@ -10,6 +10,7 @@
 import struct
 import sys
 import time
+from pathlib import Path
 
 __all__ = ["SECONDS", "leave_out"]
 
@@ -30,6 +31,8 @@
     _, path, program, *arguments = sys.argv
     leave_out(path)
     sys.argv = [program, *arguments]
+    # Modules beside the program are found as if it had been called itself.
+    sys.path[0] = str(Path(program).parent)
     runpy.run_path(program, run_name="__main__")
 
 
