Spoiled frames, profiles, nodes' entries and holds are tried as well

What each bad item does was tried with spoiled bytes for endpoints' entries and configurations only.

--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_frames.py
@@ -0,0 +1,89 @@
+"""Tests of frames between a relay and its followers, whole and spoiled."""
+
+import random
+import unittest
+import zlib
+
+from msgspec.json import encode as encode_json
+
+from hingesill_core.discovery.position import Position
+from hingesill_core.discovery.records import Changes, HeldRequest, NodeRecord
+from hingesill_core.routing.profile import LevelProfile, Profile, ServiceProfile
+from hingesill_node.discovery.codec import (
+    decode_changes,
+    decode_profile,
+    decode_snapshot,
+    encode,
+)
+from hingesill_node.discovery.frames import FrameKind, FrameReader, build_frame
+from hingesill_node.discovery.tests.test_follower import build_declared, build_snapshot
+
+SEED = 33
+SPOILED = 2000
+PROFILE = Profile({"arena": ServiceProfile((LevelProfile(6, 5, 30.0, 0.5),))})
+CHANGES = Changes(
+    Position(1, 7),
+    build_declared(2),
+    nodes={"n1": NodeRecord("n1", "10.0.0.1:80", "a", 1.0)},
+    profile=PROFILE,
+    evacuated={"a": 6},
+    held={"f1": HeldRequest("f1", 5.0, 605.0, 1)},
+)
+SNAPSHOT = build_snapshot(5)
+CONTENTS = (
+    (CHANGES, decode_changes),
+    (SNAPSHOT, decode_snapshot),
+    (PROFILE, decode_profile),
+)
+FRAMES = (
+    build_frame(FrameKind.WHOLE, 0.5, encode(SNAPSHOT))
+    + build_frame(FrameKind.HEARTBEAT, None)
+    + build_frame(FrameKind.CHANGES, None, encode(CHANGES))
+)
+
+
+def spoil(rng, data):
+    """Return bytes of which a few are others, gone or too many."""
+    data = bytearray(data)
+    for _ in range(rng.randint(1, 3)):
+        position = rng.randrange(len(data))
+        kind = rng.randrange(3)
+        if kind == 0:
+            data[position] = rng.randrange(256)
+        elif kind == 1:
+            del data[position : position + rng.randint(1, 4)]
+        else:
+            data[position:position] = rng.choice((b"[", b"{", b'"', b"9" * 30))
+        data = data or bytearray(b"x")
+    return bytes(data)
+
+
+class FrameTests(unittest.TestCase):
+    def test_frames_are_read_however_they_are_cut(self):
+        reader = FrameReader()
+        frames = [f for byte in FRAMES for f in reader.feed(bytes([byte]))]
+        self.assertEqual([f.content for f in frames], [SNAPSHOT, None, CHANGES])
+        self.assertEqual([f.return_age for f in frames], [0.5, None, None])
+
+    def test_spoiled_frames_are_no_frames(self):
+        """A follower gives such a relay up, as one that is silent."""
+        rng = random.Random(SEED)
+        for _ in range(SPOILED):
+            try:
+                list(FrameReader().feed(spoil(rng, FRAMES)))
+            except ValueError:
+                continue
+
+
+class ContentTests(unittest.TestCase):
+    """What is compressed is spoiled before that, so that it is looked at."""
+
+    def test_spoiled_contents_are_none(self):
+        rng = random.Random(SEED)
+        for content, decode in CONTENTS:
+            kept = encode_json(content)
+            for _ in range(SPOILED):
+                try:
+                    decode(zlib.compress(spoil(rng, kept)))
+                except ValueError:
+                    continue
