Ports of tests are drawn by a source that no test seeds

Cause: the new test of port ranges seeded Python's own source of luck and left it so; the list of ports for nodes was shuffled by it later, so that both runs drew the same ports in the same order at the same time. No other test seeds the shared one.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -30,9 +30,15 @@
 
 
 def draw_ports():
-    """Yield ports below those that the system gives to outgoing connections."""
+    """Yield ports below those that the system gives to outgoing connections.
+
+    Notes
+    -----
+    Not by Python's own source of luck: a test that seeds it would let all runs beside
+    each other draw the same ports in the same order.
+    """
     ports = list(range(FIRST_PORT, LAST_PORT))
-    random.shuffle(ports)
+    random.SystemRandom().shuffle(ports)
     yield from ports
 
 
