--- a/packages/hingesill-core/hingesill_core/configuration/routes.py
+++ b/packages/hingesill-core/hingesill_core/configuration/routes.py
@@ -16,7 +16,7 @@
 
     Notes
     -----
-    Kept, as parsing 1,400 declarations again for each change took 80 ms.
+    Kept, so that a change of one declaration doesn't have all others parsed again.
     """
     return tuple(
         (route.get("host", ""), route["method"], route["path"].rstrip("/") or "/")
--- a/packages/hingesill-core/hingesill_core/crashes/fingerprint.py
+++ b/packages/hingesill-core/hingesill_core/crashes/fingerprint.py
@@ -5,7 +5,7 @@
 
 __all__ = ["Breadth", "describe_request", "get_breadth"]
 
-# 96 bits: among a million requests two are alike with a chance of 6e-18 (worked out).
+# 96 bits, so that no two of the requests that are remembered are alike by chance.
 FINGERPRINT_BYTES = 12
 
 
@@ -35,12 +35,10 @@
     Notes
     -----
     What of a request ends endpoints is not known: its content, what is allowed to its
-    caller, or the resource that it names. While the caller's address was part of the
-    only fingerprint, 24 endpoints ended under a request that came from addresses of two
-    data centres. The id is left out, since each try has one of its own, and so are the
-    headers, which tell how much time is left.
-
-    It takes some 8 microseconds (mean of 100,000 calls).
+    caller, or the resource that it names. With the caller's address in the only one, a
+    request that comes from several addresses would count as several. The id is left
+    out, since each try has one of its own, and so are the headers, which tell how much
+    time is left.
     """
     path = target.partition("?")[0]
     common = f"{method} {host.lower()} "
--- a/packages/hingesill-core/hingesill_core/crashes/gossip.py
+++ b/packages/hingesill-core/hingesill_core/crashes/gossip.py
@@ -13,8 +13,7 @@
 # Rounds beyond those in which news that doubles each time has come to all nodes: they
 # reach the ones that the random choice has left out.
 MORE_ROUNDS = 3
-# Pieces of news in a datagram, so that it fits into 1,400 bytes (113 bytes a piece with
-# an identity of 12 characters).
+# Pieces of news in a datagram, so that it fits into 1,400 bytes.
 MOST_TOLD = 10
 # Pieces that wait to be passed on; a guard of memory and of the links: a node sends at
 # most 2 datagrams of 1.4 KB in 0.1 s.
--- a/packages/hingesill-core/hingesill_core/crashes/guard.py
+++ b/packages/hingesill-core/hingesill_core/crashes/guard.py
@@ -46,8 +46,8 @@
     Each try has an id of its own and comes to any node, so neither a try nor a node can
     know that a request ends each endpoint that begins to run it. Nodes tell each other
     of each ending; a request with three is held back by all of them, for a moment or,
-    once nothing else explains them, for long. Without that 20 endpoints of a service of
-    seven ended in 14 s.
+    once nothing else explains them, for long. Without that it would end endpoint after
+    endpoint as long as its caller comes again.
 
     Parameters
     ----------
--- a/packages/hingesill-core/hingesill_core/crashes/history.py
+++ b/packages/hingesill-core/hingesill_core/crashes/history.py
@@ -8,10 +8,10 @@
 # ended needs longer to be back. So lives are told apart without the endpoint's word,
 # which may be old or missing while the store is away.
 SAME_LIFE_SECONDS = 0.5
-# How long an end is held against a request that was not answered since. A request that
-# comes once in two minutes is still found; source: chosen, as the longest hold.
+# How long an end is held against a request that was not answered since, so that one
+# that comes once in two minutes is still found. As long as the longest hold.
 MEMORY_SECONDS = 600.0
-# Bounds of the memory of a node: 1.4 MB where both are reached (tracemalloc).
+# Guards of the node's memory.
 MOST_REQUESTS = 1024
 MOST_ENDINGS = 8
 
--- a/packages/hingesill-core/hingesill_core/crashes/verdicts.py
+++ b/packages/hingesill-core/hingesill_core/crashes/verdicts.py
@@ -72,8 +72,8 @@
     answer in between.
 
     An endpoint that ends takes all its requests with it, and those are sent again to
-    the endpoints that are left, often to the same one: such a companion was lost at two
-    endpoints with the culprit within 100 ms. Where another request explains the same
+    the endpoints that are left, often to the same one, so that such a companion is lost
+    with the culprit more than once. Where another request explains the same
     endings, or most endings around are not its own, it takes more of them.
     """
     endings = history.get_endings(fingerprint)
--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -93,8 +93,8 @@
         -----
         Then it leads on, however low its revision: what the store told in the era
         before is kept where the copy cannot know better. Nodes that went by revisions
-        alone refused all that a restored store told, for 9 s and more in two records:
-        four declarations in a row were in force at none of 18 nodes.
+        alone would refuse all that a restored store tells, and put no later declaration
+        in force.
         """
         return self.position != Position() and position.era > self.position.era
 
--- a/packages/hingesill-core/hingesill_core/discovery/relays.py
+++ b/packages/hingesill-core/hingesill_core/discovery/relays.py
@@ -58,8 +58,7 @@
     Notes
     -----
     Whether a node is a relay is asked for each frame that it gets, so the relays are
-    worked out only once for the same nodes: among 1,104 that takes 0.15 ms of processor
-    time (mean of ten calls).
+    worked out only once for the same nodes.
     """
 
     own: object
--- a/packages/hingesill-core/hingesill_core/ratelimits/grants.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/grants.py
@@ -27,8 +27,8 @@
 BUSY_USES = 4.5
 # Of those, what any other node counts on, as it may ask for too much.
 LIKELY_USED = 0.8
-# Over so long requests that need a grant are counted: over less, luck makes a node busy
-# by turns, and what it then asks for ends unused.
+# Over so long requests that need a grant are counted. Luck must not make a node busy by
+# turns, as it then asks for more than comes.
 COUNTED_SECONDS = 2.0
 # Grants that are asked for at once; guard of the coordinator.
 MOST_WANTED = 1024
--- a/packages/hingesill-core/hingesill_core/ratelimits/share.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/share.py
@@ -17,8 +17,8 @@
     Notes
     -----
     A token for each node would be saved up while it is idle, and all tokens would be
-    spent together when callers come to all nodes at once: 300 requests at an endpoint
-    that takes three a second. Here what a node may take grows with the time in which it
+    spent together when callers come to all nodes at once, however few requests the
+    endpoint takes. Here what a node may take grows with the time in which it
     looks, and is gone when it doesn't.
     """
 
--- a/packages/hingesill-core/hingesill_core/routing/usualtimes.py
+++ b/packages/hingesill-core/hingesill_core/routing/usualtimes.py
@@ -13,7 +13,7 @@
 __all__ = ["MOST_RATIO", "UsualTimes"]
 
 # An answer within a smaller share of its route's usual time did no usual work, as one
-# that failed at once: some in a hundred of these hid a slowdown by 1.7.
+# that failed at once. A few of these would hide a slowdown.
 LEAST_RATIO = 1 / 3
 # An answer counts as at most so many times slower than usual.
 MOST_RATIO = 3.0
@@ -27,7 +27,7 @@
     Notes
     -----
     It moves slowly on purpose. Sends to fuller endpoints come in bursts, and a value
-    that follows them within some ten answers takes a slowdown by 1.65 for one by 1.3.
+    that follows them soon takes a slowdown for a smaller one.
     """
 
     def __init__(self):
--- a/packages/hingesill-node/hingesill_node/bundle.py
+++ b/packages/hingesill-node/hingesill_node/bundle.py
@@ -1,9 +1,8 @@
 """The modules of a node's start in one file, found without searching for each.
 
-A node imports some 350 modules before it serves. Searching the path for them and
-reading each made 3,700 of a start's 6,500 calls of the system and took 0.05 of 0.27 s
-of processor time (``strace -c``; five pairs of starts, with and without a bundle). A
-bundle names where each module's compiled code lies within one file, which stays open.
+A node imports hundreds of modules before it serves, and searching the path for them
+and reading each makes most of a start's calls of the system. A bundle names where each
+module's compiled code lies within one file, which stays open.
 
 `open_bundle` comes before all other imports; so this module loads nothing else.
 """
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -14,8 +14,8 @@
 
 __all__ = ["WaitingRoom"]
 
-# A reply that takes longer says that the endpoint, or the way to it, is in trouble: a
-# round trip between data centres is 3 ms, a reply 6 ms.
+# A reply that takes longer says that the endpoint, or the way to it, is in trouble:
+# many times a reply from another data centre.
 REPLY_SECONDS = 0.25
 # Between two rounds of questions: longer than a reply takes, shorter than a slot of a
 # busy endpoint stays taken.
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -1,7 +1,7 @@
 """Connections to endpoints: the standard library's, on green sockets, pooled.
 
-urllib3, on which they stood before, adds pools, redirects and TLS that are not used
-here; to import it took a tenth of a node's start.
+urllib3 would add pools, redirects and TLS that are not used here, and time to a node's
+start.
 """
 
 import socket
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -96,7 +96,7 @@
     def _decide_after(self, end):
         """Ask for what follows a send that brought no answer."""
         # A try must not end one endpoint after another while it is being found out
-        # whether they end under it: one ended two within 80 ms by its second send.
+        # whether they end under it.
         if end is SendEnd.LOST and not self.guard.may_send_again(self.request):
             self.ticket.barred = True
         now = self.clock()
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -185,8 +185,8 @@
         Notes
         -----
         A read that may be stale costs a tenth. What it lacks is told by other nodes
-        before this one serves by it: nodes that started just after the store had come
-        back from an older copy answered 404 for routes that were in force at all
+        before this one serves by it: nodes that start just after the store has come
+        back from an older copy would answer 404 for routes that are in force at all
         others. The relay or the watch that follows tells the rest.
         """
         if self.clock() < self.pauses.until:
--- a/packages/hingesill-node/hingesill_node/discovery/peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/peers.py
@@ -25,9 +25,8 @@
 LARGEST_ANSWER = 4 * 1024 * 1024
 BINARY = [("Content-Type", "application/octet-stream")]
 # A node that starts asks so many others at a time, and as many again if none of these
-# was sure of what it holds: where six tenths of the nodes started at one moment, 2 in
-# 100 ask none that did not (worked out). A whole fleet that starts is not held up: its
-# nodes refuse or say so within some milliseconds.
+# was sure of what it holds, as most of the nodes may have started at one moment. A
+# whole fleet that starts is not held up: its nodes refuse or say so at once.
 ASKED_TOGETHER = 4
 MOST_ROUNDS = 2
 # Of one round. A node that lives answers within some milliseconds; dark ones are not
--- a/packages/hingesill-node/hingesill_node/discovery/reports.py
+++ b/packages/hingesill-node/hingesill_node/discovery/reports.py
@@ -15,7 +15,7 @@
 NEWS_PATH = "/directory/news"
 # Of services of which the fleet does not know enough: one that starts with nothing
 # learns what is usual in one round and the levels in the next, and a burst may come at
-# once. A relay of 80 followers takes 53 reports a second then, some 0.2 KB a service.
+# once.
 URGENT_SECONDS = 1.5
 # Of all services; what changes is known some 10 s later.
 REPORT_SECONDS = 8.0
--- a/packages/hingesill-node/hingesill_node/main.py
+++ b/packages/hingesill-node/hingesill_node/main.py
@@ -21,7 +21,7 @@
 
     Notes
     -----
-    Imported here, as gRPC takes 20 MB that a node with a directory can spare.
+    Imported here, as gRPC takes memory that a node with a directory can spare.
     """
     if settings.directory:
         from hingesill_node.discovery.control import DirectoryControl
--- a/packages/hingesill-node/hingesill_node/telemetry/output.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/output.py
@@ -8,7 +8,7 @@
 
 __all__ = ["BoundedHandler"]
 
-# A line costs some 60 microseconds; so logs take at most 1% of a core.
+# So that logs take at most 1% of a core.
 LINES_A_SECOND = 160
 # Of these, lines below WARNING get no more than so many, so that failures are
 # kept before successes.
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -46,7 +46,7 @@
         return 1
     suite = load_suite()
     # Tests of nodes that run in this process have times in them: a whole collection of
-    # what all the modules hold stops their green threads for 0.4 s beside other work.
+    # what all the modules hold would stop their green threads for too long.
     freeze_start_objects()
     result = unittest.TextTestRunner(verbosity=1).run(suite)
     # What a subtest's name adds in brackets is no part of the test's.
