The sends of a request have a module of their own

No decision changed. A mutation of the matrix compared a deadline with the steady clock, which is not the node's any more; it takes the node's. Run: the data path's tests (35), data path with real processes and the matrix's checkers with their mutations (36), repeated crashes with real nodes.

--- a/matrix/mutant.py
+++ b/matrix/mutant.py
@@ -6,7 +6,6 @@
 
 import json
 import sys
-import time
 
 import eventlet
 import fire
@@ -121,7 +120,7 @@
     def run_late(self):
         answer = run(self)
         if isinstance(answer, Refusal):
-            eventlet.sleep(max(0, self.ticket.deadline - time.monotonic()) + 0.5)
+            eventlet.sleep(max(0, self.ticket.deadline - self.clock()) + 0.5)
         return answer
 
     Exchange.run = run_late
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -7,7 +7,7 @@
 
 import eventlet
 
-from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
+from hingesill_core.reasons import RefusalReason, RetryReason
 from hingesill_core.routing.asking import Ask
 from hingesill_core.routing.messages import (
     Denied,
@@ -17,23 +17,16 @@
     SendResult,
 )
 from hingesill_node.datapath.callers import is_caller_gone
-from hingesill_node.datapath.connections import ConnectFailed
 from hingesill_node.datapath.hedges import AskedHedge
-from hingesill_node.datapath.messages import Answer, LiveSend
-from hingesill_node.datapath.story import StepKind, Story, describe_report
-from hingesill_node.datapath.transport import (
-    TRANSPORT_ERRORS,
-    BodyFailed,
-    read_result,
-    send_request,
-)
+from hingesill_node.datapath.messages import Answer
+from hingesill_node.datapath.sends import RequestSends
+from hingesill_node.datapath.story import StepKind, Story
+from hingesill_node.datapath.transport import TRANSPORT_ERRORS, read_result
 from hingesill_node.datapath.waits import wait_any
 
 __all__ = ["Exchange"]
 
 WHOLE_BYTES = 64 * 1024
-# How a send ends that brought the endpoint's own answer.
-LIVED_THROUGH = frozenset({SendEnd.ANSWERED, SendEnd.FAULT})
 READ_SECONDS = 30.0
 # While a hedge looks for an endpoint, how often it is looked at whether it was sent.
 HEDGE_LOOK_SECONDS = 0.01
@@ -53,7 +46,14 @@
     wire : OwnFormat
         The dialect.
     clock : callable
-        Monotonic seconds.
+        Seconds, by which the request's time passes.
+
+    Attributes
+    ----------
+    sends : RequestSends
+        What was sent to endpoints.
+    story : Story
+        The steps, for the log.
     """
 
     def __init__(self, runner, request, counters, wire, clock=time.monotonic):
@@ -67,10 +67,10 @@
         self.guard = runner.guard
         self.proven = None
         self.hedge = None
-        self.lives = []
         self.fault_answer = None
         self.pending_result = None
         self.story = Story(self.ticket.arrived)
+        self.sends = RequestSends(runner, request, counters, wire, clock, self.story)
         self.caller_watched = request.caller_socket is not None
 
     def run(self):
@@ -126,83 +126,13 @@
         if refusal is not None:
             self.runner.give_back(send, proven)
             return refusal
-        live = self.start_send(send, proven)
+        live = self.sends.start(send, proven)
         if isinstance(live, SendEnd):
             return live
         if live is None:
-            return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
+            return Refusal(RefusalReason.CALLER_GONE, self.sends.get_outcome())
         return self._await_first(live)
 
-    def start_send(self, send, proven=None):
-        """Send the request; return the LiveSend, a SendEnd, or None."""
-        pool = self.runner.find_pool(send.endpoint)
-        live = LiveSend(send, pool)
-        if pool is None:
-            if proven is not None:
-                proven.close()
-            return self._end(live, SendResult(SendEnd.CONNECT_FAILED))
-        self.counters.add("sends", self.service)
-        kind = StepKind.HEDGED if send.hedge else StepKind.SENT
-        self._tell(kind, send.endpoint, self._describe_evidence(send))
-        live.connection = proven
-        self.lives.append(live)
-        try:
-            send_request(live, self.request, self.clock(), self.wire)
-            self._close_if_settled(live)
-            return live
-        except ConnectFailed:
-            return self._end(live, SendResult(SendEnd.CONNECT_FAILED))
-        except BodyFailed:
-            self._end(live, SendResult(SendEnd.CANCELLED))
-            return None
-        except OSError:
-            return self._end(live, SendResult(SendEnd.LOST))
-
-    def _close_if_settled(self, live):
-        """Cancel a send that was settled while its connection came about."""
-        if live.settled and live.connection is not None:
-            live.pool.discard(live.connection)
-            live.connection = None
-
-    def _describe_evidence(self, send):
-        """Return the report that a send went by, with its age."""
-        state = self.runner.dispatcher.states.get(send.endpoint)
-        if state is None or state.report is None:
-            return "no report"
-        age = round((send.started - state.report.received_at) * 1000)
-        evidence = f"{describe_report(state.report)} {age}ms old"
-        if state.is_limited():
-            evidence += f" limit {state.limits.limited[send.endpoint]:g}/s"
-        return evidence
-
-    def _end(self, live, result, keep=False):
-        """Settle a send, and keep or close its connection."""
-        if live.settled:
-            return result.end
-        live.settled = True
-        self._tell(StepKind.ENDED, live.send.endpoint, result.end.value)
-        self._tell_guard(live, result.end)
-        connection, live.connection = live.connection, None
-        if connection is not None:
-            if keep:
-                live.pool.give_back(connection, live.response.idle_seconds)
-            else:
-                live.pool.discard(connection)
-        self.runner.settle(live.send, result)
-        return result.end
-
-    def _tell_guard(self, live, end):
-        """Tell whether the endpoint lived through the request."""
-        if end is SendEnd.LOST:
-            self._note_lost(live)
-        elif end in LIVED_THROUGH:
-            self.guard.note_answer(self.request)
-
-    def _note_lost(self, live):
-        """Have it found out whether the endpoint ended while it had the request."""
-        self.story.has_lost = True
-        self.guard.note_lost(self.request, live.send.endpoint, live.pool.address)
-
     def _await_first(self, live):
         """Wait for an answer, with a hedge once the first one is overdue.
 
@@ -213,13 +143,13 @@
         again_at = 0.0
         last = SendEnd.LATE
         while True:
-            racing = [live for live in self.lives if not live.settled]
+            racing = self.sends.list_racing()
             if not racing:
                 self._withdraw_hedge()
                 return last
             now = self.clock()
             if now >= self.ticket.deadline:
-                self._end_all(racing, SendEnd.LATE)
+                self.sends.end_all(racing, SendEnd.LATE)
                 return SendEnd.LATE
             hedge_at = max(again_at, self._compute_hedge_time(racing[-1]))
             if now >= hedge_at:
@@ -230,7 +160,7 @@
             if ready is self.request:
                 if self._should_cancel():
                     self._tell(StepKind.CALLER_GONE)
-                    return Refusal(RefusalReason.CALLER_GONE, self._get_outcome())
+                    return Refusal(RefusalReason.CALLER_GONE, self.sends.get_outcome())
             elif ready is not None:
                 outcome = self._read(ready)
                 if not isinstance(outcome, SendEnd):
@@ -280,11 +210,6 @@
         self.caller_watched = False
         return self.ticket.route.repeatable
 
-    def _get_outcome(self):
-        """Return what is certain: a send that is under way may have run."""
-        may_have_run = self.ticket.exposed or any(not x.settled for x in self.lives)
-        return Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
-
     def _start_hedge(self):
         """Start a second send if the rules and the budget allow it."""
         if self.hedge is not None:
@@ -299,7 +224,7 @@
             self.hedge = AskedHedge(self, room)
             eventlet.spawn_n(self.hedge.run, decision)
         else:
-            self.start_send(decision)
+            self.sends.start(decision)
 
     def _withdraw_hedge(self):
         """End a hedge that has not been sent yet."""
@@ -319,14 +244,14 @@
             self.runner.note_limit(live.send, result.limit)
             if result.end is SendEnd.REFUSED:
                 keep = self._drain_short_body(live)
-                return self._end(live, result, keep)
+                return self.sends.end(live, result, keep)
             answer = self._build_answer(live, result)
             if result.end is SendEnd.FAULT and answer.live is None:
                 self._keep_fault(answer)
                 return SendEnd.FAULT
             return answer
         except TRANSPORT_ERRORS:
-            return self._end(live, SendResult(SendEnd.LOST))
+            return self.sends.end(live, SendResult(SendEnd.LOST))
 
     def _keep_fault(self, answer):
         """Keep an endpoint's fault for the caller, unless it would mislead.
@@ -349,10 +274,10 @@
         answer = Answer(response.status, response.reason, response.headers, None)
         answer.body = response.read_short(WHOLE_BYTES)
         if answer.body is not None:
-            self._end(live, result, keep=response.can_keep)
+            self.sends.end(live, result, keep=response.can_keep)
             return answer
         answer.live = live
-        self.lives.remove(live)
+        self.sends.lives.remove(live)
         self.ticket.exposed = True
         self.pending_result = result
         return answer
@@ -375,17 +300,15 @@
             self.counters.add(
                 "refusals", self.service, RefusalReason.ANSWER_SHORT.value
             )
-            self._note_lost(live)
+            self.sends.note_lost(live)
             raise ConnectionAbortedError(str(error)) from error
         finally:
             result = self.pending_result
-            self._end(live, result if keep else SendResult(SendEnd.CANCELLED), keep)
-
-    def _end_all(self, lives, end):
-        for live in lives:
-            self._end(live, SendResult(end))
+            self.sends.end(
+                live, result if keep else SendResult(SendEnd.CANCELLED), keep
+            )
 
     def _cancel_all(self):
         """Cancel what is still under way: its answer is of no use any more."""
         self._withdraw_hedge()
-        self._end_all(self.lives, SendEnd.CANCELLED)
+        self.sends.end_all(self.sends.lives, SendEnd.CANCELLED)
--- a/packages/hingesill-node/hingesill_node/datapath/hedges.py
+++ b/packages/hingesill-node/hingesill_node/datapath/hedges.py
@@ -31,7 +31,7 @@
         if not isinstance(found.decision, Send):
             runner.dispatcher.hedging.end(exchange.ticket)
         elif self.is_wanted and not runner.guard.is_suspect(exchange.request):
-            exchange.start_send(found.decision, found.connection)
+            exchange.sends.start(found.decision, found.connection)
         else:
             runner.give_back(found.decision, found.connection)
         if exchange.hedge is self:
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
@@ -106,6 +106,16 @@
         self.assertFalse(self.runner.dispatcher.binding.waiting)
 
 
+class RecordingSends:
+    """What a hedge uses of an exchange's sends."""
+
+    def __init__(self, started):
+        self.started = started
+
+    def start(self, send, connection):
+        self.started.append(send.endpoint)
+
+
 class HedgeTests(RoomTestCase):
     """A hedge whose answer is no longer wanted leaves nothing behind."""
 
@@ -113,14 +123,10 @@
         super().setUp()
         self.started = []
         self.hedge = AskedHedge(self, self.room)
+        self.sends = RecordingSends(self.started)
         self.dispatcher = self.runner.dispatcher
         self.dispatcher.retries.tokens = 3.0
 
-    # What a hedge uses of an exchange.
-
-    def start_send(self, send, connection):
-        self.started.append(send.endpoint)
-
     def start(self):
         ask = self.dispatcher.hedging.start(self.ticket, self.runner.clock())
         self.assertIsInstance(ask, Ask)
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
@@ -11,7 +11,7 @@
     SendResult,
     Ticket,
 )
-from hingesill_node.datapath import exchange as exchange_module
+from hingesill_node.datapath import sends as sends_module
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.messages import Body, CallerRequest, LiveSend
 from hingesill_node.datapath.tests.test_asking import ROUTE, build_runner
@@ -43,7 +43,7 @@
         self.exchange = Exchange(self.runner, request, Counters(), OwnFormat())
         send = Send(self.ticket, "i1", now, 0.1)
         self.live = LiveSend(send, None)
-        self.exchange.lives = [self.live]
+        self.exchange.sends.lives = [self.live]
 
     def test_a_hedge_that_was_denied_is_tried_again(self):
         tries = []
@@ -70,9 +70,9 @@
         self.assertEqual(len(tries), 1)
 
     def test_what_is_under_way_may_have_run(self):
-        self.assertIs(self.exchange._get_outcome(), Outcome.UNKNOWN)
+        self.assertIs(self.exchange.sends.get_outcome(), Outcome.UNKNOWN)
         self.live.settled = True
-        self.assertIs(self.exchange._get_outcome(), Outcome.NOT_RUN)
+        self.assertIs(self.exchange.sends.get_outcome(), Outcome.NOT_RUN)
 
 
 class SettledSendTests(unittest.TestCase):
@@ -96,8 +96,8 @@
                 self.exchange._cancel_all()
 
         send = Send(self.ticket, "i1", self.ticket.arrived, 0.1)
-        with patch.object(exchange_module, "send_request", send_request):
-            return self.exchange.start_send(send)
+        with patch.object(sends_module, "send_request", send_request):
+            return self.exchange.sends.start(send)
 
     def test_a_connection_that_came_too_late_is_closed(self):
         live = self.start(settle_before_connecting=True)
@@ -110,8 +110,8 @@
 
     def test_a_send_that_goes_on_keeps_its_connection(self):
         send = Send(self.ticket, "i1", self.ticket.arrived, 0.1)
-        with patch.object(exchange_module, "send_request", lambda live, *_: None):
-            live = self.exchange.start_send(send)
+        with patch.object(sends_module, "send_request", lambda live, *_: None):
+            live = self.exchange.sends.start(send)
         self.assertFalse(live.settled)
         self.assertEqual(self.pool.discarded, [])
-        self.exchange._end(live, SendResult(SendEnd.CANCELLED))
+        self.exchange.sends.end(live, SendResult(SendEnd.CANCELLED))
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_guarded.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_guarded.py
@@ -68,11 +68,11 @@
     def test_an_endpoints_own_fault_says_that_it_lived(self):
         self.end(3.0, 1.5, 0.0)
         live = LiveSend(self.start_send(), self.runner.find_pool("i1"))
-        self.exchange._end(live, SendResult(SendEnd.FAULT))
+        self.exchange.sends.end(live, SendResult(SendEnd.FAULT))
         self.assertIsNone(self.guard.find_refusal(self.request))
 
     def test_a_refusal_of_the_endpoint_says_nothing(self):
         self.end(3.0, 1.5, 0.0)
         live = LiveSend(self.start_send(), self.runner.find_pool("i1"))
-        self.exchange._end(live, SendResult(SendEnd.REFUSED))
+        self.exchange.sends.end(live, SendResult(SendEnd.REFUSED))
         self.assertIsNotNone(self.guard.find_refusal(self.request))
