--- a/packages/hingesill-node/hingesill_node/datapath/announcements.py
+++ b/packages/hingesill-node/hingesill_node/datapath/announcements.py
@@ -5,8 +5,6 @@
 no promise, only which endpoint is preferred for a moment.
 """
 
-import time
-
 from google.protobuf.message import DecodeError
 
 from hingesill_api.generated import hingesill_pb2 as pb
@@ -31,16 +29,13 @@
         Spreads an endpoint's own sign that it is leaving.
     counters : Counters
         Gets ``suspicions``.
-    clock : callable
-        Monotonic seconds.
     """
 
-    def __init__(self, blackboard, team, tell_drain, counters, clock=time.monotonic):
+    def __init__(self, blackboard, team, tell_drain, counters):
         self.blackboard = blackboard
         self.counters = counters
         self.team = team
         self.tell_drain = tell_drain
-        self.clock = clock
         self.is_heard = True
         self._told = {}
         self._port = None
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_frames.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_frames.py
@@ -16,6 +16,7 @@
     encode,
 )
 from hingesill_node.discovery.frames import FrameKind, FrameReader, build_frame
+from hingesill_node.discovery.tests.spoiling import spoil
 from hingesill_node.discovery.tests.test_follower import build_declared, build_snapshot
 
 SEED = 33
@@ -42,22 +43,6 @@
 )
 
 
-def spoil(rng, data):
-    """Return bytes of which a few are others, gone or too many."""
-    data = bytearray(data)
-    for _ in range(rng.randint(1, 3)):
-        position = rng.randrange(len(data))
-        kind = rng.randrange(3)
-        if kind == 0:
-            data[position] = rng.randrange(256)
-        elif kind == 1:
-            del data[position : position + rng.randint(1, 4)]
-        else:
-            data[position:position] = rng.choice((b"[", b"{", b'"', b"9" * 30))
-        data = data or bytearray(b"x")
-    return bytes(data)
-
-
 class FrameTests(unittest.TestCase):
     def test_frames_are_read_however_they_are_cut(self):
         reader = FrameReader()
