--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -4,7 +4,7 @@
 from hingesill_core.routing.messages import SendEnd, SendResult
 from hingesill_node.datapath.connections import ConnectFailed
 from hingesill_node.datapath.messages import LiveSend
-from hingesill_node.datapath.story import StepKind, describe_report
+from hingesill_node.datapath.story import StepKind, describe_end, describe_report
 from hingesill_node.datapath.transport import BodyFailed, send_request
 
 __all__ = ["RequestSends"]
@@ -119,7 +119,8 @@
         if live.settled:
             return result.end
         live.settled = True
-        self._tell(StepKind.ENDED, live.send.endpoint, result.end.value)
+        detail = describe_end(result.end, live.response)
+        self._tell(StepKind.ENDED, live.send.endpoint, detail)
         self._tell_guard(live, result.end)
         connection, live.connection = live.connection, None
         if connection is not None:
--- a/packages/hingesill-node/hingesill_node/datapath/story.py
+++ b/packages/hingesill-node/hingesill_node/datapath/story.py
@@ -4,9 +4,11 @@
 
 from msgspec import Struct, field
 
-__all__ = ["Step", "StepKind", "Story", "describe_report"]
+__all__ = ["Step", "StepKind", "Story", "describe_end", "describe_report"]
 
 MOST_STEPS = 24
+# Characters of an endpoint's header in a step.
+LONGEST_VALUE = 40
 
 
 class StepKind(str, Enum):
@@ -81,3 +83,19 @@
     if report is None:
         return "no report"
     return f"{report.running}/{report.slots} x{report.slowness:.2g}"
+
+
+def describe_end(end, response):
+    """Return how a send ended as text, with the rest that its answer asks for.
+
+    Parameters
+    ----------
+    end : SendEnd
+        How it ended.
+    response : EndpointResponse or None
+        None if no head came.
+    """
+    rest = None if response is None else response.get("Retry-After")
+    if rest is None:
+        return end.value
+    return f"{end.value} retry-after {rest[:LONGEST_VALUE]}"
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
@@ -14,6 +14,8 @@
 from hingesill_node.datapath import sends as sends_module
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.messages import Body, CallerRequest, LiveSend
+from hingesill_node.datapath.responses import EndpointResponse
+from hingesill_node.datapath.story import describe_end
 from hingesill_node.datapath.tests.test_asking import ROUTE, build_runner
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.telemetry.counters import Counters
@@ -75,6 +77,16 @@
         self.assertIs(self.exchange.sends.get_outcome(), Outcome.NOT_RUN)
 
 
+class StepTests(unittest.TestCase):
+    def test_an_end_is_told_with_the_rest_that_its_answer_asks_for(self):
+        response = EndpointResponse(None, "GET")
+        self.assertEqual(describe_end(SendEnd.REFUSED, response), "refused")
+        response.headers = [("retry-after", "3")]
+        told = describe_end(SendEnd.REFUSED, response)
+        self.assertEqual(told, "refused retry-after 3")
+        self.assertEqual(describe_end(SendEnd.LOST, None), "lost")
+
+
 class SettledSendTests(unittest.TestCase):
     def setUp(self):
         self.runner = build_runner()
