A rest that an endpoint asks for is kept on every way to it

What callers saw: two endpoints of seven refused all requests with 503 and Retry-After: 3. Nodes sent there all the same, 3 to 4 times in a rest; each refusal cost a retry, the budget of retries ran out and callers were refused (7 of 76 in one second).

Cause: the platform's adapter did not read the header, so that the endpoint was passed by for 10 ms. Behind it two more faults of the same kind: a pause was bounded at 1 s, and a later, shorter one replaced it. A rest was also learnt at the end of an answer, not from its head, and only from requests: answers to questions and probes dropped it, and it was lost with the endpoint's entry.

Why this works: one Availability an endpoint's life, for all services of the node, is asked by everything that looks for an endpoint. It is noted from the head of each answer of the endpoint, 503 only; the longest end stands. Both dialects read the header by one function.

--- a/packages/hingesill-core/hingesill_core/probing/planner.py
+++ b/packages/hingesill-core/hingesill_core/probing/planner.py
@@ -1,5 +1,7 @@
 """Which endpoint a probe would tell something new of, if any."""
 
+from hingesill_core.routing.selection import takes_work
+
 __all__ = ["choose_probe"]
 
 UNHEARD_SECONDS = 2.0
@@ -29,7 +31,7 @@
     best = None
     longest = UNHEARD_SECONDS
     for state in dispatcher.states.values():
-        if state.is_draining(now) or state.in_flight:
+        if not takes_work(state, now) or state.in_flight:
             continue
         if state.health.needs_trial(now):
             return state.identity
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -11,6 +11,7 @@
 from msgspec import Struct
 
 from hingesill_core.ratelimits.words import NamedLimit
+from hingesill_core.routing.availability import NO_REST, RequestedRest
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd
 
@@ -119,6 +120,8 @@
         What the reply named; None if it did not come.
     sent_at : float or None
         When the question was sent; None if the reply is to no question.
+    rest : RequestedRest
+        For which the endpoint wants nothing more from this node.
     """
 
     endpoint: str
@@ -129,6 +132,7 @@
     born: int | None = None
     limit: NamedLimit | None = None
     sent_at: float | None = None
+    rest: RequestedRest = NO_REST
 
 
 def is_good_enough(report, stage, usable, most_slowness):
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/availability.py
@@ -0,0 +1,165 @@
+"""Whether endpoints take new requests of this node, by what they said themselves."""
+
+from math import inf
+from weakref import WeakValueDictionary
+
+from msgspec import Struct
+
+__all__ = [
+    "Availability",
+    "AvailabilityBook",
+    "LONGEST_REST",
+    "NO_REST",
+    "RestBegun",
+    "RequestedRest",
+    "UNREADABLE_REST",
+]
+
+# Seconds; an endpoint that asks for a longer rest is tried again after so long.
+LONGEST_REST = 600.0
+# Seconds; taken where an endpoint asks for a rest whose length can't be read.
+UNREADABLE_SECONDS = 1.0
+# Endpoints that are gone from the directory; bounds memory.
+MOST_REMEMBERED = 65_536
+# Seconds between two clean-ups.
+CLEAN_UP_PAUSE = 10.0
+
+
+class RequestedRest(Struct, frozen=True):
+    """What an answer says on the rest that its endpoint wants from this node.
+
+    Parameters
+    ----------
+    seconds : float
+        How long; 0 if it asks for none.
+    is_readable : bool
+        False if it asks for something that is no length of time.
+    """
+
+    seconds: float
+    is_readable: bool = True
+
+
+NO_REST = RequestedRest(0.0)
+UNREADABLE_REST = RequestedRest(UNREADABLE_SECONDS, is_readable=False)
+
+
+class RestBegun(Struct, frozen=True):
+    """A rest of an endpoint that begins.
+
+    Parameters
+    ----------
+    service, endpoint : str
+        The service, and the endpoint's identity.
+    born : int
+        The life that asks for it.
+    seconds : float
+        How long it is, as far as asked for.
+    """
+
+    service: str
+    endpoint: str
+    born: int
+    seconds: float
+
+
+class Availability(Struct, eq=False, weakref=True):
+    """What one life of an endpoint said on new requests of this node.
+
+    Attributes
+    ----------
+    resting_until : float
+        It asked to be left alone until then, in seconds of the node's clock.
+    """
+
+    resting_until: float = -inf
+
+    def note_rest(self, seconds, now):
+        """Take a rest that the endpoint asks for; the longest end stands.
+
+        Parameters
+        ----------
+        seconds : float
+            From now on.
+        now : float
+            When the answer was read, in seconds of the node's clock.
+
+        Returns
+        -------
+        bool
+            Whether a rest begins with it.
+        """
+        begins = not self.is_resting(now)
+        until = now + min(seconds, LONGEST_REST)
+        self.resting_until = max(self.resting_until, until)
+        return begins and self.is_resting(now)
+
+    def is_resting(self, now):
+        """Tell whether the endpoint wants nothing from this node."""
+        return now < self.resting_until
+
+    def takes_requests(self, now):
+        """Tell whether a request may be sent there."""
+        return now >= self.resting_until
+
+
+class AvailabilityBook:
+    """The Availability of each endpoint's life, for all services of a node.
+
+    Parameters
+    ----------
+    observe : callable
+        Called with each RestBegun.
+
+    Notes
+    -----
+    A life may leave the directory and come back, as its entry lapses in an outage of
+    the store or its service is declared anew. What it said counts until it ends.
+    """
+
+    def __init__(self, observe=lambda change: None):
+        self.observe = observe
+        self._known = WeakValueDictionary()
+        self._remembered = {}
+        self._clean_up_at = -inf
+
+    def get(self, identity, born):
+        """Return the Availability of a life, made on first use."""
+        key = (identity, born)
+        availability = self._known.get(key)
+        if availability is None:
+            availability = self._known[key] = Availability()
+        return availability
+
+    def note_rest(self, service, identity, born, rest, now):
+        """Take what an answer of a life says on the rest that it wants.
+
+        Parameters
+        ----------
+        service, identity : str
+            The service, and the endpoint's identity.
+        born : int
+            The life that answered.
+        rest : RequestedRest
+            In the head of the answer.
+        now : float
+            When that was read, in seconds of the node's clock.
+        """
+        if not rest.seconds:
+            return
+        availability = self.get(identity, born)
+        self._remember((identity, born), availability, now)
+        if availability.note_rest(rest.seconds, now):
+            self.observe(RestBegun(service, identity, born, rest.seconds))
+
+    def _remember(self, key, availability, now):
+        """Keep what a life said though nothing else refers to it."""
+        if now >= self._clean_up_at:
+            self._clean_up_at = now + CLEAN_UP_PAUSE
+            self._remembered = {
+                key: held
+                for key, held in self._remembered.items()
+                if not held.takes_requests(now)
+            }
+        if len(self._remembered) < MOST_REMEMBERED:
+            self._remembered[key] = availability
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -9,6 +9,7 @@
 from hingesill_core.retries.budget import TokenBudget
 from hingesill_core.retries.decision import mark_exposure
 from hingesill_core.routing.asking import ASKING_POLICY
+from hingesill_core.routing.availability import AvailabilityBook
 from hingesill_core.routing.endpoint_state import EndpointState, ServiceView
 from hingesill_core.routing.hedging import Hedging
 from hingesill_core.routing.latebinding import LateBinding
@@ -40,10 +41,22 @@
         Of all services of the node.
     limits : ServiceLimits or None
         What the service's endpoints in need still take; of this node alone if None.
+    availabilities : AvailabilityBook or None
+        Of all endpoints' lives that the node knows; of this service alone if None.
     """
 
-    def __init__(self, service, fleet, rng, ask_pool=None, curves=None, limits=None):
+    def __init__(
+        self,
+        service,
+        fleet,
+        rng,
+        ask_pool=None,
+        curves=None,
+        limits=None,
+        availabilities=None,
+    ):
         self.rng = rng
+        self.availabilities = availabilities or AvailabilityBook()
         self.states = {}
         self.view = ServiceView()
         self.last_submit = float("-inf")
@@ -93,6 +106,7 @@
         if state is None or state.born != endpoint.born:
             born = endpoint.born
             state = EndpointState(endpoint.identity, common=self.view, born=born)
+            state.availability = self.availabilities.get(endpoint.identity, born)
         near = endpoint.data_centre == self.fleet.data_centre
         state.limits = self.limits
         state.slots = endpoint.slots
@@ -126,6 +140,11 @@
         if named is not None:
             self.limits.note(send.endpoint, send.born, named, send.started, now)
 
+    def note_rest(self, identity, born, rest, now):
+        """Take what an answer of an endpoint's life says on the rest that it wants."""
+        name = self.service.name
+        self.availabilities.note_rest(name, identity, born, rest, now)
+
     def get_pace(self, route):
         """Return how long the answers of a route take."""
         pace = self.paces.get(route)
@@ -311,7 +330,9 @@
             self.binding.note_answer(send, seconds, now)
         if result.end is SendEnd.CONNECT_FAILED:
             send.ticket.sends -= 1
-        came_back = state.health.note(result.end, now, self._may_eject(now))
+        # An endpoint that asks for a rest is not unhealthy.
+        end = SendEnd.REFUSED if result.rest.seconds else result.end
+        came_back = state.health.note(end, now, self._may_eject(now))
         if came_back or result.cold:
             state.cold_since = now
 
@@ -356,6 +377,7 @@
         if result.limit is not None:
             limit = result.limit
             self.limits.note(endpoint, state.born, limit, now, now, is_health=True)
+        self.note_rest(endpoint, state.born, result.rest, now)
         if state.health.needs_trial(now):
             state.health.on_trial = True
         if state.health.note(result.end, now, self._may_eject(now)) or result.cold:
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -7,6 +7,7 @@
 
 from hingesill_core.ratelimits.service import ServiceLimits
 from hingesill_core.ratelimits.share import FleetShare
+from hingesill_core.routing.availability import Availability
 from hingesill_core.routing.health import Health
 from hingesill_core.routing.messages import SendEnd
 
@@ -28,8 +29,8 @@
 SLOW_START = 2.0
 SLOW_START_FLOOR = 0.25
 FAULT_PENALTY = 10.0
-SHORTEST_REFUSED_PAUSE = 0.01
-LONGEST_REFUSED_PAUSE = 1.0
+# Pause after a refusal, in seconds.
+REFUSED_PAUSE = 0.01
 DRAIN_SIGN_HOLDS = 30.0
 WAIT_FOR_REPEATABLE = 5.0
 FAILED_ASKS = 2
@@ -101,8 +102,8 @@
         Sends in flight, the oldest first.
     turn : int
         The number of its last send among all of the service's.
-    refused_until : float
-        The endpoint asked to be left alone until then.
+    availability : Availability
+        What this life of the endpoint said on new requests.
     draining_until : float
         The endpoint is leaving; the sign holds until then.
     suspicion, suspected_at : float
@@ -137,7 +138,7 @@
     common: ServiceView = field(default_factory=ServiceView)
     sent: OrderedDict = field(default_factory=OrderedDict)
     turn: int = 0
-    refused_until: float = 0.0
+    availability: Availability = field(default_factory=Availability)
     draining_until: float = 0.0
     suspicion: float = 0.0
     suspected_at: float = 0.0
@@ -211,8 +212,7 @@
         elif result.end is SendEnd.CANCELLED and ratio > self.slowness:
             self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
         elif result.end is SendEnd.REFUSED:
-            pause = max(SHORTEST_REFUSED_PAUSE, result.retry_after)
-            self.refused_until = now + min(LONGEST_REFUSED_PAUSE, pause)
+            self.availability.note_rest(REFUSED_PAUSE, now)
         if result.draining:
             self.draining_until = now + DRAIN_SIGN_HOLDS
 
@@ -226,7 +226,9 @@
         """
         if len(self.sent) >= self.send_limit or now < self.draining_until:
             return False
-        if now < self.refused_until or not self.is_home_of(ticket.route):
+        if not self.availability.takes_requests(now):
+            return False
+        if not self.is_home_of(ticket.route):
             return False
         if not self.is_within_limit(now):
             return False
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -237,6 +237,7 @@
         if state is None or reply.born not in (None, state.born):
             return None
         state.reach.note(reply.end, now, may_eject=True)
+        self.dispatcher.note_rest(reply.endpoint, state.born, reply.rest, now)
         if reply.end is SendEnd.ANSWERED:
             if reply.is_ill is not None:
                 self.ill_words.note(reply.is_ill)
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -7,6 +7,7 @@
 from hingesill_core.configuration.services import Route
 from hingesill_core.ratelimits.words import NamedLimit
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
+from hingesill_core.routing.availability import NO_REST, RequestedRest
 from hingesill_core.routing.load_report import LoadReport
 
 __all__ = [
@@ -141,8 +142,8 @@
         The endpoint said that it is leaving.
     cold : bool
         The endpoint said that it has just started.
-    retry_after : float
-        How long a refusing endpoint wants to be left alone, in seconds.
+    rest : RequestedRest
+        For which the endpoint wants nothing more from this node.
     limit : NamedLimit or None
         What the answer named; None if no head of this endpoint's came.
     """
@@ -151,5 +152,5 @@
     report: LoadReport | None = None
     draining: bool = False
     cold: bool = False
-    retry_after: float = 0.0
+    rest: RequestedRest = NO_REST
     limit: NamedLimit | None = None
--- a/packages/hingesill-core/hingesill_core/routing/selection.py
+++ b/packages/hingesill-core/hingesill_core/routing/selection.py
@@ -124,7 +124,7 @@
 
 def takes_work(state, now):
     """Tell whether an endpoint wants any, whatever the limit that it may name."""
-    return not state.is_draining(now) and now >= state.refused_until
+    return not state.is_draining(now) and state.availability.takes_requests(now)
 
 
 def can_get_work(state, now):
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_availability.py
@@ -0,0 +1,137 @@
+"""Tests of what endpoints say on further requests of this node."""
+
+import random
+import unittest
+
+from hingesill_core.reasons import Outcome
+from hingesill_core.routing.availability import (
+    LONGEST_REST,
+    NO_REST,
+    UNREADABLE_REST,
+    Availability,
+    AvailabilityBook,
+    RequestedRest,
+)
+from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.messages import SendEnd, SendResult, Ticket
+from hingesill_core.routing.tests.test_latebinding import (
+    FLEET,
+    ROUTE,
+    build_service,
+    reply,
+)
+
+
+class AvailabilityTests(unittest.TestCase):
+    def setUp(self):
+        self.availability = Availability()
+
+    def test_a_rest_lasts_as_long_as_asked_for(self):
+        self.assertTrue(self.availability.takes_requests(10.0))
+        self.assertTrue(self.availability.note_rest(3.0, 10.0))
+        self.assertFalse(self.availability.takes_requests(12.9))
+        self.assertTrue(self.availability.takes_requests(13.0))
+
+    def test_the_longest_end_stands(self):
+        self.availability.note_rest(3.0, 10.0)
+        self.assertFalse(self.availability.note_rest(0.5, 10.5))
+        self.assertFalse(self.availability.takes_requests(12.9))
+        self.assertFalse(self.availability.note_rest(3.0, 11.0))
+        self.assertFalse(self.availability.takes_requests(13.9))
+
+    def test_an_absurd_length_is_bounded(self):
+        self.availability.note_rest(1e300, 0.0)
+        self.assertTrue(self.availability.takes_requests(LONGEST_REST))
+
+
+class BookTests(unittest.TestCase):
+    def setUp(self):
+        self.begun = []
+        self.book = AvailabilityBook(self.begun.append)
+
+    def note(self, seconds, now, born=0):
+        self.book.note_rest("arena", "i0", born, RequestedRest(seconds), now)
+
+    def test_a_life_that_comes_back_is_still_at_rest(self):
+        self.note(3.0, 10.0)
+        self.assertFalse(self.book.get("i0", 0).takes_requests(12.0))
+
+    def test_another_life_is_not(self):
+        self.note(3.0, 10.0, born=1)
+        self.assertTrue(self.book.get("i0", 2).takes_requests(10.0))
+
+    def test_a_rest_is_told_once(self):
+        self.book.note_rest("arena", "i0", 0, NO_REST, 9.0)
+        for now in (10.0, 11.0, 14.5):
+            self.note(3.0, now)
+        self.assertEqual([rest.endpoint for rest in self.begun], ["i0", "i0"])
+
+    def test_what_is_over_is_forgotten(self):
+        self.note(3.0, 10.0)
+        self.book.note_rest("arena", "i1", 0, RequestedRest(3.0), 30.0)
+        self.assertEqual(list(self.book._remembered), [("i1", 0)])
+
+
+class RestingEndpointTests(unittest.TestCase):
+    """One of two endpoints asked for a rest of 3 s."""
+
+    def setUp(self):
+        self.dispatcher = Dispatcher(build_service(2), FLEET, random.Random(1))
+        self.state = self.dispatcher.states["i0"]
+
+    def rest(self, now=0.0, rest=RequestedRest(3.0)):
+        self.dispatcher.note_rest("i0", 0, rest, now)
+
+    def settle(self, end):
+        ticket = Ticket(ROUTE, 0.0, 2.0)
+        send = self.dispatcher.start_send(ticket, self.state, 0.0)
+        result = SendResult(end, rest=RequestedRest(3.0))
+        self.dispatcher.settle(send, result, 0.0)
+
+    def test_it_is_asked_nothing(self):
+        self.rest()
+        for _ in range(10):
+            ask = self.dispatcher.submit(Ticket(ROUTE, 0.1, 2.0), 0.1)
+            self.assertNotIn("i0", ask.endpoints)
+
+    def test_its_reply_that_was_on_its_way_is_good_for_nobody(self):
+        self.dispatcher.submit(Ticket(ROUTE, 0.0, 2.0), 0.0)
+        self.rest()
+        self.assertIsNone(self.dispatcher.binding.take(reply("i0", 0), 0.1))
+
+    def test_it_gets_no_request_unasked(self):
+        self.rest()
+        ticket = Ticket(ROUTE, 0.0, 9.0)
+        self.assertFalse(self.state.has_place(ticket, 2.9))
+        self.assertTrue(self.state.has_place(ticket, 3.0))
+
+    def test_it_is_used_again_after_its_rest(self):
+        self.rest()
+        self.dispatcher.submit(Ticket(ROUTE, 3.0, 5.0), 3.0)
+        self.assertIsNotNone(self.dispatcher.binding.take(reply("i0", 0), 3.01))
+
+    def test_a_rest_whose_length_cannot_be_read_lasts_a_second(self):
+        self.rest(rest=UNREADABLE_REST)
+        self.assertFalse(self.state.availability.takes_requests(0.9))
+        self.assertTrue(self.state.availability.takes_requests(1.0))
+
+    def test_a_configuration_in_between_changes_nothing(self):
+        self.rest()
+        self.dispatcher.configure(build_service(0), FLEET)
+        self.dispatcher.configure(build_service(2), FLEET)
+        self.assertFalse(self.dispatcher.states["i0"].availability.takes_requests(1.0))
+
+    def test_it_is_not_ejected(self):
+        for _ in range(5):
+            self.settle(SendEnd.FAULT)
+        self.assertTrue(self.state.health.is_open())
+        self.assertEqual(self.state.health.fault_share, 0.0)
+
+    def test_a_send_that_it_refused_has_not_run(self):
+        ticket = Ticket(ROUTE, 0.0, 2.0)
+        send = self.dispatcher.start_send(ticket, self.state, 0.0)
+        result = SendResult(SendEnd.REFUSED, rest=RequestedRest(3.0))
+        self.dispatcher.settle(send, result, 0.0)
+        self.dispatcher.retries.tokens = 0.0
+        refusal, _ = self.dispatcher.retry(ticket, SendEnd.REFUSED, 0.0)
+        self.assertIs(refusal.outcome, Outcome.NOT_RUN)
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -169,6 +169,7 @@
             warm_in,
             is_ill,
             limit=signals.limit,
+            rest=signals.rest,
             sent_at=sent_at,
         )
         return reply, response if response.can_keep else None
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -241,7 +241,7 @@
             result = read_result(
                 live, self.clock(), in_flight, self.wire, self.request.request_id
             )
-            self.runner.note_limit(live.send, result.limit)
+            self.runner.note_head(live.send, result)
             if result.end is SendEnd.REFUSED:
                 keep = self._drain_short_body(live)
                 return self.sends.end(live, result, keep)
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -3,6 +3,11 @@
 import re
 
 from hingesill_core.ratelimits.words import NO_LIMIT, UNREADABLE_LIMIT, NamedLimit
+from hingesill_core.routing.availability import (
+    NO_REST,
+    UNREADABLE_REST,
+    RequestedRest,
+)
 
 __all__ = [
     "HOP_BY_HOP",
@@ -10,6 +15,7 @@
     "filter_headers",
     "read_limit",
     "read_milliseconds",
+    "read_rest",
 ]
 
 
@@ -64,8 +70,12 @@
 )
 LARGEST_MILLISECONDS = 86_400_000
 MOST_DIGITS = 9
+# Stands in refusals of both dialects.
+RETRY_AFTER = "Retry-After"
+# Only answers with this status ask for a rest: others speak of the caller.
+RESTING_STATUS = 503
 # A plain decimal number without a sign.
-LIMIT_PATTERN = re.compile(r"[0-9]{1,300}(\.[0-9]{0,300})?|\.[0-9]{1,300}")
+NUMBER_PATTERN = re.compile(r"[0-9]{1,300}(\.[0-9]{0,300})?|\.[0-9]{1,300}")
 # Requests a second from which on an endpoint is taken to name no limit.
 LARGEST_LIMIT = 1e6
 
@@ -115,14 +125,38 @@
     """
     if response.get(name) is None:
         return NO_LIMIT
-    parts = ",".join(response.get_all(name)).split(",")
-    readable = [float(part) for part in parts if LIMIT_PATTERN.fullmatch(part.strip())]
+    readable = read_numbers(response, name)
     if not readable:
         return UNREADABLE_LIMIT
     limit = min(readable)
     return NamedLimit(limit) if limit < LARGEST_LIMIT else NO_LIMIT
 
 
+def read_rest(response):
+    """Return the RequestedRest of an answer's head.
+
+    Parameters
+    ----------
+    response : EndpointResponse
+        Its headers are there.
+
+    Notes
+    -----
+    Seconds, with fractions. Of several values the largest counts; where none can be
+    read, a date among them, the endpoint is left alone for a second.
+    """
+    if response.status != RESTING_STATUS or response.get(RETRY_AFTER) is None:
+        return NO_REST
+    readable = read_numbers(response, RETRY_AFTER)
+    return RequestedRest(max(readable)) if readable else UNREADABLE_REST
+
+
+def read_numbers(response, name):
+    """Return the plain numbers among the values of a header."""
+    parts = ",".join(response.get_all(name)).split(",")
+    return [float(part) for part in parts if NUMBER_PATTERN.fullmatch(part.strip())]
+
+
 def read_milliseconds(environ, name):
     """Return the seconds that a header gives in milliseconds, None if it is absent.
 
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -20,7 +20,7 @@
 TICK_SECONDS = 0.002
 SUSPICION_REPEAT_SECONDS = 0.02
 CALLER_CHECK_SECONDS = 0.05
-# A line in the log for limits that can't be read, at most so often.
+# Between two lines in the log for headers that can't be read, in seconds.
 COMPLAINT_SECONDS = 5.0
 
 
@@ -47,6 +47,8 @@
         Knows which requests must not be sent; shared by all services.
     limits : ServiceLimits or None
         What the service's endpoints in need still take.
+    availabilities : AvailabilityBook or None
+        Of all endpoints' lives that the node knows.
     """
 
     def __init__(
@@ -60,9 +62,12 @@
         clock=time.monotonic,
         guard=None,
         limits=None,
+        availabilities=None,
     ):
         self.guard = guard or RequestGuard()
-        self.dispatcher = Dispatcher(service, fleet, rng, ask_pool, curves, limits)
+        self.dispatcher = Dispatcher(
+            service, fleet, rng, ask_pool, curves, limits, availabilities
+        )
         self._complain_from = 0.0
         self.announce = announce
         self.clock = clock
@@ -138,14 +143,30 @@
         if self.held:
             self.pump()
 
-    def note_limit(self, send, named):
-        """Take what an answer's head named as the endpoint's limit."""
+    def note_head(self, send, result):
+        """Take what an answer's head says on further requests, before its body comes.
+
+        Parameters
+        ----------
+        send : Send
+            That was answered.
+        result : SendResult
+            Read from the head.
+        """
         now = self.clock()
-        is_readable = named is None or named.is_readable
-        if not is_readable and now >= self._complain_from:
+        limit, rest = result.limit, result.rest
+        if limit is not None and not limit.is_readable:
+            self._complain(Event.LIMIT_INVALID, send.endpoint, now)
+        if not rest.is_readable:
+            self._complain(Event.REST_INVALID, send.endpoint, now)
+        self.dispatcher.note_limit(send, limit, now)
+        self.dispatcher.note_rest(send.endpoint, send.born, rest, now)
+
+    def _complain(self, event, endpoint, now):
+        """Write a line for a header that can't be read, unless there was one lately."""
+        if now >= self._complain_from:
             self._complain_from = now + COMPLAINT_SECONDS
-            log_event(Event.LIMIT_INVALID, endpoint=send.endpoint)
-        self.dispatcher.note_limit(send, named, now)
+            log_event(event, endpoint=endpoint)
 
     def give_back(self, send, connection):
         """Leave an endpoint that was found for a send as it is."""
--- a/packages/hingesill-node/hingesill_node/datapath/runnertable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runnertable.py
@@ -4,15 +4,28 @@
 
 from hingesill_core.limits.asking import AskBudget
 from hingesill_core.ratelimits.fleet import FleetLimits
+from hingesill_core.routing.availability import AvailabilityBook
 from hingesill_core.routing.curves import SlotCurves, pool_profiles
 from hingesill_core.routing.profile import Profile
 from hingesill_node.crashes.requestguard import RequestGuard
 from hingesill_node.datapath.runner import ServiceRunner
 from hingesill_node.ratelimits.exchange import log_limit
+from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["RunnerTable"]
 
 
+def log_rest(rest):
+    """Write a line for an endpoint's rest that begins."""
+    log_event(
+        Event.REST_BEGUN,
+        service=rest.service,
+        endpoint=rest.endpoint,
+        born=rest.born,
+        seconds=rest.seconds,
+    )
+
+
 class RunnerTable:
     """The runners of all services that were asked for, made on first use.
 
@@ -36,6 +49,7 @@
         self.curves = SlotCurves()
         self.guard = RequestGuard()
         self.limits = FleetLimits(rng, log_limit, self._is_declared)
+        self.availabilities = AvailabilityBook(log_rest)
         self._wire = None
         self._counters = None
         blackboard.watch("configuration", self.refresh)
@@ -59,6 +73,7 @@
                 self.clock,
                 self.guard,
                 self.limits.get(name),
+                self.availabilities,
             )
             self.runners[name] = runner
             self._apply_signs(runner)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_headers.py
@@ -0,0 +1,38 @@
+"""Tests of headers that endpoints of both dialects write."""
+
+import unittest
+
+from hingesill_core.routing.availability import NO_REST, UNREADABLE_REST
+from hingesill_node.datapath.headers import read_rest
+from hingesill_node.datapath.responses import EndpointResponse
+
+
+class RestTests(unittest.TestCase):
+    def read(self, *values, status=503):
+        response = EndpointResponse(None, "GET")
+        response.status = status
+        response.headers = [("retry-after", value) for value in values]
+        return read_rest(response)
+
+    def test_seconds_and_fractions(self):
+        for value, seconds in (("3", 3.0), ("0.25", 0.25), (" 2.5 ", 2.5), ("0", 0.0)):
+            with self.subTest(value=value):
+                self.assertEqual(self.read(value).seconds, seconds)
+
+    def test_the_largest_of_several_counts(self):
+        self.assertEqual(self.read("1", "3", "2").seconds, 3.0)
+        self.assertEqual(self.read("1, 3").seconds, 3.0)
+        self.assertEqual(self.read("x, 3").seconds, 3.0)
+
+    def test_what_is_no_number_of_seconds(self):
+        date = "Fri, 04 Dec 2026 10:00:00 GMT"
+        for value in ("", "x", "-3", "nan", "inf", "1e3", "3 s", date):
+            with self.subTest(value=value):
+                self.assertIs(self.read(value), UNREADABLE_REST)
+
+    def test_an_answer_that_asks_for_none(self):
+        self.assertIs(self.read(), NO_REST)
+
+    def test_other_statuses_speak_of_the_caller(self):
+        for status in (200, 429, 500):
+            self.assertIs(self.read("3", status=status), NO_REST)
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -134,7 +134,7 @@
         signals.report,
         draining=signals.draining,
         cold=signals.cold,
-        retry_after=signals.retry_after,
+        rest=signals.rest,
         limit=signals.limit,
     )
 
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -8,6 +8,7 @@
 from msgspec import Struct
 
 from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
+from hingesill_core.routing.availability import NO_REST, RequestedRest
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_node.datapath.headers import (
     LAYER_TAKEN,
@@ -16,6 +17,7 @@
     Names,
     read_limit,
     read_milliseconds,
+    read_rest,
 )
 from hingesill_node.datapath.refusals import build_refusal_answer
 
@@ -23,7 +25,6 @@
 
 REFUSED_STATUS = 503
 NOT_RUN = "not-run"
-LONGEST_RETRY_AFTER = 60
 
 
 class Signals(Struct, frozen=True):
@@ -37,8 +38,8 @@
         It says that it did not run the request.
     draining, cold : bool
         It says that it is leaving, or has just started.
-    retry_after : float
-        How long it wants to be left alone, in seconds.
+    rest : RequestedRest
+        For which it wants nothing more from this node.
     warm_in : float or None
         Seconds for which it is cold, 0 if it is warm; None if it did not tell.
     limit : NamedLimit or None
@@ -49,7 +50,7 @@
     not_run: bool = False
     draining: bool = False
     cold: bool = False
-    retry_after: float = 0.0
+    rest: RequestedRest = NO_REST
     warm_in: float | None = None
     limit: NamedLimit | None = NO_LIMIT
 
@@ -119,7 +120,7 @@
             not_run=not_run,
             draining=response.get(Names.DRAINING) == "1",
             cold=response.get(Names.COLD) == "1",
-            retry_after=parse_retry_after(response.get("Retry-After")),
+            rest=read_rest(response),
             limit=read_limit(response, Names.LIMIT),
         )
 
@@ -137,10 +138,3 @@
     if text is None or not text.isdigit() or len(text) > 6:
         return None
     return LoadReport(int(text), now, own_in_flight)
-
-
-def parse_retry_after(text):
-    """Return the seconds an endpoint asks for; 0 if it says nothing."""
-    if text is None or not text.isdigit():
-        return 0.0
-    return float(min(int(text), LONGEST_RETRY_AFTER))
--- a/packages/hingesill-node/hingesill_node/explanation.py
+++ b/packages/hingesill-node/hingesill_node/explanation.py
@@ -64,8 +64,8 @@
         return "it was ejected after failures"
     if not state.health.is_open():
         return "it awaits a trial"
-    if now < state.refused_until:
-        return "it refused a request just now"
+    if state.availability.is_resting(now):
+        return "it asked for a rest"
     if state.in_flight >= state.send_limit:
         return "this node's places there are taken"
     return ""
