An endpoint that says it is leaving gets nothing more, for all of its life

Why this works: it is noted from the head of each answer of the endpoint in its Availability, which outlives its entry. Where identities are those of lives it holds for good. An address that names no life is asked by a probe before the 30 s are over, and each answer that says so renews them. Idle connections to it are closed.

--- a/matrix/mutant.py
+++ b/matrix/mutant.py
@@ -82,6 +82,7 @@
 
     def has_place_anyway(self, ticket, now):
         self.draining_until = 0.0
+        self.availability.leaving_until = float("-inf")
         return has_place(self, ticket, now)
 
     EndpointState.has_place = has_place_anyway
--- a/packages/hingesill-core/hingesill_core/probing/planner.py
+++ b/packages/hingesill-core/hingesill_core/probing/planner.py
@@ -31,7 +31,11 @@
     best = None
     longest = UNHEARD_SECONDS
     for state in dispatcher.states.values():
-        if not takes_work(state, now) or state.in_flight:
+        if state.in_flight:
+            continue
+        if state.availability.is_leave_ending(now):
+            return state.identity
+        if not takes_work(state, now):
             continue
         if state.health.needs_trial(now):
             return state.identity
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -122,6 +122,8 @@
         When the question was sent; None if the reply is to no question.
     rest : RequestedRest
         For which the endpoint wants nothing more from this node.
+    leaving : bool
+        The endpoint said that it is leaving.
     """
 
     endpoint: str
@@ -133,6 +135,7 @@
     limit: NamedLimit | None = None
     sent_at: float | None = None
     rest: RequestedRest = NO_REST
+    leaving: bool = False
 
 
 def is_good_enough(report, stage, usable, most_slowness):
--- a/packages/hingesill-core/hingesill_core/routing/availability.py
+++ b/packages/hingesill-core/hingesill_core/routing/availability.py
@@ -8,9 +8,9 @@
 __all__ = [
     "Availability",
     "AvailabilityBook",
+    "AvailabilityChange",
     "LONGEST_REST",
     "NO_REST",
-    "RestBegun",
     "RequestedRest",
     "UNREADABLE_REST",
 ]
@@ -19,6 +19,12 @@
 LONGEST_REST = 600.0
 # Seconds; taken where an endpoint asks for a rest whose length can't be read.
 UNREADABLE_SECONDS = 1.0
+# Seconds for which an address that names no life is taken to be leaving.
+LEAVE_HOLDS = 30.0
+# Seconds before the end of that time from which on the endpoint may be asked again.
+LEAVE_RENEWAL = 10.0
+# Seconds for which a life that said that it is leaving is remembered.
+REMEMBERED_SECONDS = 3600.0
 # Endpoints that are gone from the directory; bounds memory.
 MOST_REMEMBERED = 65_536
 # Seconds between two clean-ups.
@@ -44,23 +50,23 @@
 UNREADABLE_REST = RequestedRest(UNREADABLE_SECONDS, is_readable=False)
 
 
-class RestBegun(Struct, frozen=True):
-    """A rest of an endpoint that begins.
+class AvailabilityChange(Struct, frozen=True):
+    """A rest that begins, or an endpoint's first word that it is leaving.
 
     Parameters
     ----------
     service, endpoint : str
         The service, and the endpoint's identity.
     born : int
-        The life that asks for it.
-    seconds : float
-        How long it is, as far as asked for.
+        The life that said so.
+    rest : float or None
+        Seconds of the rest; None if the endpoint is leaving.
     """
 
     service: str
     endpoint: str
     born: int
-    seconds: float
+    rest: float | None
 
 
 class Availability(Struct, eq=False, weakref=True):
@@ -70,9 +76,16 @@
     ----------
     resting_until : float
         It asked to be left alone until then, in seconds of the node's clock.
+    leaving_until, told_at : float
+        Until when it is taken to be leaving, and when it last said so.
+    names_life : bool
+        Its identity is that of one life, which does not come back once it has left.
     """
 
     resting_until: float = -inf
+    leaving_until: float = -inf
+    told_at: float = -inf
+    names_life: bool = False
 
     def note_rest(self, seconds, now):
         """Take a rest that the endpoint asks for; the longest end stands.
@@ -94,13 +107,32 @@
         self.resting_until = max(self.resting_until, until)
         return begins and self.is_resting(now)
 
+    def note_leaving(self, now):
+        """Take that the endpoint is leaving; tell whether that is news."""
+        is_news = not self.is_leaving(now)
+        self.told_at = now
+        self.leaving_until = inf if self.names_life else now + LEAVE_HOLDS
+        return is_news
+
+    def is_leaving(self, now):
+        """Tell whether the endpoint said that it is leaving."""
+        return now < self.leaving_until
+
+    def is_leave_ending(self, now):
+        """Tell whether it has to be asked soon whether it is still leaving."""
+        return self.is_leaving(now) and self.leaving_until - now < LEAVE_RENEWAL
+
     def is_resting(self, now):
         """Tell whether the endpoint wants nothing from this node."""
         return now < self.resting_until
 
     def takes_requests(self, now):
         """Tell whether a request may be sent there."""
-        return now >= self.resting_until
+        return now >= self.resting_until and now >= self.leaving_until
+
+    def is_worth_keeping(self, now):
+        """Tell whether it may still say something on a life that comes back."""
+        return self.is_resting(now) or now - self.told_at < REMEMBERED_SECONDS
 
 
 class AvailabilityBook:
@@ -109,7 +141,12 @@
     Parameters
     ----------
     observe : callable
-        Called with each RestBegun.
+        Called with each AvailabilityChange.
+
+    Attributes
+    ----------
+    names_lives : bool
+        Identities are no addresses, which other endpoints may have later.
 
     Notes
     -----
@@ -119,16 +156,25 @@
 
     def __init__(self, observe=lambda change: None):
         self.observe = observe
+        self.names_lives = False
         self._known = WeakValueDictionary()
         self._remembered = {}
         self._clean_up_at = -inf
 
     def get(self, identity, born):
-        """Return the Availability of a life, made on first use."""
+        """Return the Availability of a life, made on first use.
+
+        Parameters
+        ----------
+        identity : str
+            The endpoint's.
+        born : int
+            Its life.
+        """
         key = (identity, born)
         availability = self._known.get(key)
         if availability is None:
-            availability = self._known[key] = Availability()
+            availability = self._known[key] = Availability(names_life=self.names_lives)
         return availability
 
     def note_rest(self, service, identity, born, rest, now):
@@ -150,7 +196,14 @@
         availability = self.get(identity, born)
         self._remember((identity, born), availability, now)
         if availability.note_rest(rest.seconds, now):
-            self.observe(RestBegun(service, identity, born, rest.seconds))
+            self.observe(AvailabilityChange(service, identity, born, rest.seconds))
+
+    def note_leaving(self, service, identity, born, now):
+        """Take that a life said in an answer that it is leaving."""
+        availability = self.get(identity, born)
+        self._remember((identity, born), availability, now)
+        if availability.note_leaving(now):
+            self.observe(AvailabilityChange(service, identity, born, None))
 
     def _remember(self, key, availability, now):
         """Keep what a life said though nothing else refers to it."""
@@ -159,7 +212,7 @@
             self._remembered = {
                 key: held
                 for key, held in self._remembered.items()
-                if not held.takes_requests(now)
+                if held.is_worth_keeping(now)
             }
         if len(self._remembered) < MOST_REMEMBERED:
             self._remembered[key] = availability
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -89,6 +89,8 @@
         self.hedging.budget.set_share(service.sends.hedge_share, bursts.hedges)
         self.retries.set_share(service.sends.retry_share, bursts.retries)
         self.binding.configure(service, fleet)
+        if any(endpoint.instance for endpoint in service.endpoints):
+            self.availabilities.names_lives = True
         self.states = {
             endpoint.identity: self._build_state(endpoint)
             for endpoint in service.endpoints
@@ -140,10 +142,26 @@
         if named is not None:
             self.limits.note(send.endpoint, send.born, named, send.started, now)
 
-    def note_rest(self, identity, born, rest, now):
-        """Take what an answer of an endpoint's life says on the rest that it wants."""
+    def note_availability(self, identity, born, rest, leaving, now):
+        """Take what an answer says on further requests, when its head is read.
+
+        Parameters
+        ----------
+        identity : str
+            The endpoint's.
+        born : int
+            The life that answered.
+        rest : RequestedRest
+            That it asks for.
+        leaving : bool
+            It says that it is leaving.
+        now : float
+            The time.
+        """
         name = self.service.name
         self.availabilities.note_rest(name, identity, born, rest, now)
+        if leaving:
+            self.availabilities.note_leaving(name, identity, born, now)
 
     def get_pace(self, route):
         """Return how long the answers of a route take."""
@@ -377,7 +395,7 @@
         if result.limit is not None:
             limit = result.limit
             self.limits.note(endpoint, state.born, limit, now, now, is_health=True)
-        self.note_rest(endpoint, state.born, result.rest, now)
+        self.note_availability(endpoint, state.born, result.rest, result.leaving, now)
         if state.health.needs_trial(now):
             state.health.on_trial = True
         if state.health.note(result.end, now, self._may_eject(now)) or result.cold:
--- a/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
+++ b/packages/hingesill-core/hingesill_core/routing/endpoint_state.py
@@ -31,7 +31,6 @@
 FAULT_PENALTY = 10.0
 # Pause after a refusal, in seconds.
 REFUSED_PAUSE = 0.01
-DRAIN_SIGN_HOLDS = 30.0
 WAIT_FOR_REPEATABLE = 5.0
 FAILED_ASKS = 2
 LONGEST_UNREACHED = 1.0
@@ -105,7 +104,7 @@
     availability : Availability
         What this life of the endpoint said on new requests.
     draining_until : float
-        The endpoint is leaving; the sign holds until then.
+        Until when it is leaving by the word of others.
     suspicion, suspected_at : float
         What other nodes told of overdue answers, and when it was reckoned.
     asked_at : float
@@ -213,8 +212,6 @@
             self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
         elif result.end is SendEnd.REFUSED:
             self.availability.note_rest(REFUSED_PAUSE, now)
-        if result.draining:
-            self.draining_until = now + DRAIN_SIGN_HOLDS
 
     def has_place(self, ticket, now):
         """Tell whether a request may be sent there now.
@@ -224,7 +221,7 @@
         A trial after an ejection is a repeatable request if it can be one. A
         deferrable request leaves the last slot to live ones.
         """
-        if len(self.sent) >= self.send_limit or now < self.draining_until:
+        if len(self.sent) >= self.send_limit or self.is_draining(now):
             return False
         if not self.availability.takes_requests(now):
             return False
@@ -362,4 +359,4 @@
 
     def is_draining(self, now):
         """Tell whether the endpoint takes no new work."""
-        return now < self.draining_until
+        return now < self.draining_until or self.availability.is_leaving(now)
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -234,10 +234,16 @@
         would not do, as those that are slow stay free and are asked most.
         """
         state = self.dispatcher.states.get(reply.endpoint)
-        if state is None or reply.born not in (None, state.born):
+        born = reply.born
+        if born is None and state is not None:
+            born = state.born
+        if born is not None:
+            self.dispatcher.note_availability(
+                reply.endpoint, born, reply.rest, reply.leaving, now
+            )
+        if state is None or born != state.born:
             return None
         state.reach.note(reply.end, now, may_eject=True)
-        self.dispatcher.note_rest(reply.endpoint, state.born, reply.rest, now)
         if reply.end is SendEnd.ANSWERED:
             if reply.is_ill is not None:
                 self.ill_words.note(reply.is_ill)
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -138,7 +138,7 @@
         How it ended.
     report : LoadReport or None
         The endpoint's word on its load, if one came.
-    draining : bool
+    leaving : bool
         The endpoint said that it is leaving.
     cold : bool
         The endpoint said that it has just started.
@@ -150,7 +150,7 @@
 
     end: SendEnd
     report: LoadReport | None = None
-    draining: bool = False
+    leaving: bool = False
     cold: bool = False
     rest: RequestedRest = NO_REST
     limit: NamedLimit | None = None
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_availability.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_availability.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from msgspec.structs import replace
+
 from hingesill_core.reasons import Outcome
 from hingesill_core.routing.availability import (
     LONGEST_REST,
@@ -44,6 +46,23 @@
         self.assertTrue(self.availability.takes_requests(LONGEST_REST))
 
 
+class LeavingTests(unittest.TestCase):
+    def test_a_life_that_said_so_gets_nothing_any_more(self):
+        availability = Availability(names_life=True)
+        self.assertTrue(availability.note_leaving(10.0))
+        self.assertFalse(availability.note_leaving(11.0))
+        self.assertFalse(availability.takes_requests(1e9))
+
+    def test_an_address_that_names_no_life_is_tried_again(self):
+        availability = Availability()
+        availability.note_leaving(10.0)
+        availability.note_leaving(20.0)
+        self.assertFalse(availability.is_leave_ending(39.0))
+        self.assertTrue(availability.is_leave_ending(41.0))
+        self.assertFalse(availability.takes_requests(49.0))
+        self.assertTrue(availability.takes_requests(50.0))
+
+
 class BookTests(unittest.TestCase):
     def setUp(self):
         self.begun = []
@@ -60,6 +79,13 @@
         self.note(3.0, 10.0, born=1)
         self.assertTrue(self.book.get("i0", 2).takes_requests(10.0))
 
+    def test_a_life_that_comes_back_is_still_leaving(self):
+        self.book.names_lives = True
+        self.book.note_leaving("arena", "i0", 1, 10.0)
+        self.note(3.0, 500.0)
+        self.assertFalse(self.book.get("i0", 1).takes_requests(600.0))
+        self.assertTrue(self.book.get("i0", 2).takes_requests(600.0))
+
     def test_a_rest_is_told_once(self):
         self.book.note_rest("arena", "i0", 0, NO_REST, 9.0)
         for now in (10.0, 11.0, 14.5):
@@ -80,7 +106,7 @@
         self.state = self.dispatcher.states["i0"]
 
     def rest(self, now=0.0, rest=RequestedRest(3.0)):
-        self.dispatcher.note_rest("i0", 0, rest, now)
+        self.dispatcher.note_availability("i0", 0, rest, False, now)
 
     def settle(self, end):
         ticket = Ticket(ROUTE, 0.0, 2.0)
@@ -135,3 +161,22 @@
         self.dispatcher.retries.tokens = 0.0
         refusal, _ = self.dispatcher.retry(ticket, SendEnd.REFUSED, 0.0)
         self.assertIs(refusal.outcome, Outcome.NOT_RUN)
+
+    def test_neither_the_store_nor_another_node_takes_back_that_it_is_leaving(self):
+        self.dispatcher.note_availability("i0", 0, NO_REST, True, 0.0)
+        self.dispatcher.mark_draining("i0", 0.0)
+        self.dispatcher.configure(build_service(0), FLEET)
+        self.dispatcher.configure(build_service(2), FLEET)
+        state = self.dispatcher.states["i0"]
+        self.assertTrue(state.is_draining(100.0))
+        self.assertFalse(state.has_place(Ticket(ROUTE, 100.0, 109.0), 100.0))
+
+    def test_an_answer_to_a_question_says_so_as_well(self):
+        leaving = replace(reply("i0", 0), leaving=True, born=0)
+        self.dispatcher.submit(Ticket(ROUTE, 0.0, 2.0), 0.0)
+        self.assertIsNone(self.dispatcher.binding.take(leaving, 0.1))
+        self.assertTrue(self.state.is_draining(100.0))
+
+    def test_a_reply_without_a_life_is_of_the_one_that_is_there(self):
+        self.dispatcher.binding.take(replace(reply("i0", 0), leaving=True), 0.1)
+        self.assertTrue(self.state.is_draining(100.0))
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -170,6 +170,7 @@
             is_ill,
             limit=signals.limit,
             rest=signals.rest,
+            leaving=signals.leaving,
             sent_at=sent_at,
         )
         return reply, response if response.can_keep else None
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -13,6 +13,7 @@
     "HOP_BY_HOP",
     "Names",
     "filter_headers",
+    "read_flag",
     "read_limit",
     "read_milliseconds",
     "read_rest",
@@ -70,6 +71,8 @@
 )
 LARGEST_MILLISECONDS = 86_400_000
 MOST_DIGITS = 9
+# Value of a header that is set.
+SET = "1"
 # Stands in refusals of both dialects.
 RETRY_AFTER = "Retry-After"
 # Only answers with this status ask for a rest: others speak of the caller.
@@ -108,6 +111,14 @@
             yield name, value
 
 
+def read_flag(response, name):
+    """Tell whether a header of an answer is set, by one of its values at least."""
+    if response.get(name) is None:
+        return False
+    parts = ",".join(response.get_all(name)).split(",")
+    return any(part.strip() == SET for part in parts)
+
+
 def read_limit(response, name):
     """Return the NamedLimit of an answer's head.
 
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -136,8 +136,6 @@
         if state is not None and state.health.is_open() != was_open:
             event = Event.ENDPOINT_EJECTED if was_open else Event.ENDPOINT_BACK
             log_event(event, endpoint=send.endpoint)
-        if result.draining:
-            self.announce.tell_drain(send.endpoint)
         if result.report is not None and self.room is not None and state is not None:
             self.room.offer(send.endpoint, result.report)
         if self.held:
@@ -160,7 +158,18 @@
         if not rest.is_readable:
             self._complain(Event.REST_INVALID, send.endpoint, now)
         self.dispatcher.note_limit(send, limit, now)
-        self.dispatcher.note_rest(send.endpoint, send.born, rest, now)
+        self.dispatcher.note_availability(
+            send.endpoint, send.born, rest, result.leaving, now
+        )
+        if result.leaving:
+            self.announce.tell_drain(send.endpoint)
+            self._close_idle(send)
+
+    def _close_idle(self, send):
+        """Close idle connections to a life that is leaving."""
+        pool = self.pools.get(send.endpoint)
+        if pool is not None and pool.born == send.born:
+            pool.close_idle()
 
     def _complain(self, event, endpoint, now):
         """Write a line for a header that can't be read, unless there was one lately."""
--- a/packages/hingesill-node/hingesill_node/datapath/runnertable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runnertable.py
@@ -15,14 +15,15 @@
 __all__ = ["RunnerTable"]
 
 
-def log_rest(rest):
-    """Write a line for an endpoint's rest that begins."""
+def log_availability(change):
+    """Write a line for a rest that begins, or an endpoint that is leaving."""
+    is_rest = change.rest is not None
     log_event(
-        Event.REST_BEGUN,
-        service=rest.service,
-        endpoint=rest.endpoint,
-        born=rest.born,
-        seconds=rest.seconds,
+        Event.REST_BEGUN if is_rest else Event.ENDPOINT_LEAVING,
+        service=change.service,
+        endpoint=change.endpoint,
+        born=change.born,
+        seconds=change.rest,
     )
 
 
@@ -49,7 +50,7 @@
         self.curves = SlotCurves()
         self.guard = RequestGuard()
         self.limits = FleetLimits(rng, log_limit, self._is_declared)
-        self.availabilities = AvailabilityBook(log_rest)
+        self.availabilities = AvailabilityBook(log_availability)
         self._wire = None
         self._counters = None
         blackboard.watch("configuration", self.refresh)
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -132,7 +132,7 @@
     return SendResult(
         classify_answer(response.status, signals),
         signals.report,
-        draining=signals.draining,
+        leaving=signals.leaving,
         cold=signals.cold,
         rest=signals.rest,
         limit=signals.limit,
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -15,6 +15,7 @@
     OWN_OF_ENDPOINT,
     SET_BY_NODE,
     Names,
+    read_flag,
     read_limit,
     read_milliseconds,
     read_rest,
@@ -36,7 +37,7 @@
         Its load.
     not_run : bool
         It says that it did not run the request.
-    draining, cold : bool
+    leaving, cold : bool
         It says that it is leaving, or has just started.
     rest : RequestedRest
         For which it wants nothing more from this node.
@@ -48,7 +49,7 @@
 
     report: LoadReport | None = None
     not_run: bool = False
-    draining: bool = False
+    leaving: bool = False
     cold: bool = False
     rest: RequestedRest = NO_REST
     warm_in: float | None = None
@@ -118,7 +119,7 @@
         return Signals(
             report=parse_report(response.get(Names.RUNNING), now, own_in_flight),
             not_run=not_run,
-            draining=response.get(Names.DRAINING) == "1",
+            leaving=read_flag(response, Names.DRAINING),
             cold=response.get(Names.COLD) == "1",
             rest=read_rest(response),
             limit=read_limit(response, Names.LIMIT),
