Callers are refused at once while no endpoint takes requests

What callers saw, with all ten endpoints of a service at rest, or leaving: each waited 0.36 to 0.38 s for an endpoint that could not come, and was refused then, with a Retry-After that knew nothing of the rests. Cause: only a service without any endpoint counted as one that takes nothing.

Why this works: one question, when does an endpoint take a route's requests again, is asked of a request that comes, waits, is held or is to be sent again. If that is more than 20 ms away, the request is refused with the end of the first rest, spread over half a second, as the callers of all nodes are told the same end. A send that all other endpoints have been tried for is refused at once as well: it waited in vain before.

--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -24,6 +24,7 @@
     NO_CONFIGURATION = "no-configuration"
     NO_ENDPOINT = "no-endpoint"
     ENDPOINTS_LIMITED = "endpoints-limited"
+    ENDPOINTS_RESTING = "endpoints-resting"
     QUARANTINED = "quarantined"
     BAD_FRAMING = "bad-framing"
     BAD_HEADER = "bad-header"
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -15,6 +15,7 @@
 from hingesill_core.routing.latebinding import LateBinding
 from hingesill_core.routing.limitedrequests import LimitedRequests
 from hingesill_core.routing.messages import Hold, Refusal, Send, SendEnd
+from hingesill_core.routing.openings import Openings
 from hingesill_core.routing.policies import POLICIES
 from hingesill_core.routing.retrying import Retrying
 from hingesill_core.routing.selection import takes_work
@@ -67,6 +68,7 @@
         self.hedging = Hedging(self, service.sends.hedge_share)
         self.retries = TokenBudget(service.sends.retry_share)
         self.retrying = Retrying(self)
+        self.openings = Openings(self)
         self.limits = limits or ServiceLimits(service.name, rng)
         self.limits.usable = self._takes_work
         self.limited_requests = LimitedRequests(self)
@@ -204,6 +206,9 @@
         """Return Hold if a request can wait and still be in time, else its Refusal."""
         if not self.has_takers(ticket.route, now):
             return self.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
+        refusal = self.openings.find_refusal(ticket, now)
+        if refusal is not None:
+            return refusal
         if self.limits.limited and self.limited_requests.is_surplus(ticket, now):
             return self.refuse(ticket, RefusalReason.ENDPOINTS_LIMITED, now)
         ahead = self.queue.count_ahead(ticket)
@@ -231,10 +236,13 @@
         if reason is RefusalReason.ENDPOINTS_LIMITED:
             wait = self.limits.asker.get_wait(now)
             return Refusal(reason, outcome, self.pace.suggest_return(wait, self.rng))
-        return Refusal(reason, outcome, self.suggest_return(now))
+        return Refusal(reason, outcome, self.suggest_return(ticket.route, now))
 
-    def suggest_return(self, now):
+    def suggest_return(self, route, now):
         """Return the seconds after which a caller finds room, as far as known."""
+        rest = self.openings.suggest_return(route, now)
+        if rest is not None:
+            return rest
         wait = self.binding.estimate_wait(now)
         if not wait:
             wait = self.pace.estimate_queue_time(len(self.queue), self.places)
@@ -303,13 +311,10 @@
         deferrable ones once a live one has taken their place.
         """
         for ticket in list(self.queue):
-            takers = self.has_takers(ticket.route, now)
-            latest = now + self.get_pace(ticket.route).quick
-            if latest > ticket.deadline or not takers:
+            refusal = self._find_final(ticket, now)
+            if refusal is not None:
                 self.queue.remove(ticket)
-                late = RefusalReason.DEADLINE_UNREACHABLE
-                reason = late if takers else RefusalReason.NO_ENDPOINT
-                yield ticket, self.refuse(ticket, reason, now)
+                yield ticket, refusal
         if self.limits.limited:
             waiting = [(ticket, ticket.deadline) for ticket in self.queue]
             for ticket in self.limited_requests.list_surplus(waiting, now):
@@ -320,6 +325,14 @@
             ticket = self._displaced.pop()
             yield ticket, self.refuse(ticket, RefusalReason.DISPLACED, now)
 
+    def _find_final(self, ticket, now):
+        """Return the Refusal of a held request that cannot be served, or None."""
+        if not self.has_takers(ticket.route, now):
+            return self.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
+        if now + self.get_pace(ticket.route).quick > ticket.deadline:
+            return self.refuse(ticket, RefusalReason.DEADLINE_UNREACHABLE, now)
+        return self.openings.find_refusal(ticket, now)
+
     def abandon(self, ticket):
         """Forget a held request whose caller is gone."""
         self.queue.remove(ticket)
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -69,8 +69,9 @@
         """
         if not self.has_reports or self.budget.rate <= 0:
             return None
-        if not self._has_endpoint(ticket.route):
-            return self.dispatcher.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
+        refusal = self._find_opening_refusal(ticket, now)
+        if refusal is not None:
+            return refusal
         if len(self.waiting) >= self.dispatcher.service.queue_limit:
             return self.dispatcher.refuse(ticket, RefusalReason.QUEUE_FULL, now)
         if not self._count_waiting():
@@ -85,10 +86,6 @@
             self._choose(self.rules.at_once, now, (ticket.route,), is_first=True)
         )
 
-    def _has_endpoint(self, route):
-        """Tell whether there is any endpoint to which a route's requests may go."""
-        return any(state.is_home_of(route) for state in self.dispatcher.states.values())
-
     def _build_waiting(self, ticket, now):
         pace = self.dispatcher.get_pace(ticket.route)
         target = ticket.route.target or self.rules.default_target
@@ -279,14 +276,24 @@
             if not self.has_reports and not waiting.hedge:
                 self.waiting.pop(ticket)
                 yield ticket, self.dispatcher.dispatch_unasked(ticket, now)
-            elif not self._has_endpoint(ticket.route):
-                self.waiting.pop(ticket)
-                reason = RefusalReason.NO_ENDPOINT
-                yield ticket, self.dispatcher.refuse(ticket, reason, now)
-            elif now >= waiting.until:
+                continue
+            refusal = self._find_final(waiting, now)
+            if refusal is not None:
                 self.waiting.pop(ticket)
-                reason = RefusalReason.DEADLINE_UNREACHABLE
-                yield ticket, self.dispatcher.refuse(ticket, reason, now)
+                yield ticket, refusal
+
+    def _find_final(self, waiting, now):
+        """Return the Refusal of a request that waits in vain, or None."""
+        ticket = waiting.ticket
+        if now >= waiting.until:
+            reason = RefusalReason.DEADLINE_UNREACHABLE
+            return self.dispatcher.refuse(ticket, reason, now)
+        return self._find_opening_refusal(ticket, now)
+
+    def _find_opening_refusal(self, ticket, now):
+        """Return the Refusal of a request that no endpoint takes soon, or None."""
+        tried = ticket.tried if len(self.dispatcher.states) > 1 else ()
+        return self.dispatcher.openings.find_refusal(ticket, now, tried)
 
 
 def complete_report(report, state):
--- a/packages/hingesill-core/hingesill_core/routing/retrying.py
+++ b/packages/hingesill-core/hingesill_core/routing/retrying.py
@@ -52,9 +52,16 @@
         return decision, verdict
 
     def _give_up(self, ticket, end, now):
-        if end is SendEnd.REFUSED and not self._dispatcher.binding.waiting:
-            return classify_refusal(ticket, end, self._suggest_other_node())
-        return classify_refusal(ticket, end, self._dispatcher.suggest_return(now))
+        after = self._dispatcher.openings.suggest_return(ticket.route, now)
+        if after is None and self._is_by_chance(end):
+            after = self._suggest_other_node()
+        if after is None:
+            after = self._dispatcher.suggest_return(ticket.route, now)
+        return classify_refusal(ticket, end, after)
+
+    def _is_by_chance(self, end):
+        """Tell whether an endpoint refused a request though there is room."""
+        return end is SendEnd.REFUSED and not self._dispatcher.binding.waiting
 
     def _suggest_other_node(self):
         """Return when to come back after an endpoint refused though it was free.
