A request is not written to an endpoint that stopped taking requests meanwhile

What endpoints saw: requests and questions that waited for a connection, up to 0.25 s, were written though another answer had asked for a rest meanwhile, or had said that the endpoint is leaving, or the endpoint was another life by then. Cause: the question was asked when the endpoint was chosen, and not again.

Why this works: the connection is taken first, then the endpoint's state is asked once more, right before the head is written. A send that is withheld ends as not sent: it has not run, counts as no send, takes nothing of the budget of retries, and the request goes elsewhere.

--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -46,6 +46,7 @@
     """Why a request was sent once more, or why it was not."""
 
     CONNECT_FAILED = "connect-failed"
+    NOT_SENT = "not-sent"
     ENDPOINT_REFUSED = "endpoint-refused"
     ANSWER_LOST = "answer-lost"
     ENDPOINT_FAULT = "endpoint-fault"
--- a/packages/hingesill-core/hingesill_core/retries/decision.py
+++ b/packages/hingesill-core/hingesill_core/retries/decision.py
@@ -3,10 +3,11 @@
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.messages import Denied, Refusal, SendEnd
 
-__all__ = ["classify_refusal", "judge_retry", "mark_exposure"]
+__all__ = ["NOT_ARRIVED", "classify_refusal", "judge_retry", "mark_exposure"]
 
 RETRY_REASONS = {
     SendEnd.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+    SendEnd.NOT_SENT: RetryReason.NOT_SENT,
     SendEnd.REFUSED: RetryReason.ENDPOINT_REFUSED,
     SendEnd.LOST: RetryReason.ANSWER_LOST,
     SendEnd.LATE: RetryReason.ANSWER_LOST,
@@ -15,6 +16,7 @@
 
 REFUSAL_REASONS = {
     SendEnd.CONNECT_FAILED: RefusalReason.CONNECT_FAILED,
+    SendEnd.NOT_SENT: RefusalReason.NO_ENDPOINT,
     SendEnd.REFUSED: RefusalReason.ENDPOINT_REFUSED,
     SendEnd.LOST: RefusalReason.ANSWER_LOST,
     SendEnd.LATE: RefusalReason.ANSWER_LATE,
@@ -22,7 +24,9 @@
     SendEnd.CANCELLED: RefusalReason.CALLER_GONE,
 }
 
-CERTAINLY_NOT_RUN = frozenset({SendEnd.CONNECT_FAILED, SendEnd.REFUSED})
+# Ends after which nothing has reached the endpoint.
+NOT_ARRIVED = frozenset({SendEnd.CONNECT_FAILED, SendEnd.NOT_SENT})
+CERTAINLY_NOT_RUN = NOT_ARRIVED | {SendEnd.REFUSED}
 
 
 def mark_exposure(ticket, end):
@@ -53,7 +57,8 @@
     denial = find_denial(ticket, end, now, quick)
     if denial is not None:
         return Denied(denial)
-    if not budget.spend():
+    # Another endpoint gets what this one did not: that is no extra request.
+    if end is not SendEnd.NOT_SENT and not budget.spend():
         return Denied(RetryReason.DENIED_BUDGET)
     return RETRY_REASONS[end]
 
@@ -66,7 +71,7 @@
         return RetryReason.DENIED_NOT_REPEATABLE
     if not ticket.replayable:
         return RetryReason.DENIED_NOT_REPEATABLE
-    if not ticket.may_retry and end is not SendEnd.CONNECT_FAILED:
+    if not ticket.may_retry and end not in NOT_ARRIVED:
         return RetryReason.DENIED_LAYER
     if ticket.sends >= ticket.route.most_sends:
         return RetryReason.DENIED_BUDGET
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -7,7 +7,7 @@
 from hingesill_core.ratelimits.service import ServiceLimits
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.retries.budget import TokenBudget
-from hingesill_core.retries.decision import mark_exposure
+from hingesill_core.retries.decision import NOT_ARRIVED, mark_exposure
 from hingesill_core.routing.asking import ASKING_POLICY
 from hingesill_core.routing.availability import AvailabilityBook
 from hingesill_core.routing.endpoint_state import EndpointState, ServiceView
@@ -129,6 +129,11 @@
             return False
         return not state.health.is_ejected(now)
 
+    def may_write(self, send, now):
+        """Tell whether a send may still be written, once its connection is there."""
+        state = self.find_state(send)
+        return state is not None and takes_work(state, now)
+
     def note_limit(self, send, named, now):
         """Take what the head of a send's answer named as the endpoint's limit.
 
@@ -359,7 +364,7 @@
         self._learn_pace(send, result, seconds)
         if result.end is SendEnd.ANSWERED:
             self.binding.note_answer(send, seconds, now)
-        if result.end is SendEnd.CONNECT_FAILED:
+        if result.end in NOT_ARRIVED:
             send.ticket.sends -= 1
         # An endpoint that asks for a rest is not unhealthy.
         end = SendEnd.REFUSED if result.rest.seconds else result.end
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -9,7 +9,7 @@
 from hingesill_core.routing.illness import IllWords
 from hingesill_core.routing.limitedwaiting import LimitedWaiting
 from hingesill_core.routing.messages import SendEnd
-from hingesill_core.routing.selection import EndpointSelection, can_get_work
+from hingesill_core.routing.selection import EndpointSelection, can_get_work, takes_work
 from hingesill_core.routing.slotknowledge import SlotKnowledge
 from hingesill_core.routing.waiting import Waiting
 from hingesill_core.routing.warmup import WarmUpLimit
@@ -174,6 +174,11 @@
                 state.reach.on_trial = True
         return tuple(state.identity for state in chosen)
 
+    def may_ask(self, identity, born, now):
+        """Tell whether a question to an endpoint's life may still be written."""
+        state = self.dispatcher.states.get(identity)
+        return state is not None and state.born == born and takes_work(state, now)
+
     def take(self, reply, now):
         """Take a reply; return the Send that it is good for, or None."""
         state = self.note_reply(reply, now)
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -118,11 +118,17 @@
 
 
 class SendEnd(str, Enum):
-    """How a send ended."""
+    """How a send ended.
+
+    Notes
+    -----
+    ``NOT_SENT``: the endpoint stopped taking requests before this one was written.
+    """
 
     ANSWERED = "answered"
     FAULT = "fault"
     REFUSED = "refused"
+    NOT_SENT = "not-sent"
     CONNECT_FAILED = "connect-failed"
     LOST = "lost"
     LATE = "late"
--- a/packages/hingesill-core/hingesill_core/routing/retrying.py
+++ b/packages/hingesill-core/hingesill_core/routing/retrying.py
@@ -38,8 +38,7 @@
             return self._give_up(ticket, end, now), verdict.reason
         ask = self._dispatcher.begin_asking(ticket, now)
         if isinstance(ask, Refusal):
-            self._dispatcher.retries.give_back()
-            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
+            return self._find_no_endpoint(ticket, end, now)
         if ask is not None:
             return ask, verdict
         send = self._dispatcher.assign(ticket, now)
@@ -47,10 +46,15 @@
             return send, verdict
         decision = self._dispatcher.hold_or_refuse(ticket, now)
         if isinstance(decision, Refusal):
-            self._dispatcher.retries.give_back()
-            return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
+            return self._find_no_endpoint(ticket, end, now)
         return decision, verdict
 
+    def _find_no_endpoint(self, ticket, end, now):
+        """Return the Refusal of a request for which there is no other endpoint."""
+        if end is not SendEnd.NOT_SENT:
+            self._dispatcher.retries.give_back()
+        return self._give_up(ticket, end, now), RetryReason.DENIED_NO_ENDPOINT
+
     def _give_up(self, ticket, end, now):
         after = self._dispatcher.openings.suggest_return(ticket.route, now)
         if after is None and self._is_by_chance(end):
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -128,6 +128,9 @@
         response = None
         try:
             connection = pool.take()
+            if not self.binding.may_ask(endpoint, pool.born, self.runner.clock()):
+                pool.give_back(connection)
+                return
             reply, response = self._call(endpoint, connection)
         except PoolFull:
             self.counters.add("probes_left_out", self.runner.dispatcher.service.name)
--- a/packages/hingesill-node/hingesill_node/datapath/hedges.py
+++ b/packages/hingesill-node/hingesill_node/datapath/hedges.py
@@ -1,6 +1,6 @@
 """A second send that looks for its endpoint beside the first one."""
 
-from hingesill_core.routing.messages import Send
+from hingesill_core.routing.messages import Send, SendEnd
 
 __all__ = ["AskedHedge"]
 
@@ -31,12 +31,18 @@
         if not isinstance(found.decision, Send):
             runner.dispatcher.hedging.end(exchange.ticket)
         elif self.is_wanted and not runner.guard.is_suspect(exchange.request):
-            exchange.sends.start(found.decision, found.connection)
+            self._start(found)
         else:
             runner.give_back(found.decision, found.connection)
         if exchange.hedge is self:
             exchange.hedge = None
 
+    def _start(self, found):
+        """Send to the endpoint that was found."""
+        started = self.exchange.sends.start(found.decision, found.connection)
+        if started is SendEnd.NOT_SENT:
+            self.exchange.runner.dispatcher.hedging.end(self.exchange.ticket)
+
     def withdraw(self):
         """Send nothing any more."""
         self.is_wanted = False
--- a/packages/hingesill-node/hingesill_node/datapath/prober.py
+++ b/packages/hingesill-node/hingesill_node/datapath/prober.py
@@ -80,8 +80,8 @@
     def _send(self, name, runner, address, pace, connection):
         """Send and return what came, or None if the budget does not allow it.
 
-        The share and the pace are checked after the connection is open, right
-        before the request leaves.
+        The share, the pace and whether the endpoint asked for a rest are checked after
+        the connection is open, right before the request leaves.
         """
         service = runner.dispatcher.service
         connection.collect()
@@ -90,6 +90,9 @@
         connection.endheaders()
         share = self.blackboard.probe_share
         pacer = self._pacers[name]
+        state = runner.dispatcher.states.get(address)
+        if state is None or state.availability.is_resting(runner.clock()):
+            return None
         if share is None or not pacer.take(share, pace, read_boot_time()):
             return None
         connection.flush()
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -5,7 +5,7 @@
 from hingesill_node.datapath.connections import ConnectFailed
 from hingesill_node.datapath.messages import LiveSend
 from hingesill_node.datapath.story import StepKind, describe_end, describe_report
-from hingesill_node.datapath.transport import BodyFailed, send_request
+from hingesill_node.datapath.transport import BodyFailed, connect, send_request
 
 __all__ = ["RequestSends"]
 
@@ -82,6 +82,11 @@
         live.connection = proven
         self.lives.append(live)
         try:
+            connect(live)
+            if self._close_if_settled(live):
+                return live
+            if not self.runner.dispatcher.may_write(send, self.clock()):
+                return self.end(live, SendResult(SendEnd.NOT_SENT), keep=True)
             send_request(live, self.request, self.clock(), self.wire)
             self._close_if_settled(live)
             return live
@@ -94,10 +99,11 @@
             return self.end(live, SendResult(SendEnd.LOST))
 
     def _close_if_settled(self, live):
-        """Cancel a send that was settled while its connection came about."""
+        """Cancel a send that was settled meanwhile; tell whether it was."""
         if live.settled and live.connection is not None:
             live.pool.discard(live.connection)
             live.connection = None
+        return live.settled
 
     def _describe_evidence(self, send):
         """Return the report that a send went by, with its age."""
@@ -125,7 +131,8 @@
         connection, live.connection = live.connection, None
         if connection is not None:
             if keep:
-                live.pool.give_back(connection, live.response.idle_seconds)
+                idle = live.response.idle_seconds if live.response else None
+                live.pool.give_back(connection, idle)
             else:
                 live.pool.discard(connection)
         self.runner.settle(live.send, result)
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -3,7 +3,7 @@
 from hingesill_core.routing.messages import SendEnd, SendResult
 from hingesill_node.datapath.waits import WaitTimeout
 
-__all__ = ["BodyFailed", "TRANSPORT_ERRORS", "read_result", "send_request"]
+__all__ = ["BodyFailed", "TRANSPORT_ERRORS", "connect", "read_result", "send_request"]
 
 CHUNK_BYTES = 64 * 1024
 WRITE_SECONDS = 10.0
@@ -16,13 +16,25 @@
     """The caller's body ended early or grew too large while it was passed on."""
 
 
+def connect(live):
+    """Give a send one of its pool's connections, unless it has one.
+
+    Raises
+    ------
+    ConnectFailed
+        None came about.
+    """
+    if live.connection is None:
+        live.connection = live.pool.take()
+
+
 def send_request(live, request, now, wire):
-    """Send a request on the connection it has, or one of the endpoint's pool.
+    """Send a request on its connection.
 
     Parameters
     ----------
     live : LiveSend
-        Gets the connection.
+        Has the connection.
     request : CallerRequest
         What to send.
     now : float
@@ -32,16 +44,12 @@
 
     Raises
     ------
-    ConnectFailed
-        Nothing was sent.
     OSError
         The endpoint may have got part of it.
     BodyFailed
         The caller's side failed.
     """
     connection = live.connection
-    if connection is None:
-        connection = live.connection = live.pool.take()
     connection.set_time_limit(WRITE_SECONDS)
     connection.collect()
     write_head(connection, request, now, live.send.endpoint, wire)
