--- a/matrix/faults.py
+++ b/matrix/faults.py
@@ -76,6 +76,8 @@
 register_endpoint_fault("all limited", True, limit=1)
 register_endpoint_fault("endpoint sheds", shed_above=-1)
 register_endpoint_fault("all shed", True, shed_above=-1)
+register_endpoint_fault("endpoint asks for rests", shed_above=-1, rest_s=0.5)
+register_endpoint_fault("all ask for rests", True, shed_above=-1, rest_s=0.5)
 
 
 @FAULTS.register("none")
--- a/packages/hingesill-cli/hingesill_cli/breakdown.py
+++ b/packages/hingesill-cli/hingesill_cli/breakdown.py
@@ -13,7 +13,7 @@
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
 # "12ms sent i-1 3/6 x1 0ms old": when, what, the endpoint and its taken slots.
 SEND = re.compile(r"(\d+)ms (sent|hedged) (\S+)(?: (\d+)/\d+)?")
-NOBODY_ASKED = re.compile(r"\d+ms asked$")
+NOBODY_ASKED = re.compile(r"\d+ms asked(?: \(\d+ resting\))?$")
 HEAD = (
     "from      service       requests  wait ms 50/90  endpoint ms 50/90  all ms 50/99"
     "  hedged  sent again  asked nobody  taken slots at the send, refusals"
--- a/packages/hingesill-core/hingesill_core/routing/availability.py
+++ b/packages/hingesill-core/hingesill_core/routing/availability.py
@@ -61,12 +61,15 @@
         The life that said so.
     rest : float or None
         Seconds of the rest; None if the endpoint is leaving.
+    availability : Availability
+        Of that life, as it goes on.
     """
 
     service: str
     endpoint: str
     born: int
     rest: float | None
+    availability: object
 
 
 class Availability(Struct, eq=False, weakref=True):
@@ -196,14 +199,32 @@
         availability = self.get(identity, born)
         self._remember((identity, born), availability, now)
         if availability.note_rest(rest.seconds, now):
-            self.observe(AvailabilityChange(service, identity, born, rest.seconds))
+            self._tell(service, identity, born, rest.seconds)
 
     def note_leaving(self, service, identity, born, now):
         """Take that a life said in an answer that it is leaving."""
         availability = self.get(identity, born)
         self._remember((identity, born), availability, now)
         if availability.note_leaving(now):
-            self.observe(AvailabilityChange(service, identity, born, None))
+            self._tell(service, identity, born, None)
+
+    def _tell(self, service, identity, born, rest):
+        availability = self.get(identity, born)
+        change = AvailabilityChange(service, identity, born, rest, availability)
+        self.observe(change)
+
+    @property
+    def has_words(self):
+        """Whether any life said something lately."""
+        return bool(self._remembered)
+
+    def count_resting(self, now):
+        """Return how many lives want nothing from this node now."""
+        return sum(held.is_resting(now) for held in self._remembered.values())
+
+    def count_leaving(self, now):
+        """Return how many lives are leaving by their own word."""
+        return sum(held.is_leaving(now) for held in self._remembered.values())
 
     def _remember(self, key, availability, now):
         """Keep what a life said though nothing else refers to it."""
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -129,6 +129,12 @@
             return False
         return not state.health.is_ejected(now)
 
+    def count_resting(self, now):
+        """Return how many of the endpoints asked for a rest that lasts."""
+        if not self.availabilities.has_words:
+            return 0
+        return sum(s.availability.is_resting(now) for s in self.states.values())
+
     def may_write(self, send, now):
         """Tell whether a send may still be written, once its connection is there."""
         state = self.find_state(send)
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -113,7 +113,9 @@
 
     def _wait_for_reply(self, ask):
         """Wait until an endpoint's reply will do; return what to do then."""
-        self._tell(StepKind.ASKED, ",".join(ask.endpoints))
+        resting = self.runner.dispatcher.count_resting(self.clock())
+        passed_by = f"({resting} resting)" if resting else ""
+        self._tell(StepKind.ASKED, ",".join(ask.endpoints), passed_by)
         found = self.runner.get_room(self.wire, self.counters).wait(self.request, ask)
         self.proven = found.connection
         return found.decision
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -2,6 +2,8 @@
 
 import re
 
+from msgspec import Struct
+
 from hingesill_core.ratelimits.words import NO_LIMIT, UNREADABLE_LIMIT, NamedLimit
 from hingesill_core.routing.availability import (
     NO_REST,
@@ -10,8 +12,10 @@
 )
 
 __all__ = [
+    "EndpointHeaders",
     "HOP_BY_HOP",
     "Names",
+    "RETRY_AFTER",
     "filter_headers",
     "read_flag",
     "read_limit",
@@ -20,6 +24,32 @@
 ]
 
 
+class EndpointHeaders(Struct, frozen=True):
+    """The names of the headers by which endpoints of a dialect speak of themselves.
+
+    Notes
+    -----
+    Each dialect has all of them, and a test holds each to be read.
+
+    Parameters
+    ----------
+    load, warmth : str
+        How busy it is, and how cold.
+    limit : str
+        Requests a second that it takes from all nodes.
+    rest : str
+        Seconds for which it wants nothing more from this node.
+    leaving : str
+        It ends soon.
+    """
+
+    load: str
+    warmth: str
+    limit: str
+    rest: str
+    leaving: str
+
+
 class Names:
     """The headers that hingesill reads and writes."""
 
@@ -143,22 +173,24 @@
     return NamedLimit(limit) if limit < LARGEST_LIMIT else NO_LIMIT
 
 
-def read_rest(response):
+def read_rest(response, name):
     """Return the RequestedRest of an answer's head.
 
     Parameters
     ----------
     response : EndpointResponse
         Its headers are there.
+    name : str
+        Of the header.
 
     Notes
     -----
     Seconds, with fractions. Of several values the largest counts; where none can be
     read, a date among them, the endpoint is left alone for a second.
     """
-    if response.status != RESTING_STATUS or response.get(RETRY_AFTER) is None:
+    if response.status != RESTING_STATUS or response.get(name) is None:
         return NO_REST
-    readable = read_numbers(response, RETRY_AFTER)
+    readable = read_numbers(response, name)
     return RequestedRest(max(readable)) if readable else UNREADABLE_REST
 
 
--- a/packages/hingesill-node/hingesill_node/datapath/runnertable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runnertable.py
@@ -8,25 +8,13 @@
 from hingesill_core.routing.curves import SlotCurves, pool_profiles
 from hingesill_core.routing.profile import Profile
 from hingesill_node.crashes.requestguard import RequestGuard
+from hingesill_node.datapath.availabilitylog import AvailabilityLog
 from hingesill_node.datapath.runner import ServiceRunner
 from hingesill_node.ratelimits.exchange import log_limit
-from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["RunnerTable"]
 
 
-def log_availability(change):
-    """Write a line for a rest that begins, or an endpoint that is leaving."""
-    is_rest = change.rest is not None
-    log_event(
-        Event.REST_BEGUN if is_rest else Event.ENDPOINT_LEAVING,
-        service=change.service,
-        endpoint=change.endpoint,
-        born=change.born,
-        seconds=change.rest,
-    )
-
-
 class RunnerTable:
     """The runners of all services that were asked for, made on first use.
 
@@ -50,7 +38,8 @@
         self.curves = SlotCurves()
         self.guard = RequestGuard()
         self.limits = FleetLimits(rng, log_limit, self._is_declared)
-        self.availabilities = AvailabilityBook(log_availability)
+        self.availability_log = AvailabilityLog(clock)
+        self.availabilities = AvailabilityBook(self.availability_log.note)
         self._wire = None
         self._counters = None
         blackboard.watch("configuration", self.refresh)
@@ -89,6 +78,7 @@
         """Let services ask endpoints though no request has come for them yet."""
         self._wire = wire
         self._counters = counters
+        self.availability_log.counters = counters
 
     def look_at(self, name, endpoints):
         """Ask some endpoints of a service for their load, on behalf of no request."""
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_headers.py
@@ -2,9 +2,36 @@
 
 import unittest
 
+from msgspec.structs import asdict
+
 from hingesill_core.routing.availability import NO_REST, UNREADABLE_REST
-from hingesill_node.datapath.headers import read_rest
+from hingesill_node.datapath.headers import RETRY_AFTER, read_rest
 from hingesill_node.datapath.responses import EndpointResponse
+from hingesill_node.datapath.wire import OwnFormat
+
+# A value of each header by which an endpoint speaks of itself, in own dialect.
+VALUES = {"load": "2", "warmth": "1", "limit": "3", "rest": "3", "leaving": "1"}
+
+
+def read_head(wire, **headers):
+    """Return the Signals of a refusal with some headers, by their names here."""
+    response = EndpointResponse(None, "GET")
+    response.status = 503
+    names = asdict(wire.endpoint_headers)
+    response.headers = [(names[name], value) for name, value in headers.items()]
+    return wire.read_signals(response, 0.0, 0)
+
+
+def list_unread(wire, values):
+    """Return the headers of endpoints that a dialect names and does not read."""
+    silent = read_head(wire)
+    names = asdict(wire.endpoint_headers)
+    return [name for name in names if read_head(wire, **{name: values[name]}) == silent]
+
+
+class EndpointHeadersTests(unittest.TestCase):
+    def test_each_header_of_endpoints_is_read(self):
+        self.assertEqual(list_unread(OwnFormat(), VALUES), [])
 
 
 class RestTests(unittest.TestCase):
@@ -12,7 +39,7 @@
         response = EndpointResponse(None, "GET")
         response.status = status
         response.headers = [("retry-after", value) for value in values]
-        return read_rest(response)
+        return read_rest(response, RETRY_AFTER)
 
     def test_seconds_and_fractions(self):
         for value, seconds in (("3", 3.0), ("0.25", 0.25), (" 2.5 ", 2.5), ("0", 0.0)):
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -13,7 +13,9 @@
 from hingesill_node.datapath.headers import (
     LAYER_TAKEN,
     OWN_OF_ENDPOINT,
+    RETRY_AFTER,
     SET_BY_NODE,
+    EndpointHeaders,
     Names,
     read_flag,
     read_limit,
@@ -61,6 +63,13 @@
 
     request_drops = SET_BY_NODE
     answer_drops = OWN_OF_ENDPOINT
+    endpoint_headers = EndpointHeaders(
+        load=Names.RUNNING,
+        warmth=Names.COLD,
+        limit=Names.LIMIT,
+        rest=RETRY_AFTER,
+        leaving=Names.DRAINING,
+    )
     layer_environ = "HTTP_HINGESILL_RETRIES"
 
     def read_request_id(self, environ):
@@ -116,13 +125,14 @@
         not_run = (
             response.status == REFUSED_STATUS and response.get(Names.OUTCOME) == NOT_RUN
         )
+        names = self.endpoint_headers
         return Signals(
-            report=parse_report(response.get(Names.RUNNING), now, own_in_flight),
+            report=parse_report(response.get(names.load), now, own_in_flight),
             not_run=not_run,
-            leaving=read_flag(response, Names.DRAINING),
-            cold=response.get(Names.COLD) == "1",
-            rest=read_rest(response),
-            limit=read_limit(response, Names.LIMIT),
+            leaving=read_flag(response, names.leaving),
+            cold=read_flag(response, names.warmth),
+            rest=read_rest(response, names.rest),
+            limit=read_limit(response, names.limit),
         )
 
     def is_promise(self, status):
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -111,10 +111,14 @@
 
     def read_gauges(self):
         """Return the current values of the gauges."""
+        availabilities = self.runners.availabilities
+        now = self.runners.clock()
         return {
             "in_flight": self.blackboard.in_flight,
             "held": self.runners.count_held(),
             "limited_endpoints": self.runners.limits.count_limited(),
+            "resting_endpoints": availabilities.count_resting(now),
+            "leaving_endpoints": availabilities.count_leaving(now),
             "quarantined": len(self.runners.guard.decisions.quarantine),
             "revision": self.blackboard.configuration.revision,
             "invalid_entries": self.control.count_invalid(),
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -83,6 +83,7 @@
     LIMIT_INVALID = (4017, logging.WARNING, "an endpoint's limit can't be read")
     REST_BEGUN = (4018, logging.INFO, "an endpoint asks this node for a rest")
     ENDPOINT_LEAVING = (4019, logging.INFO, "an endpoint says that it is leaving")
+    REST_ENDED = (4021, logging.INFO, "an endpoint's rest is over")
     REST_INVALID = (4020, logging.WARNING, "an endpoint's Retry-After can't be read")
     PROBE_SHARE_HELD = (5001, logging.INFO, "a share of the probe budget is held")
     PROBE_SHARE_LOST = (5002, logging.INFO, "a share of the probe budget has lapsed")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -131,6 +131,21 @@
     return end
 
 
+@BESIDES.register("rests")
+def refuse_for_a_while(scene, rng):
+    """Have half of the endpoints refuse requests and ask for rests."""
+    chosen = rng.sample(scene.fleet.endpoints, len(scene.fleet.endpoints) // 2)
+    rest = rng.choice((0.2, 1.0, 3.0))
+    for endpoint in chosen:
+        scene.fleet.set_faults(endpoint, service_ms=4.0, shed_above=-1, rest_s=rest)
+
+    def end():
+        for endpoint in chosen:
+            scene.fleet.set_faults(endpoint, service_ms=4.0)
+
+    return end
+
+
 @FAULTS.register("node paused")
 def pause_node(scene, rng):
     """Stop a node's process and let it go on."""
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -29,6 +29,7 @@
     "away_s": "end now, with all that runs, and start again there after so long",
     "limit": "name so many requests a second that it takes from all nodes",
     "shed_above": "refuse as not run when more than this many are there",
+    "rest_s": "ask for so many seconds of rest when it refuses",
     "fail_fast": "answer 500 at once",
     "hang": "never answer",
     "reset_before": "run it, then reset before the first byte",
@@ -117,6 +118,8 @@
         """Refuse: it did not run."""
         self.refused += 1
         headers = [("Hingesill-Outcome", "not-run"), *self.list_signs()]
+        if self.faults.get("rest_s"):
+            headers.append(("Retry-After", str(self.faults["rest_s"])))
         start_response("503 Service Unavailable", headers)
         return [b"full\n"]
 
