--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -263,6 +263,12 @@
         after = sum(self.fleet.read_record(leaving)["ran"].values())
         self.assertEqual(after, before)
 
+    def test_record_of_the_stand_in_counts(self):
+        url = f"http://{self.fleet.endpoints[0]}/standin/record"
+        self.assertIn("ran", call("GET", url))
+
+
+class RestTests(OneNode):
     def test_requests_in_a_rest_that_an_endpoint_asked_for(self):
         resting = self.fleet.endpoints[0]
         self.fleet.set_faults(resting, service_ms=1.0, shed_above=-1, rest_s=1.5)
@@ -273,7 +279,3 @@
         refused = self.fleet.read_record(resting)["refused"] - before
         self.assertLessEqual(refused, 1)
         self.fleet.set_faults(resting, service_ms=1.0)
-
-    def test_record_of_the_stand_in_counts(self):
-        url = f"http://{self.fleet.endpoints[0]}/standin/record"
-        self.assertIn("ran", call("GET", url))
