Names and comments in the usual terms: grant client, reported limits, hold store, unhealthy reports

GrantAsker, LimitWord, HoldKeeper, ProfileKeeper and IllWords and their modules are renamed; the constants of the limits say what they are and their unit. No statement changed.

--- a/packages/hingesill-core/hingesill_core/ratelimits/coordinators.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/coordinators.py
@@ -4,8 +4,7 @@
 
 __all__ = ["rank_coordinators"]
 
-# Of a fleet's nodes, those that may grant for a service: the first, and one more for
-# the time in which that one doesn't answer.
+# Nodes that may grant for a service: the first, and a substitute.
 COORDINATORS = 2
 
 
--- a/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -11,25 +11,25 @@
     LimitQuery,
     ToldLimit,
 )
+from hingesill_core.ratelimits.reportedlimits import ReportedLimit
 from hingesill_core.ratelimits.service import GONE, ServiceLimits
-from hingesill_core.ratelimits.words import LimitWord
 
 __all__ = ["FleetLimits", "MOST_TOLD"]
 
-# Pieces of news in a datagram, so that it fits into 1,400 bytes.
+# Most reports in a datagram, so that it fits into 1,400 bytes.
 MOST_TOLD = 16
-# Asks that a coordinator bears a second; with more nodes that ask, each pauses longer.
+# Grant requests a second that a coordinator accepts; with more, nodes pause longer.
 ASKS_A_SECOND = 400.0
-# Over so long nodes that asked are counted.
+# Window in which nodes that requested grants are counted, in seconds.
 ASKED_SECONDS = 4.0
-# The way of a datagram takes at most so long; what it tells may be older by that.
+# Longest transit of a datagram, in seconds.
 TRANSIT_SECONDS = 0.1
-# A node that starts asks so many others in each of so many rounds: some of them may
-# have just started as well, and datagrams may be lost.
+# Nodes that a starting node queries in each round, and rounds: some of them may have
+# just started as well, and datagrams may be lost.
 QUERIED_NODES = 2
 QUERY_ROUNDS = 3
-# Limits that one of them tells, in datagrams of `MOST_TOLD`; a guard of the links where
-# thousands of endpoints are in need. Their own answers name the others.
+# Most limits in the reply to a query, in datagrams of `MOST_TOLD`. Others are learnt
+# from the endpoints' own answers.
 MOST_ANSWERED = 4 * MOST_TOLD
 
 
@@ -80,7 +80,7 @@
         limits = self.services.get(name)
         if limits is None:
             limits = ServiceLimits(name, self.rng, self._note_change)
-            limits.asker.ask_node = lambda ask: self._send_request(limits, ask)
+            limits.grant_client.ask_node = lambda ask: self._send_request(limits, ask)
             self.services[name] = limits
             self._place(limits)
         return limits
@@ -126,7 +126,7 @@
 
     def _send_request(self, limits, ask):
         """Ask a coordinator, and tell it of limits that it may not know."""
-        now = limits.asker.pace.asked_at
+        now = limits.grant_client.pace.asked_at
         words = limits.book.list_limited()
         chosen = self.rng.sample(words, min(MOST_TOLD, len(words)))
         told = tuple(build_told(limits, word, now) for word in chosen)
@@ -199,7 +199,9 @@
             granted = Granted(message.runs, message.again_in, message.wait)
             limits = self.services.get(message.service)
             if limits is not None:
-                limits.asker.take_reply(message.number, granted, message.pause, now)
+                limits.grant_client.take_reply(
+                    message.number, granted, message.pause, now
+                )
 
     def _answer(self, node, now):
         """Tell a node that starts which endpoints name limits."""
@@ -217,7 +219,9 @@
             return
         latest = now - told.age
         earliest = latest - told.span - TRANSIT_SECONDS
-        word = LimitWord(told.endpoint, told.born, told.per_second, earliest, latest)
+        word = ReportedLimit(
+            told.endpoint, told.born, told.per_second, earliest, latest
+        )
         limits = self.get(told.service)
         # A node that was told asks no questions there, so it can't find out itself.
         limits.is_in_health = limits.is_in_health or told.is_in_health
--- a/packages/hingesill-core/hingesill_core/ratelimits/asker.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/grantclient.py
@@ -1,4 +1,4 @@
-"""How a node comes by the grants that its requests need."""
+"""Requests grants from coordinators for the requests that wait."""
 
 from math import inf
 
@@ -8,14 +8,14 @@
 from hingesill_core.ratelimits.ledger import GrantRun
 from hingesill_core.ratelimits.share import FleetShare
 
-__all__ = ["GrantAsk", "GrantAsker"]
+__all__ = ["GrantAsk", "GrantClient"]
 
-# Between two requests with which a node looks whether a need is over.
+# Interval of trial requests that find out whether a limit has ended, in seconds.
 TRIAL_SECONDS = 1.0
-# A coordinator that didn't reply twice in a row is passed over for so long.
+# Lost requests in a row after which a coordinator is skipped, and for how many seconds.
 LOST_IN_A_ROW = 2
 SILENT_SECONDS = 2.0
-# A caller that is refused is told to come back after so long at the least.
+# Shortest Retry-After of a refusal, in seconds.
 SHORTEST_WAIT = 0.05
 
 
@@ -40,7 +40,7 @@
     horizon: float
 
 
-class GrantAsker:
+class GrantClient:
     """Gets grants for the requests of one service at one node.
 
     Parameters
@@ -86,7 +86,7 @@
 
         Parameters
         ----------
-        word : LimitWord
+        word : ReportedLimit
             What it names now.
         before : float or None
             Requests a second that it named before.
--- a/packages/hingesill-core/hingesill_core/ratelimits/grants.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/grants.py
@@ -1,4 +1,4 @@
-"""The grants that a node holds, and when it asks for more."""
+"""The grants that a node holds, and when it requests more."""
 
 from itertools import chain
 from math import ceil, exp, floor
@@ -9,28 +9,25 @@
 
 __all__ = ["AskPace", "Grant", "HeldGrants"]
 
-# From when on it may be used, a grant is good for so long: longer than a question for
-# the load and its reply take.
+# Lifetime of a grant, in seconds: longer than a load query takes.
 GRANT_SECONDS = 0.6
-# Between two asks of a node, where the coordinator names no longer pause; and those
-# that it may make at once after a rest.
+# Shortest interval of grant requests, in seconds, and the burst after an idle time.
 PAUSE_SECONDS = 0.6
 MOST_AT_ONCE = 2.0
-# An ask without a reply for so long is lost.
+# Timeout of a grant request, in seconds.
 REPLY_SECONDS = 0.15
-# Of the time for which a request waits, what the way to the coordinator and back and a
-# round of this node take. Where all ask for more than there is, grants come at the end
-# of the time that is asked for; without this all came just too late.
+# Round trip to the coordinator and one round of this node, in seconds. Under overload
+# grants fall due at the end of the requested horizon, so that must end earlier.
 MARGIN_SECONDS = 0.05
-# Requests that come within the life of a grant, in the mean, at a busy node: it asks
-# for all that will come until its next ask.
+# Mean number of requests in a grant's lifetime from which on a node is busy and
+# requests grants for all that will arrive until its next grant request.
 BUSY_USES = 4.5
-# Of those, what any other node counts on, as it may ask for too much.
+# Share of the expected requests for which any other node requests grants.
 LIKELY_USED = 0.8
-# Over so long requests that need a grant are counted. Luck must not make a node busy by
-# turns, as it then asks for more than comes.
+# Window in which requests that need a grant are counted, in seconds; long enough that
+# random variation does not make a node busy.
 COUNTED_SECONDS = 2.0
-# Grants that are asked for at once; guard of the coordinator.
+# Most grants in one request.
 MOST_WANTED = 1024
 
 
--- a/packages/hingesill-core/hingesill_core/ratelimits/ledger.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/ledger.py
@@ -7,14 +7,13 @@
 
 __all__ = ["GrantLedger", "GrantRun", "Granted", "HORIZON_SECONDS", "MOST_RUNS"]
 
-# So far ahead requests are granted at the most, so that a node which asks twice a
-# second gets what comes free in between.
+# Longest time ahead for which requests are granted, in seconds.
 HORIZON_SECONDS = 0.7
-# Endpoints that one ask brings grants for, so that the reply fits into a datagram.
+# Most endpoints in a reply, so that it fits into a datagram.
 MOST_RUNS = 24
-# Over so long refused requests count as still wanted.
+# Time for which refused requests count as demand, in seconds.
 UNMET_SECONDS = 1.0
-# Below this an endpoint counts as taking nothing; guards against waits beyond all use.
+# Requests a second below which an endpoint counts as taking none.
 LEAST_RATE = 1e-6
 
 
--- a/packages/hingesill-core/hingesill_core/ratelimits/words.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/reportedlimits.py
@@ -1,15 +1,14 @@
-"""What endpoints named as their limits, and which of two words is the newer."""
+"""The limits that endpoints report, and which of two reports is the newer one."""
 
 from msgspec import Struct
 
-__all__ = ["LimitBook", "LimitWord", "NO_LIMIT", "NamedLimit", "UNREADABLE_LIMIT"]
+__all__ = ["LimitBook", "ReportedLimit", "NO_LIMIT", "NamedLimit", "UNREADABLE_LIMIT"]
 
-# So long what an endpoint no longer names is remembered, so that a word of before
-# which other nodes still pass on doesn't come back; in seconds.
+# Time for which an ended limit is remembered, in seconds: other nodes may still pass an
+# older report on.
 REMEMBERED_SECONDS = 60.0
 
-
-# Of a service; guard of memory against words of endpoints that nobody knows.
+# Most reports that are remembered for a service.
 MOST_WORDS = 65_536
 
 
@@ -32,7 +31,7 @@
 UNREADABLE_LIMIT = NamedLimit(None, is_readable=False)
 
 
-class LimitWord(Struct, frozen=True):
+class ReportedLimit(Struct, frozen=True):
     """An endpoint's word on the requests that it takes.
 
     Parameters
@@ -74,11 +73,11 @@
         self._words = {}
 
     def get(self, endpoint):
-        """Return the newest LimitWord of an endpoint, or None."""
+        """Return the newest ReportedLimit of an endpoint, or None."""
         return self._words.get(endpoint)
 
     def list_limited(self):
-        """Return the LimitWords of endpoints that name a limit now."""
+        """Return the ReportedLimits of endpoints that name a limit now."""
         return [self._words[endpoint] for endpoint in self.limited]
 
     def take(self, word):
--- a/packages/hingesill-core/hingesill_core/ratelimits/service.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/service.py
@@ -3,21 +3,21 @@
 from msgspec import Struct
 from msgspec.structs import replace
 
-from hingesill_core.ratelimits.asker import GrantAsker
+from hingesill_core.ratelimits.grantclient import GrantClient
 from hingesill_core.ratelimits.ledger import GrantLedger
-from hingesill_core.ratelimits.words import LimitBook, LimitWord
+from hingesill_core.ratelimits.reportedlimits import LimitBook, ReportedLimit
 
 __all__ = ["GONE", "LimitChange", "ServiceLimits"]
 
-# What an endpoint takes at the least in the eyes of the coordinator, requests a second,
-# where only an answer to a request can tell that its need is over.
+# Lowest limit that the coordinator assumes, in requests a second, where only answers to
+# requests tell that a limit has ended.
 LEAST_TRIED_RATE = 0.25
-# The endpoint that had named a limit is not there any more.
+# Source of a change: the endpoint has left the directory.
 GONE = "gone"
-# The node that grants when the first one doesn't reply grants less: some nodes may
-# still reach that one, and both together must stay below what counts as kept.
+# Share of the limits that a substitute grants: some nodes may still reach the first
+# coordinator, and both together must keep the limit.
 SECOND_PART = 0.5
-# After so long without a word of its own a limited endpoint is asked.
+# Time without an answer after which a limited endpoint is queried, in seconds.
 UNHEARD_SECONDS = 0.5
 
 
@@ -28,7 +28,7 @@
     ----------
     service : str
         The endpoint's.
-    word : LimitWord
+    word : ReportedLimit
         What it says now.
     before : float or None
         Requests a second that it named before.
@@ -37,7 +37,7 @@
     """
 
     service: str
-    word: LimitWord
+    word: ReportedLimit
     before: float | None
     source: str
 
@@ -69,7 +69,7 @@
         Addresses of the nodes that grant, the first one first.
     own : tuple or None
         The node's own address; None if it can't be reached by others.
-    asker : GrantAsker
+    grant_client : GrantClient
         Gets this node's requests their grants.
     usable : callable
         Tells by identity and time whether an endpoint takes any work.
@@ -81,7 +81,7 @@
         self.book = LimitBook()
         self.limited = self.book.limited
         self.ledger = GrantLedger(rng)
-        self.asker = GrantAsker(self, rng)
+        self.grant_client = GrantClient(self, rng)
         self.coordinators = []
         self.own = None
         self.usable = lambda endpoint, now: True
@@ -114,7 +114,7 @@
             self.is_in_health = True
         if is_health and not self.is_in_health:
             return
-        word = LimitWord(endpoint, born, per_second, sent_at, now)
+        word = ReportedLimit(endpoint, born, per_second, sent_at, now)
         self.take(word, "health" if is_health else "answer")
 
     def take(self, word, source):
@@ -126,7 +126,7 @@
         if not self.book.take(word):
             return False
         before = None if held is None else held.per_second
-        self.asker.note_change(word, before)
+        self.grant_client.note_change(word, before)
         self.observe(LimitChange(self.name, word, before, source))
         return True
 
@@ -149,7 +149,7 @@
         """
         self.lives = lives
         for word in self.book.keep(lives):
-            self.asker.held.drop(word.endpoint)
+            self.grant_client.held.drop(word.endpoint)
             if word.per_second is not None:
                 ended = replace(word, per_second=None)
                 self.observe(LimitChange(self.name, ended, word.per_second, GONE))
@@ -170,16 +170,16 @@
         """Tell whether a request may be sent to an endpoint now."""
         return (
             endpoint not in self.limited
-            or self.asker.held.find(endpoint, now) is not None
+            or self.grant_client.held.find(endpoint, now) is not None
         )
 
     def use(self, endpoint, now):
         """Count a request that is sent to an endpoint."""
         if endpoint not in self.limited:
             return
-        grant = self.asker.held.find(endpoint, now)
+        grant = self.grant_client.held.find(endpoint, now)
         if grant is not None:
-            self.asker.held.use(grant)
+            self.grant_client.held.use(grant)
 
     def grant(self, wanted, horizon, now, avoid):
         """Return the Granted for a node that wants grants, as a coordinator does.
--- a/packages/hingesill-core/hingesill_core/ratelimits/share.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/share.py
@@ -4,10 +4,9 @@
 
 __all__ = ["FleetShare"]
 
-# What came free while the node did not look counts for so long; in seconds. All nodes
-# together save up that much of the rate, however many they are.
+# Burst of all nodes together, in seconds of the rate.
 COUNTED_SECONDS = 0.5
-# Of the rate, what all nodes together aim at; the rest is for luck.
+# Share of the rate that all nodes together aim at; the rest is reserve.
 USED_SHARE = 0.6
 
 
--- a/packages/hingesill-core/hingesill_core/ratelimits/tests/limitplay.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/tests/limitplay.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from hingesill_core.ratelimits.fleet import FleetLimits
-from hingesill_core.ratelimits.words import NamedLimit
+from hingesill_core.ratelimits.reportedlimits import NamedLimit
 
 __all__ = ["LimitPlay", "Scenario"]
 
@@ -66,7 +66,7 @@
         self.fleet = FleetLimits(random.Random(play.rng.random()))
         self.limits = self.fleet.get(SERVICE)
         self.limits.is_in_health = True
-        self.limits.asker.nodes = play.scenario.nodes
+        self.limits.grant_client.nodes = play.scenario.nodes
         self.waiting = []
         self.is_alive = True
         self.is_ticking = False
@@ -79,7 +79,7 @@
     def submit(self):
         """Take a request."""
         now = self.play.now
-        self.limits.asker.note_request(now)
+        self.limits.grant_client.note_request(now)
         self.waiting.append(now)
         self.look()
 
@@ -87,14 +87,14 @@
         """Serve, ask for and refuse what waits."""
         now = self.play.now
         patience = max((PATIENCE_SECONDS + at - now for at in self.waiting), default=0)
-        self.limits.asker.want(len(self.waiting), patience, now)
+        self.limits.grant_client.want(len(self.waiting), patience, now)
         for endpoint in list(self.limits.limited):
-            while self.waiting and self.limits.asker.held.find(endpoint, now):
+            while self.waiting and self.limits.grant_client.held.find(endpoint, now):
                 self.limits.use(endpoint, now)
                 self.waiting.pop(0)
                 self.play.note_send(endpoint)
         untils = [at + PATIENCE_SECONDS for at in self.waiting]
-        surplus = set(self.limits.asker.list_surplus(untils, now))
+        surplus = set(self.limits.grant_client.list_surplus(untils, now))
         surplus |= {i for i, until in enumerate(untils) if until < now}
         self.refused_after += [now - self.waiting[i] for i in surplus]
         self.waiting = [at for i, at in enumerate(self.waiting) if i not in surplus]
--- a/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/tests/test_limitplay.py
@@ -165,7 +165,7 @@
 
     def test_a_node_that_stood_still_wakes_with_nothing(self):
         played = play(6, 3.0, seconds=4.0)
-        held = [node.limits.asker.held for node in played.nodes.values()]
+        held = [node.limits.grant_client.held for node in played.nodes.values()]
         self.assertGreater(sum(grants.count(played.now) for grants in held), 0)
         played.now += 5.0
         self.assertEqual(sum(grants.count(played.now) for grants in held), 0)
--- a/packages/hingesill-core/hingesill_core/ratelimits/tests/test_words.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/tests/test_reportedlimits.py
@@ -2,11 +2,11 @@
 
 import unittest
 
-from hingesill_core.ratelimits.words import LimitBook, LimitWord
+from hingesill_core.ratelimits.reportedlimits import LimitBook, ReportedLimit
 
 
 def say(per_second, earliest, latest, born=1):
-    return LimitWord("i1", born, per_second, earliest, latest)
+    return ReportedLimit("i1", born, per_second, earliest, latest)
 
 
 class OrderTests(unittest.TestCase):
--- a/packages/hingesill-core/hingesill_core/routing/asking.py
+++ b/packages/hingesill-core/hingesill_core/routing/asking.py
@@ -10,7 +10,7 @@
 
 from msgspec import Struct
 
-from hingesill_core.ratelimits.words import NamedLimit
+from hingesill_core.ratelimits.reportedlimits import NamedLimit
 from hingesill_core.routing.availability import NO_REST, RequestedRest
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd
@@ -112,7 +112,7 @@
         Its load, if it told it.
     warm_in : float or None
         Seconds for which it is cold, 0 if it is warm; None if it did not tell.
-    is_ill : bool or None
+    is_unhealthy : bool or None
         It says that it is not well, or leaving; None if it did not tell.
     born : int or None
         The life of the endpoint that was asked; None if that is not known.
@@ -130,7 +130,7 @@
     end: SendEnd
     report: LoadReport | None = None
     warm_in: float | None = None
-    is_ill: bool | None = None
+    is_unhealthy: bool | None = None
     born: int | None = None
     limit: NamedLimit | None = None
     sent_at: float | None = None
--- a/packages/hingesill-core/hingesill_core/routing/availability.py
+++ b/packages/hingesill-core/hingesill_core/routing/availability.py
@@ -15,19 +15,19 @@
     "UNREADABLE_REST",
 ]
 
-# Seconds; an endpoint that asks for a longer rest is tried again after so long.
+# Upper bound of a rest, in seconds.
 LONGEST_REST = 600.0
-# Seconds; taken where an endpoint asks for a rest whose length can't be read.
+# Rest that is assumed where its length cannot be parsed, in seconds.
 UNREADABLE_SECONDS = 1.0
-# Seconds for which an address that names no life is taken to be leaving.
+# Time for which an address counts as leaving, in seconds, where it identifies no life.
 LEAVE_HOLDS = 30.0
-# Seconds before the end of that time from which on the endpoint may be asked again.
+# Remaining part of that time in which the endpoint is probed, in seconds.
 LEAVE_RENEWAL = 10.0
-# Seconds for which a life that said that it is leaving is remembered.
+# Time for which a leaving life is remembered, in seconds.
 REMEMBERED_SECONDS = 3600.0
-# Endpoints that are gone from the directory; bounds memory.
+# Most lives that are remembered without being in the directory.
 MOST_REMEMBERED = 65_536
-# Seconds between two clean-ups.
+# Interval of clean-ups, in seconds.
 CLEAN_UP_PAUSE = 10.0
 
 
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -97,7 +97,7 @@
             endpoint.identity: self._build_state(endpoint)
             for endpoint in service.endpoints
         }
-        self.limits.asker.nodes = fleet.nodes
+        self.limits.grant_client.nodes = fleet.nodes
         self.limits.keep({name: state.born for name, state in self.states.items()})
         self.places = sum(state.send_limit for state in self.states.values())
         self.paces = {
@@ -245,7 +245,7 @@
         """Return the final answer of a request that is given up."""
         outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
         if reason is RefusalReason.ENDPOINTS_LIMITED:
-            wait = self.limits.asker.get_wait(now)
+            wait = self.limits.grant_client.get_wait(now)
             return Refusal(reason, outcome, self.pace.suggest_return(wait, self.rng))
         return Refusal(reason, outcome, self.suggest_return(ticket.route, now))
 
@@ -301,7 +301,7 @@
         """Yield a Send for each held request that can go now."""
         if self.limits.limited:
             patience = max((t.deadline - now for t in self.queue), default=0.0)
-            self.limits.asker.want(len(self.queue), patience, now)
+            self.limits.grant_client.want(len(self.queue), patience, now)
         for live in (True, False):
             while True:
                 ticket = self.queue.get_first(live)
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -6,11 +6,11 @@
 from hingesill_core.limits.turnover import Turnover
 from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.asking import Ask, AskRules, Stage, is_good_enough
-from hingesill_core.routing.illness import IllWords
 from hingesill_core.routing.limitedwaiting import LimitedWaiting
 from hingesill_core.routing.messages import SendEnd
 from hingesill_core.routing.selection import EndpointSelection, can_get_work, takes_work
 from hingesill_core.routing.slotknowledge import SlotKnowledge
+from hingesill_core.routing.unhealthyreports import UnhealthyReports
 from hingesill_core.routing.waiting import Waiting
 from hingesill_core.routing.warmup import WarmUpLimit
 
@@ -43,7 +43,7 @@
         self.selection = EndpointSelection(dispatcher, self.rules)
         self.turnover = Turnover()
         self.warm_up = WarmUpLimit()
-        self.ill_words = IllWords()
+        self.unhealthy_reports = UnhealthyReports()
         self.has_reports = True
         self.waiting = {}
         self.limits = dispatcher.limits
@@ -184,7 +184,7 @@
         state = self.note_reply(reply, now)
         if state is None or reply.report is None or not can_get_work(state, now):
             return None
-        if reply.is_ill and self.ill_words.are_believed():
+        if reply.is_unhealthy and self.unhealthy_reports.are_believed():
             return None
         running = reply.report.running
         is_cold = self.warm_up.is_cold(state, now)
@@ -247,8 +247,8 @@
             return None
         state.reach.note(reply.end, now, may_eject=True)
         if reply.end is SendEnd.ANSWERED:
-            if reply.is_ill is not None:
-                self.ill_words.note(reply.is_ill)
+            if reply.is_unhealthy is not None:
+                self.unhealthy_reports.note(reply.is_unhealthy)
             if reply.limit is not None and reply.sent_at is not None:
                 limit, sent_at = reply.limit, reply.sent_at
                 self.limits.note(
--- a/packages/hingesill-core/hingesill_core/routing/limitedrequests.py
+++ b/packages/hingesill-core/hingesill_core/routing/limitedrequests.py
@@ -31,10 +31,10 @@
         if not self.needs_grant(ticket.route, now):
             return False
         dispatcher = self._dispatcher
-        dispatcher.limits.asker.note_request(now)
+        dispatcher.limits.grant_client.note_request(now)
         tickets = [*dispatcher.queue, ticket]
         patience = ticket.deadline - now
-        dispatcher.limits.asker.want(len(tickets), patience, now)
+        dispatcher.limits.grant_client.want(len(tickets), patience, now)
         return ticket in self.list_surplus([(t, t.deadline) for t in tickets], now)
 
     def list_surplus(self, waiting, now):
@@ -48,7 +48,7 @@
             Seconds of the node's clock.
         """
         limits = self._dispatcher.limits
-        surplus = limits.asker.list_surplus([until for _, until in waiting], now)
+        surplus = limits.grant_client.list_surplus([until for _, until in waiting], now)
         tickets = [waiting[index][0] for index in surplus]
         needing = {}
         for route in {ticket.route for ticket in tickets}:
--- a/packages/hingesill-core/hingesill_core/routing/limitedwaiting.py
+++ b/packages/hingesill-core/hingesill_core/routing/limitedwaiting.py
@@ -2,10 +2,9 @@
 
 __all__ = ["LimitedWaiting"]
 
-# A request waits for so long, two rounds of questions, for endpoints without a need
-# before those in need are used for it; in seconds.
+# Time for which a request waits for endpoints without a limit, in seconds.
 PATIENCE_SECONDS = 0.03
-# A request that is late already waits for so long for an endpoint in need; in seconds.
+# Time for which a late request waits for a limited endpoint, in seconds.
 SOON_SECONDS = 0.05
 
 
@@ -23,7 +22,7 @@
     def __init__(self, binding, requests):
         self._binding = binding
         self._requests = requests
-        self._asker = binding.limits.asker
+        self._grant_client = binding.limits.grant_client
 
     def admit(self, ticket, now):
         """Take note of a request that begins to wait; tell whether it may.
@@ -33,10 +32,10 @@
         It may if grants are there or may come. Where a less urgent one is to go in its
         place, that is refused with the next round.
         """
-        self._asker.want_trial(now)
+        self._grant_client.want_trial(now)
         if not self._requests.needs_grant(ticket.route, now):
             return True
-        self._asker.note_request(now)
+        self._grant_client.note_request(now)
         self.want_grants(now)
         return ticket not in self.list_surplus(now)
 
@@ -51,7 +50,7 @@
             for item in waiting
         )
         patience = max((item.late_at - now for item in waiting), default=0.0)
-        self._asker.want(needing, max(patience, SOON_SECONDS), now)
+        self._grant_client.want(needing, max(patience, SOON_SECONDS), now)
 
     def list_surplus(self, now):
         """Return the waiting tickets that will get no grant in time.
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -5,7 +5,7 @@
 from msgspec import Struct, field
 
 from hingesill_core.configuration.services import Route
-from hingesill_core.ratelimits.words import NamedLimit
+from hingesill_core.ratelimits.reportedlimits import NamedLimit
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.availability import NO_REST, RequestedRest
 from hingesill_core.routing.load_report import LoadReport
--- a/packages/hingesill-core/hingesill_core/routing/openings.py
+++ b/packages/hingesill-core/hingesill_core/routing/openings.py
@@ -6,11 +6,9 @@
 
 __all__ = ["Openings"]
 
-# A request waits for an endpoint that takes none now if it does so within so many
-# seconds; else it is refused at once.
+# Longest wait for the end of a rest, in seconds.
 PATIENCE_SECONDS = 0.02
-# Callers that are told the same end of a rest come back within so many seconds after
-# it, so that they do not meet the endpoints all at once.
+# Spread of Retry-After behind the end of a rest, in seconds.
 SPREAD_SECONDS = 0.5
 
 
--- a/packages/hingesill-core/hingesill_core/routing/retrying.py
+++ b/packages/hingesill-core/hingesill_core/routing/retrying.py
@@ -6,8 +6,7 @@
 
 __all__ = ["Retrying"]
 
-# Seconds until a caller is back whom an endpoint refused by chance: some times the way
-# between a caller and a node, so that callers do not come in step.
+# Shortest Retry-After where an endpoint refused a request by chance, in seconds.
 SOON = 0.01
 
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/playedendpoint.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/playedendpoint.py
@@ -1,6 +1,6 @@
 """An endpoint of a played load: its slots, its queue, and what is wrong for a while."""
 
-from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
+from hingesill_core.ratelimits.reportedlimits import NO_LIMIT, NamedLimit
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendEnd, SendResult
 from hingesill_core.routing.tests.loads import Spell
@@ -47,7 +47,7 @@
         spell = self.find_spell()
         return spell.end - self.play.now if spell is not None and spell.cold else 0.0
 
-    def is_ill(self):
+    def is_unhealthy(self):
         """Tell whether it says that it is not well."""
         spell = self.find_spell()
         return spell is not None and spell.ill
--- a/packages/hingesill-core/hingesill_core/routing/tests/playednode.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/playednode.py
@@ -97,7 +97,7 @@
             SendEnd.ANSWERED,
             endpoint.report(),
             endpoint.get_warm_in(),
-            endpoint.is_ill(),
+            endpoint.is_unhealthy(),
             limit=endpoint.name_limit(),
             sent_at=self.play.now - way - PROBE_SECONDS,
         )
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_latebinding.py
@@ -88,12 +88,12 @@
 
     def test_one_that_says_it_is_not_well_is_passed_by(self):
         self.dispatcher.submit(self.ticket, 0.0)
-        ill = replace(reply("i0", 0), is_ill=True)
+        ill = replace(reply("i0", 0), is_unhealthy=True)
         self.assertIsNone(self.binding.take(ill, 0.1))
         self.assertIsInstance(self.binding.take(reply("i1", 0), 0.1), Send)
 
     def test_where_most_say_so_the_word_is_not_believed(self):
-        ill = replace(reply("i0", 0), is_ill=True)
+        ill = replace(reply("i0", 0), is_unhealthy=True)
         for _ in range(30):
             self.binding.take(ill, 0.0)
         self.dispatcher.submit(self.ticket, 0.0)
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_limited.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_limited.py
@@ -5,7 +5,7 @@
 
 from msgspec.structs import replace
 
-from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
+from hingesill_core.ratelimits.reportedlimits import NO_LIMIT, NamedLimit
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.asking import Ask
 from hingesill_core.routing.dispatcher import Dispatcher
@@ -118,7 +118,7 @@
         self.assertLessEqual(before, 2 * 0.5 * 6.0 + 2)
 
     def test_without_a_need_nothing_is_asked_for(self):
-        self.limits.asker.want = None
+        self.limits.grant_client.want = None
         self.assertIsInstance(self.send(1.0), Send)
         self.binding.ask_again(1.1)
 
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -50,7 +50,7 @@
     peers : tuple
         Host and port of other nodes' control addresses, the nearest first.
     probe_share : Share or None
-        Written by the keeper of the lease.
+        Written by the holder of the lease.
     profile : Profile
         What nodes have learnt of the services; written by the control.
     phase : Phase
--- a/packages/hingesill-node/hingesill_node/crashes/keeper.py
+++ b/packages/hingesill-node/hingesill_node/crashes/holdstore.py
@@ -11,7 +11,7 @@
 from hingesill_node.clocks import read_day_time
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["HoldKeeper"]
+__all__ = ["HoldStore"]
 
 # How often it is looked at whether there is something to write; this costs no call.
 REVIEW_SECONDS = 0.25
@@ -26,7 +26,7 @@
 LEAST_SECONDS = 5.0
 
 
-class HoldKeeper:
+class HoldStore:
     """Writes holds of this node into the store, and takes those of others from there.
 
     Parameters
--- a/packages/hingesill-node/hingesill_node/crashes/tests/test_keeper.py
+++ b/packages/hingesill-node/hingesill_node/crashes/tests/test_holdstore.py
@@ -6,7 +6,11 @@
 from hingesill_core.crashes.quarantine import HOLD_SECONDS
 from hingesill_core.discovery.records import HeldRequest
 from hingesill_core.store import StoreFailure
-from hingesill_node.crashes.keeper import OTHERS_WAIT_SECONDS, RETRY_SECONDS, HoldKeeper
+from hingesill_node.crashes.holdstore import (
+    OTHERS_WAIT_SECONDS,
+    RETRY_SECONDS,
+    HoldStore,
+)
 from hingesill_node.crashes.requestguard import RequestGuard
 
 BAD = ("a1",)
@@ -30,17 +34,17 @@
         return self.answer
 
 
-class KeeperTests(unittest.TestCase):
+class HoldStoreTests(unittest.TestCase):
     def setUp(self):
         self.now = 100.0
         self.is_relay = True
         self.store = RecordingStore()
         self.directory = SimpleNamespace(held={})
         self.guard = RequestGuard(clock=lambda: self.now)
-        self.keeper = self.build_keeper(self.guard)
+        self.holds = self.build_holds(self.guard)
 
-    def build_keeper(self, guard):
-        return HoldKeeper(
+    def build_holds(self, guard):
+        return HoldStore(
             self.store,
             self.directory,
             guard,
@@ -58,7 +62,7 @@
 
     def test_a_relay_writes_a_long_hold_at_once(self):
         self.hold()
-        self.keeper.review()
+        self.holds.review()
         ((record, seconds),) = self.store.held
         self.assertEqual((record.fingerprint, record.times), ("a1", 1))
         self.assertEqual(record.until, DAY + self.now + HOLD_SECONDS)
@@ -66,48 +70,48 @@
 
     def test_a_short_one_is_not_written(self):
         self.end(99.8, 99.9, 100.0)
-        self.keeper.review()
+        self.holds.review()
         self.assertEqual(self.store.held, [])
 
     def test_another_node_writes_if_no_relay_did(self):
         self.is_relay = False
         self.hold()
-        self.keeper.review()
+        self.holds.review()
         self.assertEqual(self.store.held, [])
         self.now += 2 * OTHERS_WAIT_SECONDS + 0.1
-        self.keeper.review()
+        self.holds.review()
         self.assertEqual(len(self.store.held), 1)
 
     def test_one_that_is_listed_is_not_written_again(self):
         self.hold()
         self.directory.held = {"a1": HeldRequest("a1", DAY, DAY + 700.0, 1)}
-        self.keeper.review()
+        self.holds.review()
         self.assertEqual(self.store.held, [])
 
     def test_one_that_failed_is_written_again_later(self):
         self.store.answer = StoreFailure("status 503")
         self.hold()
         for _ in range(3):
-            self.keeper.review()
+            self.holds.review()
         self.assertEqual(len(self.store.held), 1)
         self.now += RETRY_SECONDS
-        self.keeper.review()
+        self.holds.review()
         self.assertEqual(len(self.store.held), 2)
 
     def test_one_that_was_answered_is_removed(self):
         self.hold()
         self.directory.held = {"a1": HeldRequest("a1", DAY + 97.0, DAY + 700.0, 1)}
         self.guard.decisions.note_answer(BAD, 101.0)
-        self.keeper.review()
+        self.holds.review()
         self.assertEqual(self.store.let_gone, ["a1"])
 
     def test_a_node_that_starts_takes_what_is_listed(self):
         guard = RequestGuard(clock=lambda: self.now)
-        keeper = self.build_keeper(guard)
-        keeper.take({"a1": HeldRequest("a1", DAY, DAY + self.now + 50.0, 1)})
+        holds = self.build_holds(guard)
+        holds.take({"a1": HeldRequest("a1", DAY, DAY + self.now + 50.0, 1)})
         held = guard.decisions.find_hold(BAD, self.now)
         self.assertAlmostEqual(held.until, self.now + 50.0, places=3)
 
     def test_a_listed_one_whose_time_is_over_holds_nothing_back(self):
-        self.keeper.take({"a1": HeldRequest("a1", DAY, DAY + 99.0, 1)})
+        self.holds.take({"a1": HeldRequest("a1", DAY, DAY + 99.0, 1)})
         self.assertIsNone(self.guard.decisions.find_hold(BAD, self.now))
--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -164,13 +164,13 @@
         signals = self.wire.read_signals(response, self.runner.clock(), own)
         # An endpoint that is asked for its state and tells nothing of warmth is warm.
         warm_in = signals.warm_in or 0.0
-        is_ill = response.status >= FIRST_FAULT_STATUS
+        is_unhealthy = response.status >= FIRST_FAULT_STATUS
         reply = Reply(
             endpoint,
             SendEnd.ANSWERED,
             signals.report,
             warm_in,
-            is_ill,
+            is_unhealthy,
             limit=signals.limit,
             rest=signals.rest,
             leaving=signals.leaving,
--- a/packages/hingesill-node/hingesill_node/datapath/availabilitylog.py
+++ b/packages/hingesill-node/hingesill_node/datapath/availabilitylog.py
@@ -6,7 +6,7 @@
 
 __all__ = ["AvailabilityLog"]
 
-# Seconds; shorter rests are counted and get no line.
+# Shortest rest with a line in the log, in seconds.
 SHORTEST_LOGGED = 0.1
 
 
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -4,7 +4,11 @@
 
 from msgspec import Struct
 
-from hingesill_core.ratelimits.words import NO_LIMIT, UNREADABLE_LIMIT, NamedLimit
+from hingesill_core.ratelimits.reportedlimits import (
+    NO_LIMIT,
+    UNREADABLE_LIMIT,
+    NamedLimit,
+)
 from hingesill_core.routing.availability import (
     NO_REST,
     UNREADABLE_REST,
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -73,7 +73,7 @@
         self.clock = clock
         self.pools = {}
         self.held = {}
-        self.keeper = None
+        self.expiry_loop = None
         self.room = None
         self._limit_pools(service, fleet)
 
@@ -210,8 +210,8 @@
         """Wait until a held request is sent or refused; return the decision."""
         ticket = request.ticket
         event = self.held[ticket] = green_event.Event()
-        if self.keeper is None:
-            self.keeper = eventlet.spawn(self._keep)
+        if self.expiry_loop is None:
+            self.expiry_loop = eventlet.spawn(self._keep)
         while True:
             decision = event.wait(timeout=CALLER_CHECK_SECONDS)
             if decision is not None:
@@ -229,7 +229,7 @@
                 self.held.pop(ticket).send(refusal)
             self.pump()
             eventlet.sleep(TICK_SECONDS)
-        self.keeper = None
+        self.expiry_loop = None
 
     def mark_draining(self, identity, until):
         """Give an endpoint no new work and close idle connections to it."""
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct
 
-from hingesill_core.ratelimits.words import NO_LIMIT, NamedLimit
+from hingesill_core.ratelimits.reportedlimits import NO_LIMIT, NamedLimit
 from hingesill_core.routing.availability import NO_REST, RequestedRest
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_node.datapath.headers import (
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -14,13 +14,13 @@
 from hingesill_core.routing.fleetview import FleetView
 from hingesill_node.blackboard import Configuration
 from hingesill_node.clocks import read_boot_time
-from hingesill_node.crashes.keeper import HoldKeeper
+from hingesill_node.crashes.holdstore import HoldStore
 from hingesill_node.crashes.spreading import Spreader
 from hingesill_node.datagramport import DatagramPort
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.discovery.follower import Follower
 from hingesill_node.discovery.peers import PeerApplication, PeerClient
-from hingesill_node.discovery.profiles import ProfileKeeper
+from hingesill_node.discovery.profiles import ProfileStore
 from hingesill_node.discovery.registration import Registration
 from hingesill_node.discovery.relayclient import RelayClient
 from hingesill_node.discovery.reports import Reporter
@@ -125,7 +125,7 @@
         start_server(listener, application)
         self.follower.start()
         eventlet.spawn(self.registration.run)
-        self.profiles = ProfileKeeper(
+        self.profiles = ProfileStore(
             follower.source,
             follower.directory,
             runners,
@@ -140,7 +140,7 @@
     def _start_guard(self, guard):
         """Keep in the store which requests are held back."""
         follower = self.follower
-        self.holds = HoldKeeper(
+        self.holds = HoldStore(
             follower.source,
             follower.directory,
             guard,
--- a/packages/hingesill-node/hingesill_node/discovery/profiles.py
+++ b/packages/hingesill-node/hingesill_node/discovery/profiles.py
@@ -11,7 +11,7 @@
 from hingesill_core.store import StoreFailure
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["ProfileKeeper"]
+__all__ = ["ProfileStore"]
 
 # How often it is looked at whether there is something to keep; this costs no call.
 REVIEW_SECONDS = 1.0
@@ -20,7 +20,7 @@
 PAUSE_SECONDS = 1.5
 
 
-class ProfileKeeper:
+class ProfileStore:
     """Writes the profile when this node has learnt more.
 
     Notes
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_profiles.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_profiles.py
@@ -14,7 +14,7 @@
 from hingesill_core.routing.slotknowledge import SlotKnowledge
 from hingesill_core.store import StoreFailure
 from hingesill_node.discovery.codec import decode_snapshot, encode
-from hingesill_node.discovery.profiles import PAUSE_SECONDS, ProfileKeeper
+from hingesill_node.discovery.profiles import PAUSE_SECONDS, ProfileStore
 
 KEPT = ServiceProfile((LevelProfile(3, 1, 40.0, 0.0),))
 HELD = Profile({"quiet": KEPT, "removed": KEPT})
@@ -59,41 +59,41 @@
         self.directory = Directory()
         self.directory.adopt(Snapshot(Position(0, 1), DECLARED, profile=HELD), 0.0)
         self.now = 0.0
-        self.keeper = ProfileKeeper(
+        self.profiles = ProfileStore(
             self.store, self.directory, self.runners, lambda: True, lambda: self.now
         )
 
     def test_without_news_nothing_is_written(self):
-        self.keeper.review()
+        self.profiles.review()
         self.assertEqual(self.store.saved, [])
 
     def test_news_are_written_beside_what_is_held_of_declared_services(self):
         self.runners.learn(20)
-        self.keeper.review()
+        self.profiles.review()
         (profile,) = self.store.saved
         self.assertEqual(sorted(profile.services), ["busy", "quiet"])
 
     def test_news_are_written_once(self):
         self.runners.learn(20)
-        self.keeper.review()
-        self.keeper.review()
+        self.profiles.review()
+        self.profiles.review()
         self.assertEqual(len(self.store.saved), 1)
 
     def test_what_could_not_be_written_stays_news(self):
         self.store.failure = StoreFailure("status 503")
         self.runners.learn(20)
-        self.keeper.review()
+        self.profiles.review()
         self.store.failure = None
-        self.keeper.review()
+        self.profiles.review()
         self.assertEqual(len(self.store.saved), 2)
 
     def test_writes_are_spaced(self):
         self.runners.learn(20)
-        self.assertTrue(self.keeper.is_due())
-        self.keeper.review()
-        self.assertFalse(self.keeper.is_due())
+        self.assertTrue(self.profiles.is_due())
+        self.profiles.review()
+        self.assertFalse(self.profiles.is_due())
         self.now = PAUSE_SECONDS
-        self.assertTrue(self.keeper.is_due())
+        self.assertTrue(self.profiles.is_due())
 
 
 class SpreadingTests(unittest.TestCase):
--- a/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/datagrams.py
@@ -18,10 +18,10 @@
 __all__ = ["MARK", "decode_message", "encode_message"]
 
 LONGEST_NAME = 256
-# Of words that are still passed on; and of all waits that a coordinator tells.
+# Greatest age of a report that is passed on, and longest wait in a reply, in seconds.
 LONGEST_SECONDS = 3600.0
 MESSAGES = Decoder(LimitNews | GrantRequest | GrantReply | LimitQuery)
-# With what each one begins; other datagrams of nodes begin with something else.
+# First bytes of each datagram, different for each kind.
 MARK = b"L"
 
 
--- a/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/exchange.py
@@ -9,10 +9,10 @@
 
 __all__ = ["LimitExchange", "log_limit"]
 
-# Between two rounds of a node that has news. Two nodes are told in each, so that limits
-# cost a node at most four datagrams a second besides its asks.
+# Interval of gossip rounds, in seconds. Each goes to two nodes, so that limits cost a
+# node at most four datagrams a second besides its grant requests.
 ROUND_SECONDS = 0.5
-# A line in the log for datagrams that are not understood, at most so often.
+# Interval of log lines on invalid datagrams, in seconds.
 COMPLAINT_SECONDS = 5.0
 
 
--- a/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/ratelimits/tests/test_datagrams.py
@@ -17,7 +17,7 @@
     LimitQuery,
     ToldLimit,
 )
-from hingesill_core.ratelimits.words import NamedLimit
+from hingesill_core.ratelimits.reportedlimits import NamedLimit
 from hingesill_node.crashes.datagrams import BATCH_MARK
 from hingesill_node.datagramport import DatagramPort
 from hingesill_node.ratelimits.datagrams import MARK, decode_message, encode_message
@@ -130,10 +130,10 @@
         now = Runners(None).clock()
         for node in self.nodes:
             node.get("arena").note("i1", 1, NamedLimit(50.0), now, now)
-        asker = next(n for n in self.nodes if not n.get("arena").is_first())
-        limits = asker.get("arena")
-        limits.asker.want(3, 0.5, now)
-        self.wait(lambda: limits.asker.held.count(Runners(None).clock()) == 3)
+        client = next(n for n in self.nodes if not n.get("arena").is_first())
+        limits = client.get("arena")
+        limits.grant_client.want(3, 0.5, now)
+        self.wait(lambda: limits.grant_client.held.count(Runners(None).clock()) == 3)
 
     def test_one_tells_the_others(self):
         now = Runners(None).clock()
