--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -129,17 +129,6 @@
             return False
         return not state.health.is_ejected(now)
 
-    def count_resting(self, now):
-        """Return how many of the endpoints asked for a rest that lasts."""
-        if not self.availabilities.has_words:
-            return 0
-        return sum(s.availability.is_resting(now) for s in self.states.values())
-
-    def may_write(self, send, now):
-        """Tell whether a send may still be written, once its connection is there."""
-        state = self.find_state(send)
-        return state is not None and takes_work(state, now)
-
     def note_limit(self, send, named, now):
         """Take what the head of a send's answer named as the endpoint's limit.
 
@@ -155,27 +144,6 @@
         if named is not None:
             self.limits.note(send.endpoint, send.born, named, send.started, now)
 
-    def note_availability(self, identity, born, rest, leaving, now):
-        """Take what an answer says on further requests, when its head is read.
-
-        Parameters
-        ----------
-        identity : str
-            The endpoint's.
-        born : int
-            The life that answered.
-        rest : RequestedRest
-            That it asks for.
-        leaving : bool
-            It says that it is leaving.
-        now : float
-            The time.
-        """
-        name = self.service.name
-        self.availabilities.note_rest(name, identity, born, rest, now)
-        if leaving:
-            self.availabilities.note_leaving(name, identity, born, now)
-
     def get_pace(self, route):
         """Return how long the answers of a route take."""
         pace = self.paces.get(route)
@@ -419,7 +387,7 @@
         if result.limit is not None:
             limit = result.limit
             self.limits.note(endpoint, state.born, limit, now, now, is_health=True)
-        self.note_availability(endpoint, state.born, result.rest, result.leaving, now)
+        self.openings.note(endpoint, state.born, result.rest, result.leaving, now)
         if state.health.needs_trial(now):
             state.health.on_trial = True
         if state.health.note(result.end, now, self._may_eject(now)) or result.cold:
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -240,7 +240,7 @@
         if born is None and state is not None:
             born = state.born
         if born is not None:
-            self.dispatcher.note_availability(
+            self.dispatcher.openings.note(
                 reply.endpoint, born, reply.rest, reply.leaving, now
             )
         if state is None or born != state.born:
--- a/packages/hingesill-core/hingesill_core/routing/openings.py
+++ b/packages/hingesill-core/hingesill_core/routing/openings.py
@@ -1,8 +1,9 @@
-"""When an endpoint takes requests again, where all of a service want none now."""
+"""Which endpoints of a service take requests, and when one does again."""
 
 from math import inf, isfinite
 
 from hingesill_core.reasons import RefusalReason
+from hingesill_core.routing.selection import takes_work
 
 __all__ = ["Openings"]
 
@@ -13,17 +14,51 @@
 
 
 class Openings:
-    """What a service's endpoints say on when they take requests.
+    """What the endpoints of a service say on further requests of this node.
 
     Parameters
     ----------
     dispatcher : Dispatcher
-        The service's; its endpoints' states are read.
+        The service's; its endpoints' states are read and written.
     """
 
     def __init__(self, dispatcher):
         self._dispatcher = dispatcher
 
+    def note(self, identity, born, rest, leaving, now):
+        """Take what an answer says on further requests, when its head is read.
+
+        Parameters
+        ----------
+        identity : str
+            The endpoint's.
+        born : int
+            The life that answered.
+        rest : RequestedRest
+            That it asks for.
+        leaving : bool
+            It says that it is leaving.
+        now : float
+            The time.
+        """
+        name = self._dispatcher.service.name
+        availabilities = self._dispatcher.availabilities
+        availabilities.note_rest(name, identity, born, rest, now)
+        if leaving:
+            availabilities.note_leaving(name, identity, born, now)
+
+    def may_write(self, send, now):
+        """Tell whether a send may still be written, once its connection is there."""
+        state = self._dispatcher.find_state(send)
+        return state is not None and takes_work(state, now)
+
+    def count_resting(self, now):
+        """Return how many of the endpoints asked for a rest that lasts."""
+        if not self._dispatcher.availabilities.has_words:
+            return 0
+        states = self._dispatcher.states.values()
+        return sum(state.availability.is_resting(now) for state in states)
+
     def get_wait(self, route, now, tried=()):
         """Return the seconds until an endpoint takes a route's requests.
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_availability.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_availability.py
@@ -106,7 +106,7 @@
         self.state = self.dispatcher.states["i0"]
 
     def rest(self, now=0.0, rest=RequestedRest(3.0)):
-        self.dispatcher.note_availability("i0", 0, rest, False, now)
+        self.dispatcher.openings.note("i0", 0, rest, False, now)
 
     def settle(self, end):
         ticket = Ticket(ROUTE, 0.0, 2.0)
@@ -163,7 +163,7 @@
         self.assertIs(refusal.outcome, Outcome.NOT_RUN)
 
     def test_neither_the_store_nor_another_node_takes_back_that_it_is_leaving(self):
-        self.dispatcher.note_availability("i0", 0, NO_REST, True, 0.0)
+        self.dispatcher.openings.note("i0", 0, NO_REST, True, 0.0)
         self.dispatcher.mark_draining("i0", 0.0)
         self.dispatcher.configure(build_service(0), FLEET)
         self.dispatcher.configure(build_service(2), FLEET)
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_openings.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_openings.py
@@ -25,7 +25,7 @@
     def rest(self, *seconds, now=0.0):
         for number, rest in enumerate(seconds):
             asked = RequestedRest(rest)
-            self.dispatcher.note_availability(f"i{number}", 0, asked, False, now)
+            self.dispatcher.openings.note(f"i{number}", 0, asked, False, now)
 
     def submit(self, now=0.0):
         return self.dispatcher.submit(Ticket(ROUTE, now, now + 2.0), now)
@@ -64,7 +64,7 @@
         send = self.binding.take(reply("i2", 0), 0.01)
         result = SendResult(SendEnd.REFUSED, rest=RequestedRest(2.0))
         self.dispatcher.settle(send, result, 0.01)
-        self.dispatcher.note_availability("i2", 0, result.rest, False, 0.01)
+        self.dispatcher.openings.note("i2", 0, result.rest, False, 0.01)
         refusal, _ = self.dispatcher.retry(send.ticket, SendEnd.REFUSED, 0.01)
         self.assertIsInstance(refusal, Refusal)
         self.assertGreaterEqual(refusal.retry_after, 2.0)
@@ -106,5 +106,5 @@
 class AllLeaveTests(OpeningCase):
     def test_a_new_request_is_refused_at_once(self):
         for number in range(3):
-            self.dispatcher.note_availability(f"i{number}", 0, NO_REST, True, 0.0)
+            self.dispatcher.openings.note(f"i{number}", 0, NO_REST, True, 0.0)
         self.assertIs(self.submit().reason, RefusalReason.NO_ENDPOINT)
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -158,7 +158,7 @@
         if not rest.is_readable:
             self._complain(Event.REST_INVALID, send.endpoint, now)
         self.dispatcher.note_limit(send, limit, now)
-        self.dispatcher.note_availability(
+        self.dispatcher.openings.note(
             send.endpoint, send.born, rest, result.leaving, now
         )
         if result.leaving:
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
@@ -66,7 +66,7 @@
     def take(self):
         dispatcher = self.runner.dispatcher
         now = self.runner.clock()
-        dispatcher.note_availability("i1", 0, RequestedRest(3.0), False, now)
+        dispatcher.openings.note("i1", 0, RequestedRest(3.0), False, now)
         return self.connection
 
     def give_back(self, connection, idle_seconds=None):
