The rest of a question that was refused without naming its endpoint counts

A question is refused as a request would be, and such an answer may name no endpoint. It was taken as lost, its Retry-After dropped, and the endpoint passed by as if it could not be reached. test_its_rest_counts_though_it_does_not_name_the_endpoint failed before. An answer that names another endpoint still counts as lost.

--- a/packages/hingesill-node/hingesill_node/datapath/asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/asking.py
@@ -159,7 +159,7 @@
         response = connection.read_head()
         response.read_short(LONGEST_BODY)
         if not self.wire.is_answer_of(response, endpoint):
-            return Reply(endpoint, SendEnd.LOST), None
+            return self._read_refusal(endpoint, response), None
         own = self.runner.count_in_flight(endpoint)
         signals = self.wire.read_signals(response, self.runner.clock(), own)
         # An endpoint that is asked for its state and tells nothing of warmth is warm.
@@ -178,6 +178,18 @@
         )
         return reply, response if response.can_keep else None
 
+    def _read_refusal(self, endpoint, response):
+        """Return the Reply of an answer that does not name the endpoint.
+
+        Notes
+        -----
+        A question may be refused as a request is, by whoever has the address.
+        """
+        signals = self.wire.read_signals(response, self.runner.clock(), 0)
+        if not (self.wire.is_unsigned(response) and signals.rest.seconds):
+            return Reply(endpoint, SendEnd.LOST)
+        return Reply(endpoint, SendEnd.REFUSED, rest=signals.rest)
+
     def _take(self, reply, pool, connection, response):
         """Give the reply, and the connection that brought it, to a request."""
         send = self.binding.take(reply, self.runner.clock())
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_asking.py
@@ -19,6 +19,7 @@
 from hingesill_core.routing.messages import Send, SendEnd, SendResult, Ticket
 from hingesill_node.datapath.hedges import AskedHedge
 from hingesill_node.datapath.messages import Body, CallerRequest
+from hingesill_node.datapath.responses import EndpointResponse
 from hingesill_node.datapath.runner import ServiceRunner
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.telemetry.counters import Counters
@@ -62,6 +63,63 @@
         return LoadReport(running, self.runner.clock(), 0, 3)
 
 
+class AnsweringConnection:
+    """Brings one answer to a question."""
+
+    address = "127.0.0.1:1"
+
+    def __init__(self, status, headers):
+        self.response = EndpointResponse(None, "GET")
+        self.response.status = status
+        self.response.headers = headers
+        self.response.complete = True
+
+    def set_time_limit(self, seconds):
+        pass
+
+    collect = flush = endheaders = lambda self: None
+    begin = putheader = lambda self, name, value: None
+
+    def read_head(self):
+        return self.response
+
+
+class AnsweringPool:
+    """Gives one connection; its answer may name another endpoint, or none."""
+
+    born = 0
+
+    def __init__(self, connection):
+        self.connection = connection
+
+    def take(self):
+        return self.connection
+
+    def discard(self, connection):
+        pass
+
+
+class RefusedQuestionTests(RoomTestCase):
+    """A question that is refused as a request would be."""
+
+    def ask(self, **answer):
+        self.room.wire.is_answer_of = lambda response, endpoint: False
+        self.room.wire.is_unsigned = lambda response: not answer
+        connection = AnsweringConnection(503, [("Retry-After", "3")])
+        self.room._ask_one("i1", AnsweringPool(connection))
+        return self.runner.dispatcher.states["i1"]
+
+    def test_its_rest_counts_though_it_does_not_name_the_endpoint(self):
+        state = self.ask()
+        self.assertTrue(state.availability.is_resting(self.runner.clock()))
+        self.assertEqual(state.reach.consecutive, 0)
+
+    def test_that_of_another_endpoint_does_not(self):
+        state = self.ask(named="i2")
+        self.assertFalse(state.availability.is_resting(self.runner.clock()))
+        self.assertEqual(state.reach.consecutive, 1)
+
+
 class WaitingRoomTests(RoomTestCase):
     def wait(self):
         self.runner.dispatcher.submit(self.ticket, self.runner.clock())
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -120,6 +120,10 @@
         """Tell whether an answer to a question came from this endpoint."""
         return True
 
+    def is_unsigned(self, response):
+        """Tell whether an answer to a question names no endpoint."""
+        return True
+
     def read_signals(self, response, now, own_in_flight):
         """Return the Signals of an answer's head."""
         not_run = (
