--- a/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
+++ b/packages/hingesill-core/hingesill_core/ratelimits/fleet.py
@@ -223,7 +223,7 @@
             told.endpoint, told.born, told.per_second, earliest, latest
         )
         limits = self.get(told.service)
-        # A node that was told asks no questions there, so it can't find out itself.
+        # A node that received the limit does not query the endpoint itself.
         limits.is_in_health = limits.is_in_health or told.is_in_health
         if not limits.take(word, "node") and limits.has_same(word):
             self.gossip.note_known((told.service, told.endpoint, told.born))
--- a/packages/hingesill-core/hingesill_core/routing/curves.py
+++ b/packages/hingesill-core/hingesill_core/routing/curves.py
@@ -16,7 +16,7 @@
 
 __all__ = ["SlotCurve", "SlotCurves", "conclude", "pool_profiles"]
 
-# What the curves say is worked out again so often.
+# Interval at which curves are evaluated, in seconds.
 REVIEW_SECONDS = 0.25
 
 
--- a/packages/hingesill-core/hingesill_core/routing/levels.py
+++ b/packages/hingesill-core/hingesill_core/routing/levels.py
@@ -32,7 +32,7 @@
 # Of two levels at which the same work is done the lower one answers sooner; it may do
 # less work by so much, as a logarithm: half of the step from five slots to six.
 LEAN = 0.09
-# What a level does less than the best must exceed so many standard errors.
+# Standard errors by which a level must fall short of the best one.
 CERTAINTY = 0.75
 
 
--- a/packages/hingesill-core/hingesill_core/routing/usualtimes.py
+++ b/packages/hingesill-core/hingesill_core/routing/usualtimes.py
@@ -15,7 +15,7 @@
 # An answer within a smaller share of its route's usual time did no usual work, as one
 # that failed at once. A few of these would hide a slowdown.
 LEAST_RATIO = 1 / 3
-# An answer counts as at most so many times slower than usual.
+# Upper bound of the slowness of one answer, as a factor of the usual time.
 MOST_RATIO = 3.0
 # No answer takes less; so its logarithm is bounded.
 LEAST_SECONDS = 0.0001
--- a/packages/hingesill-node/hingesill_node/crashes/spreading.py
+++ b/packages/hingesill-node/hingesill_node/crashes/spreading.py
@@ -21,7 +21,7 @@
 # memory.
 SENDER_SECONDS = 120.0
 MOST_SENDERS = 256
-# A line in the log for datagrams that are not understood, at most so often.
+# Interval of log lines on invalid datagrams, in seconds.
 COMPLAINT_SECONDS = 5.0
 
 
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -30,14 +30,14 @@
 # that go by an older declaration for longer.
 FRESH_SECONDS = 3.0
 FRESH_WATCH_SECONDS = 0.5
-# A node that should follow a relay, but found none, looks for one so often.
+# Interval at which a node without a relay looks for one, in seconds.
 LOOK_SECONDS = 3.0
 # Changes come in series; one call then brings several. A fifth of the time
 # within which a change has to be in force.
 SERIES_SECONDS = 0.4
 # A watch on a path that was cut says nothing, so a cheap call tells of cuts.
 CHECK_SECONDS = 1.0
-# A watch that has waited so long should have brought a change that a check sees.
+# Time after which a silent watch is checked against the store, in seconds.
 DEAF_SECONDS = 0.5
 # A relay's checks are also its heartbeats.
 RELAY_CHECK_SECONDS = 0.4
--- a/packages/hingesill-node/hingesill_node/discovery/registration.py
+++ b/packages/hingesill-node/hingesill_node/discovery/registration.py
@@ -17,7 +17,7 @@
 RETRY_SECONDS = 2.0
 # How often it is looked at whether the entry is still there; this costs no call.
 LOOK_SECONDS = 1.0
-# A new entry is in the directory within so long, unless it was lost.
+# Time until a new entry is in the directory, in seconds.
 LISTED_SECONDS = 4.0
 
 
--- a/packages/hingesill-node/hingesill_node/telemetry/output.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/output.py
@@ -13,7 +13,7 @@
 # Of these, lines below WARNING get no more than so many, so that failures are
 # kept before successes.
 ORDINARY_LINES_A_SECOND = 100
-# A pipe that can be written to at all takes so many bytes without a wait.
+# Bytes that a writable pipe accepts without blocking.
 LONGEST_LINE = 4000
 NO_WAIT = 0
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,7 +13,7 @@
 # The same, drawn beside those, each with luck of its own.
 BESIDES = Registry("soak fault beside others")
 
-# An endpoint that is told to end has ended, and one that starts serves, within so long.
+# Time until an endpoint has ended, or serves after its start, in seconds.
 ENDS_SECONDS = 0.1
 
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -19,7 +19,7 @@
 SERIES = 6
 FIRST_PAUSE = 0.5
 REST_SECONDS = 2.0
-# Of the faults, beside so many of which another one of each kind begins.
+# Share of faults beside which another one of each kind begins.
 BESIDE_SHARE = 0.3
 CHECKED = (
     "whole own answer",
