--- a/packages/hingesill-core/hingesill_core/crashes/gossip.py
+++ b/packages/hingesill-core/hingesill_core/crashes/gossip.py
@@ -6,17 +6,15 @@
 
 __all__ = ["Gossip", "MOST_TOLD", "PEERS_A_ROUND", "ROUND_SECONDS"]
 
-# Between two rounds of a node that has news.
+# Interval of gossip rounds, in seconds.
 ROUND_SECONDS = 0.1
-# Nodes that are told in a round. With two, each round triples those who know.
+# Fan-out: nodes to which news is sent in a round.
 PEERS_A_ROUND = 2
-# Rounds beyond those in which news that doubles each time has come to all nodes: they
-# reach the ones that the random choice has left out.
+# Rounds beyond the logarithm of the fleet, for nodes that random choice left out.
 MORE_ROUNDS = 3
-# Pieces of news in a datagram, so that it fits into 1,400 bytes.
+# Most pieces of news in a datagram, so that it fits into 1,400 bytes.
 MOST_TOLD = 10
-# Pieces that wait to be passed on; a guard of memory and of the links: a node sends at
-# most 2 datagrams of 1.4 KB in 0.1 s.
+# Most pieces of news that wait to be passed on.
 MOST_WAITING = 256
 
 
--- a/packages/hingesill-core/hingesill_core/crashes/verdicts.py
+++ b/packages/hingesill-core/hingesill_core/crashes/verdicts.py
@@ -8,13 +8,12 @@
 
 # Endings after which a request is held back, for a moment at least.
 ENOUGH_ENDINGS = 3
-# Endings after which it is for long, whatever else ends endpoints: two endpoints more
-# than where it stands out.
+# Endings after which a request is held back for long, whatever else ends endpoints.
 MANY_ENDINGS = 5
-# Endings that lie closer together are of one event: many may end at once for a reason
-# of their own, with all that they run and with what is sent again at once.
+# Longest gap between endings of one event, in seconds: many endpoints may end at once
+# for a reason of their own.
 EVENT_SECONDS = 1.0
-# So long before or after one of a request's own, endings of others are of its events:
+# Longest distance at which endings of other requests belong to an event, in seconds;
 # longer than a retry and a caller's own repeat take.
 NEAR_SECONDS = 2.0
 
--- a/packages/hingesill-core/hingesill_core/discovery/relays.py
+++ b/packages/hingesill-core/hingesill_core/discovery/relays.py
@@ -7,8 +7,8 @@
 # Followers of one relay, counted by the nodes of its data centre: 200 heartbeats of a
 # few bytes a second.
 NODES_A_RELAY = 80
-# A relay that failed is passed over for so long, in seconds, and twice as long
-# after each further failure. A process starts anew within about a second.
+# Initial and longest back-off of a relay that failed, in seconds; it doubles with each
+# further failure.
 FIRST_REST = 0.3
 LONGEST_REST = 1.2
 
--- a/packages/hingesill-core/hingesill_core/limits/spent.py
+++ b/packages/hingesill-core/hingesill_core/limits/spent.py
@@ -12,15 +12,13 @@
 # nothing of them: a caller that comes back after a second, with four seconds in all,
 # brings less.
 LEAST_OF_FIRST = 0.8
-# Of the callers that bring that much, so many may be taken for ones that came back.
+# Accepted share of first tries that are classified as repeated ones.
 MISTAKEN_SHARE = 0.15
-# Fine enough for a hundredth of the time, and learnt in some 40 requests.
+# Step of the estimate, as a share of the longest time.
 STEP = 0.01
-# After a request that got no answer here nothing is learnt for so many seconds, as many
-# callers come back then, at once or within a second or two.
+# Time without learning after an unserved request, in seconds: callers return then.
 TROUBLE_SECONDS = 2.0
-# What a node that has just started takes for the least time of first tries, as a share
-# of the longest: less takes callers that came back for new ones, more the other way.
+# Initial estimate of the least time of first tries, as a share of the longest.
 FIRST_GUESS = 0.95
 
 
--- a/packages/hingesill-core/hingesill_core/routing/hedging.py
+++ b/packages/hingesill-core/hingesill_core/routing/hedging.py
@@ -14,12 +14,11 @@
 # its questions, and what an answer may take before it counts as overdue.
 NEEDS = 1.25
 EARLIEST_ASKED = 1.4
-# Tokens that a hedge leaves for retries, where a node may save up more than one. In
-# large fleets it may not; there hedges go first: who gets no retry is told so at once
-# and can come back, but who waits for a silent endpoint waits until its time is over.
+# Tokens that a hedge leaves for retries where a node may save up more than one. Where
+# it may not, hedges go first: a refused caller can return at once, one that waits for
+# a silent endpoint cannot.
 KEPT_FOR_RETRIES = 1.0
-# A hedge that found no token or no endpoint is tried again after so many seconds; a
-# token comes in seconds.
+# Interval of attempts to hedge after one found no token or endpoint, in seconds.
 AGAIN_SECONDS = 0.25
 
 
--- a/packages/hingesill-core/hingesill_core/routing/levels.py
+++ b/packages/hingesill-core/hingesill_core/routing/levels.py
@@ -23,14 +23,13 @@
 MOST_ANSWERS = 100
 # A level with fewer answers says nothing.
 FEWEST_ANSWERS = 8
-# Evidence of a level that is not used any more fades by half in so many seconds, so
-# that the levels above are tried again.
+# Half-life of the evidence on an unused level, in seconds.
 HALF_LIFE = 120.0
 # Spread of the logarithm of an answer's time, by the route's usual time: that of the
 # work itself, and spells of slow VMs.
 SPREAD = 0.4
-# Of two levels at which the same work is done the lower one answers sooner; it may do
-# less work by so much, as a logarithm: half of the step from five slots to six.
+# Logarithm of the throughput that may be given up for a lower level, which answers
+# sooner.
 LEAN = 0.09
 # Standard errors by which a level must fall short of the best one.
 CERTAINTY = 0.75
--- a/packages/hingesill-core/hingesill_core/routing/slotknowledge.py
+++ b/packages/hingesill-core/hingesill_core/routing/slotknowledge.py
@@ -11,13 +11,10 @@
 
 __all__ = ["SlotKnowledge"]
 
-# Answers of a service that other nodes don't know of are worth telling if they make up
-# such a share of all that it rests on: a relay writes some four times until a level's
-# mean rests on as many answers as it remembers.
+# Share of new answers from which on the profile is published again.
 LEAST_NEWS = 0.25
-# Once the fleet knows of so many answers, more of them are worth telling only if they
-# lead to another conclusion: each write wakes all relays, and a service that is never
-# full would stay unsettled with more.
+# Answers after which the profile is published only if its conclusion changes, as each
+# write wakes all relays.
 SETTLED_ANSWERS = 100
 
 
--- a/packages/hingesill-core/hingesill_core/routing/usualtimes.py
+++ b/packages/hingesill-core/hingesill_core/routing/usualtimes.py
@@ -12,12 +12,12 @@
 
 __all__ = ["MOST_RATIO", "UsualTimes"]
 
-# An answer within a smaller share of its route's usual time did no usual work, as one
-# that failed at once. A few of these would hide a slowdown.
+# Smallest ratio to the route's usual time that counts: faster answers did not do the
+# usual work, as after an immediate failure.
 LEAST_RATIO = 1 / 3
 # Upper bound of the slowness of one answer, as a factor of the usual time.
 MOST_RATIO = 3.0
-# No answer takes less; so its logarithm is bounded.
+# Lower bound of an answer's time, in seconds, so that its logarithm is bounded.
 LEAST_SECONDS = 0.0001
 
 
--- a/packages/hingesill-core/hingesill_core/routing/warmup.py
+++ b/packages/hingesill-core/hingesill_core/routing/warmup.py
@@ -21,16 +21,14 @@
 
 __all__ = ["WarmUpLimit"]
 
-# Over so long questions are counted, in seconds: the bound is by the second.
+# Window in which load queries are counted, in seconds.
 COUNTED_SECONDS = 1.0
-# An endpoint may become cold at any moment; its last word on that counts for so long,
-# in seconds: longer than a usual answer, so that the slot which an answer frees is
-# taken, and as long as the time over which requests are counted.
+# Time for which an endpoint's report on its warmth is valid, in seconds.
 WORD_HOLDS = 1.0
-# Of the rate, what all nodes together aim at. The rest is for luck, and for the first
-# moments of a burst, when a node has not counted many questions yet.
+# Share of the rate that all nodes together aim at; the reserve covers random variation
+# and the start of a burst.
 USED_SHARE = 0.7
-# Questions to an endpoint and second that are too few to be shared out.
+# Load queries to an endpoint a second below which the rate is not shared out.
 LEAST_OWN = 0.001
 
 
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -31,8 +31,8 @@
 
 __all__ = ["DirectoryControl", "NoAnnouncements"]
 
-# Nodes may come before others know of them: connections are shared out for
-# so many times the nodes that are known.
+# Factor of the known nodes by which connections are shared out, as nodes may start
+# before others know of them.
 ROOM_FOR_NODES = 2
 SILENT_SECONDS = 3.0
 # A node that enters itself asks for a lease and writes its entry under that.
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -23,11 +23,9 @@
 
 # A waiting watch is one call, so long waits are cheap; the store allows 30 s.
 WATCH_SECONDS = 25.0
-# A watch that begins soon after all was read may never tell anything, if the store was
-# just dropping its history; and a check that may be stale does not see what it missed.
-# So such watches are short: with the time that an answer may take, one that is silent
-# is given up after 1.5 s, and a change is in force within 2 s. It guards against nodes
-# that go by an older declaration for longer.
+# Time after a full read in which watches are short, and their length, in seconds: the
+# store may have dropped its history meanwhile, so that such a watch stays silent, and a
+# stale check does not find what it missed.
 FRESH_SECONDS = 3.0
 FRESH_WATCH_SECONDS = 0.5
 # Interval at which a node without a relay looks for one, in seconds.
@@ -41,11 +39,10 @@
 DEAF_SECONDS = 0.5
 # A relay's checks are also its heartbeats.
 RELAY_CHECK_SECONDS = 0.4
-# Without a relay's word for so long a node asks the store itself. Together with
-# a relay's silence, a change is still in force within 2 s.
+# Silence of a relay after which a node reads the store itself, in seconds.
 PATIENCE_SECONDS = 1.4
-# Relays that said themselves that they lost the store are given a moment more to find
-# it back (`storepauses.RELAYS_SOON_SECONDS`), so the store is looked at earlier.
+# The same where relays report that they lost the store: they get a further delay
+# (`storepauses.RELAYS_SOON_SECONDS`).
 PATIENCE_WITH_LIVING_SECONDS = 1.0
 RELAY_PAUSE = 0.05
 # After a fault of this module's own.
@@ -55,9 +52,7 @@
 # A node that starts reads until its own entry and those of others are there.
 START_SECONDS = 1.5
 START_PAUSE = 0.4
-# While the store does not answer other nodes are asked so often. A store that is back
-# while all relays are dark is found by few of a large fleet at first; these tell the
-# rest: the last node is held to a change from 3 s after the return on.
+# Interval at which other nodes are queried while the store does not answer, in seconds.
 PEER_SECONDS = 0.3
 
 
--- a/packages/hingesill-node/hingesill_node/discovery/peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/peers.py
@@ -24,9 +24,8 @@
 ANSWER_SECONDS = 0.5
 LARGEST_ANSWER = 4 * 1024 * 1024
 BINARY = [("Content-Type", "application/octet-stream")]
-# A node that starts asks so many others at a time, and as many again if none of these
-# was sure of what it holds, as most of the nodes may have started at one moment. A
-# whole fleet that starts is not held up: its nodes refuse or say so at once.
+# Nodes that a starting node queries at a time, and rounds: most nodes may have started
+# at one moment and not be sure of what they hold.
 ASKED_TOGETHER = 4
 MOST_ROUNDS = 2
 # Of one round. A node that lives answers within some milliseconds; dark ones are not
--- a/packages/hingesill-node/hingesill_node/discovery/registration.py
+++ b/packages/hingesill-node/hingesill_node/discovery/registration.py
@@ -10,8 +10,8 @@
 
 __all__ = ["Registration"]
 
-# Long enough that renewals cost little, that an outage does not end it and that a
-# process which starts anew finds it; nodes that ended for good are counted so long.
+# Time to live of the entry's lease, in seconds. It outlasts an outage and a restart of
+# the process; a node that ended for good is counted until it runs out.
 LEASE_SECONDS = 120.0
 RENEW_SECONDS = 30.0
 RETRY_SECONDS = 2.0
--- a/packages/hingesill-node/hingesill_node/discovery/storepauses.py
+++ b/packages/hingesill-node/hingesill_node/discovery/storepauses.py
@@ -14,15 +14,12 @@
 # Of the few relays; with its jitter they find a store that is back within 0.75 s, and
 # before the followers that found it read for themselves.
 LONGEST_RELAY_PAUSE = 0.5
-# For a node that may hear of the store's return from a relay. With its jitter and
-# `RELAYS_FIRST_SECONDS` it is 2.75 s: the store may be back for all but the relays, and
-# 3 s after its return a node is held to what has changed.
+# Longest pause of a node that may hear of the store's return from a relay, in seconds.
+# With jitter and `RELAYS_FIRST_SECONDS` it stays below the time until a change is due.
 LONGEST_FOLLOWER_PAUSE = 1.3
-# Followers of a fleet together call a lost store so often a second, so that an outage
-# costs no more in a larger fleet; other nodes tell them of changes meanwhile.
+# Calls a second of all followers together to a lost store, whatever the fleet's size.
 FLEET_CALLS_A_SECOND = 60.0
-# A follower that finds the store back leaves it to the relays for so long; they have
-# found it by then.
+# Head start of the relays once a follower finds the store back, in seconds.
 RELAYS_FIRST_SECONDS = 0.8
 # One that had not noticed the outage, as its patience with the relays ends just after
 # it, waits less: a change must be in force within 2 s, and the relays may be cut off.
--- a/packages/hingesill-node/hingesill_node/telemetry/output.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/output.py
@@ -10,8 +10,7 @@
 
 # So that logs take at most 1% of a core.
 LINES_A_SECOND = 160
-# Of these, lines below WARNING get no more than so many, so that failures are
-# kept before successes.
+# Most lines a second below WARNING, so that failures are kept before successes.
 ORDINARY_LINES_A_SECOND = 100
 # Bytes that a writable pipe accepts without blocking.
 LONGEST_LINE = 4000
