--- a/packages/hingesill-core/hingesill_core/routing/availability.py
+++ b/packages/hingesill-core/hingesill_core/routing/availability.py
@@ -80,7 +80,7 @@
     resting_until : float
         It asked to be left alone until then, in seconds of the node's clock.
     leaving_until, told_at : float
-        Until when it is taken to be leaving, and when it last said so.
+        Until when it counts as leaving, and when it last said so, on the same clock.
     names_life : bool
         Its identity is that of one life, which does not come back once it has left.
     """
@@ -111,7 +111,13 @@
         return begins and self.is_resting(now)
 
     def note_leaving(self, now):
-        """Take that the endpoint is leaving; tell whether that is news."""
+        """Note that the endpoint is leaving; return whether that is new.
+
+        Parameters
+        ----------
+        now : float
+            When the answer was read, in seconds of the node's clock.
+        """
         is_news = not self.is_leaving(now)
         self.told_at = now
         self.leaving_until = inf if self.names_life else now + LEAVE_HOLDS
@@ -202,7 +208,17 @@
             self._tell(service, identity, born, rest.seconds)
 
     def note_leaving(self, service, identity, born, now):
-        """Take that a life said in an answer that it is leaving."""
+        """Note that a life is leaving by its own answer.
+
+        Parameters
+        ----------
+        service, identity : str
+            The service, and the endpoint's identity.
+        born : int
+            The life that answered.
+        now : float
+            When the answer was read, in seconds of the node's clock.
+        """
         availability = self.get(identity, born)
         self._remember((identity, born), availability, now)
         if availability.note_leaving(now):
--- a/packages/hingesill-core/hingesill_core/routing/openings.py
+++ b/packages/hingesill-core/hingesill_core/routing/openings.py
@@ -48,7 +48,15 @@
             availabilities.note_leaving(name, identity, born, now)
 
     def may_write(self, send, now):
-        """Tell whether a send may still be written, once its connection is there."""
+        """Tell whether a send may still be written, once its connection is there.
+
+        Parameters
+        ----------
+        send : Send
+            As it was given out.
+        now : float
+            Seconds of the node's clock.
+        """
         state = self._dispatcher.find_state(send)
         return state is not None and takes_work(state, now)
 
@@ -89,7 +97,17 @@
         return soonest
 
     def find_refusal(self, ticket, now, tried=()):
-        """Return the Refusal of a request that no endpoint takes soon, or None."""
+        """Return the Refusal of a request that no endpoint takes soon, or None.
+
+        Parameters
+        ----------
+        ticket : Ticket
+            The request.
+        now : float
+            Seconds of the node's clock.
+        tried : collection of str
+            Identities of endpoints that do not count.
+        """
         wait = self.get_wait(ticket.route, now, tried)
         if wait <= PATIENCE_SECONDS:
             return None
@@ -99,7 +117,7 @@
         return self._dispatcher.refuse(ticket, reason, now)
 
     def suggest_return(self, route, now):
-        """Return when to come back if all endpoints rest; None if they do not."""
+        """Return the Retry-After in seconds if all endpoints rest, else None."""
         wait = self.get_wait(route, now)
         if wait <= PATIENCE_SECONDS or not isfinite(wait):
             return None
