Types of organisations, quota decisions and early refusal, before the parts that use them

Cause: several parts of one design are built side by side, and need the same types first.

Ruled out: keeping keys as texts in the declaration. They would travel between nodes and stand in the repr of each record.

--- a/packages/hingesill-core/hingesill_core/configuration/services.py
+++ b/packages/hingesill-core/hingesill_core/configuration/services.py
@@ -85,6 +85,8 @@
         Services of a traffic split; empty without a split.
     homes : tuple of str
         Regions of the endpoints that may get its requests; empty for all regions.
+    public : bool
+        Whether its callers need no key where the configuration has organisations.
     """
 
     service: str
@@ -99,6 +101,7 @@
     most_sends: int = DEFAULT_MAX_SENDS
     parts: tuple[WeightedService, ...] = ()
     homes: tuple[str, ...] = ()
+    public: bool = False
 
     def choose_service(self, rng):
         """Return the service of the next request, at random by weight."""
@@ -212,3 +215,5 @@
     places: int
     # Requests a second that a cold endpoint may get from all nodes; 0 for no limit.
     warm_up_rate: float = 0.0
+    # Whether requests that cannot be sent in time are refused at once.
+    early_refusal: bool = False
--- a/packages/hingesill-core/hingesill_core/discovery/assembly.py
+++ b/packages/hingesill-core/hingesill_core/discovery/assembly.py
@@ -57,7 +57,11 @@
             members[record.service].append(record)
     return {
         service.name: build_service(
-            service, members[service.name], directory.declared.routes, rules
+            service,
+            members[service.name],
+            directory.declared.routes,
+            rules,
+            early_refusal=directory.declared.organisations is not None,
         )
         for service in directory.declared.services
     }
@@ -68,7 +72,7 @@
     return not record.leaving and record.data_centre not in directory.evacuated
 
 
-def build_service(declared, records, routes, rules):
+def build_service(declared, records, routes, rules, early_refusal=False):
     """Return one service with its discovered endpoints."""
     records = sorted(records, key=lambda record: record.instance)
     return Service(
@@ -90,6 +94,7 @@
         queue_limit=rules.queue_limit,
         places=0,
         warm_up_rate=declared.warm_up_rate,
+        early_refusal=early_refusal,
     )
 
 
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -4,6 +4,7 @@
 
 from hingesill_core.configuration.services import Route
 from hingesill_core.discovery.position import Position
+from hingesill_core.organisations.organisation import Organisation
 from hingesill_core.routing.profile import Profile
 
 __all__ = [
@@ -73,12 +74,15 @@
         All routes.
     limits : Limits
         Limits for callers.
+    organisations : dict or None
+        Organisation by name; None if callers need no keys.
     """
 
     version: int
     services: tuple[DeclaredService, ...]
     routes: tuple[Route, ...]
     limits: Limits = Limits()
+    organisations: dict[str, Organisation] | None = None
 
 
 class EndpointRecord(Struct, frozen=True):
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations, kept by all nodes together."""
--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -22,6 +22,8 @@
 
     NO_ROUTE = "no-route"
     NO_CONFIGURATION = "no-configuration"
+    UNAUTHENTICATED = "unauthenticated"
+    QUOTA_EXCEEDED = "quota-exceeded"
     NO_ENDPOINT = "no-endpoint"
     ENDPOINTS_LIMITED = "endpoints-limited"
     ENDPOINTS_RESTING = "endpoints-resting"
@@ -33,6 +35,7 @@
     QUEUE_FULL = "queue-full"
     DISPLACED = "displaced"
     DEADLINE_UNREACHABLE = "deadline-unreachable"
+    NO_CAPACITY_IN_TIME = "no-capacity-in-time"
     DEADLINE_PASSED = "deadline-passed"
     CONNECT_FAILED = "connect-failed"
     ENDPOINT_REFUSED = "endpoint-refused"
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -5,6 +5,7 @@
 from msgspec import Struct, field
 
 from hingesill_core.configuration.services import Route
+from hingesill_core.organisations.organisation import Organisation
 from hingesill_core.ratelimits.reportedlimits import ParsedLimit
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.availability import NO_BACKOFF, RequestedBackoff
@@ -40,6 +41,10 @@
         Estimated seconds that its caller has used for earlier attempts.
     retry_forbidden : bool
         Endpoints crashed while they had it, so that it is sent to no other.
+    organisation : Organisation or None
+        The organisation of its caller; None where callers need no keys.
+    key_digest : str
+        Digest of the caller's key; empty without one.
     """
 
     route: Route
@@ -53,6 +58,15 @@
     waiting: bool = False
     elapsed: float = 0.0
     retry_forbidden: bool = False
+    organisation: Organisation | None = None
+    key_digest: str = ""
+
+    @property
+    def rank(self):
+        """Priority, 0 is the most urgent: the organisation's, or else the route's."""
+        if self.organisation is None or self.organisation.rank is None:
+            return self.route.rank
+        return self.organisation.rank
 
 
 class Send(Struct, eq=False):
--- a/packages/hingesill-core/hingesill_core/routing/waiting.py
+++ b/packages/hingesill-core/hingesill_core/routing/waiting.py
@@ -49,4 +49,4 @@
         that no other request waits for.
         """
         is_late = now >= self.late_at
-        return (self.hedge, self.ticket.route.rank, is_late, self.late_at)
+        return (self.hedge, self.ticket.rank, is_late, self.late_at)
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -11,6 +11,7 @@
 
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.discovery.records import Limits
+from hingesill_core.organisations.keytable import KeyTable
 from hingesill_core.probing.probeshare import ProbeShare
 from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.profile import Profile
@@ -28,12 +29,30 @@
 
 
 class Configuration(Struct, frozen=True):
-    """All services in force at a revision, with their route table."""
+    """All services in force at a revision, with their route table.
+
+    Parameters
+    ----------
+    revision : int
+        Version of the configuration; 0 before the first one.
+    services : dict
+        Service by name.
+    routes : RouteTable
+        All routes.
+    limits : Limits
+        Limits for callers.
+    organisations : dict or None
+        Organisation by name; None if callers need no keys.
+    keys : KeyTable or None
+        The keys of all organisations; None if callers need no keys.
+    """
 
     revision: int = 0
     services: dict = field(default_factory=dict)
     routes: RouteTable = field(default_factory=lambda: RouteTable(()))
     limits: Limits = Limits()
+    organisations: dict | None = None
+    keys: KeyTable | None = None
 
 
 class Blackboard(Struct):
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -11,6 +11,7 @@
 from hingesill_core.discovery.fleetsize import FleetSize
 from hingesill_core.discovery.records import NodeRecord
 from hingesill_core.discovery.relays import RelayChoice
+from hingesill_core.organisations.keytable import KeyTable
 from hingesill_core.routing.fleetview import FleetView
 from hingesill_node.blackboard import Configuration
 from hingesill_node.clocks import read_boot_time
@@ -107,6 +108,7 @@
         self.fleet_size = FleetSize()
         self._declared = None
         self._routes = RouteTable(())
+        self._keys = None
         self._evacuated = {}
         self._quarantined = {}
 
@@ -192,6 +194,7 @@
         if declared is not self._declared:
             self._declared = declared
             self._routes = RouteTable(declared.routes)
+            self._keys = build_key_table(declared.organisations)
             log_event(
                 Event.CONFIGURATION_IN_FORCE,
                 version=declared.version,
@@ -200,7 +203,12 @@
             )
         services = build_services(directory, self.rules)
         configuration = Configuration(
-            declared.version, services, self._routes, declared.limits
+            declared.version,
+            services,
+            self._routes,
+            declared.limits,
+            declared.organisations,
+            self._keys,
         )
         self.blackboard.write("configuration", configuration)
 
@@ -279,6 +287,11 @@
         """Do nothing: green threads end with the process."""
 
 
+def build_key_table(organisations):
+    """Return the KeyTable of a declaration, None if it has no organisations."""
+    return None if organisations is None else KeyTable(organisations.values())
+
+
 def find_node_index(nodes, name):
     """Return the number of nodes whose names sort before a name; None if unknown."""
     return sum(other < name for other in nodes) if name in nodes else None
