Requests need a key where the configuration has organisations

Cause: no code read `tenants`, `Authorization` or `public`; requests without a key, with a wrong one and with two were run.

Ruled out: keys as texts in declarations; 401 before 404, as operators probe routes that never existed.

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -7,6 +7,7 @@
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal, Ticket
 from hingesill_node.blackboard import Phase
+from hingesill_node.datapath.authentication import Authenticator
 from hingesill_node.datapath.bodies import CountedBody, LimitedBody, PrefixedBody
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.framing import find_framing_fault
@@ -62,6 +63,9 @@
         self.wire = wire or OwnFormat()
         self.request_drops = HOP_BY_HOP | self.wire.request_drops
         self.answer_drops = HOP_BY_HOP | self.wire.answer_drops
+        self.authenticator = Authenticator(
+            blackboard, self.wire.organisation_header, clock
+        )
         self.rng = random.Random()
         self.elapsed = ElapsedTimeEstimator()
         self.clock = clock
@@ -91,7 +95,12 @@
         if refusal is not None:
             return self._refuse(environ, start_response, refusal, request_id, service)
         exchange = Exchange(
-            self.runners.get(service), request, self.counters, self.wire, self.clock
+            self.runners.get(service),
+            request,
+            self.counters,
+            self.wire,
+            self.clock,
+            self.authenticator,
         )
         answer = exchange.run()
         self._log_request(request, service, exchange.timeline, answer)
@@ -113,6 +122,7 @@
             Event.REQUEST_ANSWERED if ordinary else Event.REQUEST_IN_TROUBLE,
             request=request.request_id,
             service=service,
+            **describe_organisation(ticket),
             version=self.blackboard.configuration.revision,
             ms=round(seconds * 1000),
             left_ms=round((ticket.deadline - ticket.arrived) * 1000),
@@ -135,6 +145,10 @@
         route = configuration.routes.find(environ["REQUEST_METHOD"], path, host)
         if route is None:
             return self._refuse_unrouted(configuration)
+        pairs = environ["headers_raw"]
+        identity = self.authenticator.identify(pairs, route, request_id)
+        if isinstance(identity, Refusal):
+            return identity
         try:
             remaining = self.wire.read_time_left(environ)
         except ValueError:
@@ -159,12 +173,17 @@
                 if remaining is None
                 else self.elapsed.estimate(route, remaining, arrived)
             ),
+            organisation=identity.organisation,
+            key_digest=identity.key_digest,
+        )
+        drops = self.request_drops | self.authenticator.list_dropped_headers(
+            pairs, route
         )
         return CallerRequest(
             request_id,
             environ["REQUEST_METHOD"],
             f"{path}?{query}" if query else path,
-            list(filter_headers(environ["headers_raw"], self.request_drops)),
+            list(filter_headers(pairs, drops)),
             body,
             ticket,
             environ["eventlet.input"].get_socket(),
@@ -255,6 +274,13 @@
         return self._refuse(environ, start_response, refusal, "", "")
 
 
+def describe_organisation(ticket):
+    """Return the log field with the organisation of a request, if it has one."""
+    if ticket.organisation is None:
+        return {}
+    return {"organisation": ticket.organisation.name}
+
+
 def describe_lost_request(request, timeline):
     """Return log fields to match a request that lost a response in other log lines."""
     if not timeline.has_lost:
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -47,6 +47,8 @@
         The header format.
     clock : callable
         Monotonic seconds; the request's deadline is on this clock.
+    authenticator : Authenticator or None
+        Checks the request's key again before each send; None without keys.
 
     Attributes
     ----------
@@ -56,12 +58,21 @@
         The request's steps, for the log.
     """
 
-    def __init__(self, runner, request, counters, wire, clock=time.monotonic):
+    def __init__(
+        self,
+        runner,
+        request,
+        counters,
+        wire,
+        clock=time.monotonic,
+        authenticator=None,
+    ):
         self.runner = runner
         self.request = request
         self.ticket = request.ticket
         self.counters = counters
         self.wire = wire
+        self.authenticator = authenticator
         self.clock = clock
         self.service = runner.dispatcher.service.name
         self.guard = runner.guard
@@ -131,7 +142,9 @@
         """
         reply_connection, self.reply_connection = self.reply_connection, None
         # The request may have been quarantined while it waited for an endpoint.
-        refusal = self.guard.find_refusal(self.request, self.ticket.exposed)
+        refusal = self.guard.find_refusal(
+            self.request, self.ticket.exposed
+        ) or self.check_key(self.ticket)
         if refusal is not None:
             self.runner.cancel_send(send, reply_connection)
             return refusal
@@ -142,6 +155,12 @@
             return Refusal(RefusalReason.CALLER_GONE, self.sends.get_outcome())
         return self._await_first(live)
 
+    def check_key(self, ticket):
+        """Return the Refusal of a request whose key is no longer valid, or None."""
+        if self.authenticator is None:
+            return None
+        return self.authenticator.check_again(ticket, self.request.request_id)
+
     def _await_first(self, live):
         """Wait for an answer, and start a hedge once it is overdue.
 
@@ -237,8 +256,10 @@
             query_client = self.runner.get_query_client(self.wire, self.counters)
             self.hedge = QueryingHedge(self, query_client)
             eventlet.spawn_n(self.hedge.run, decision)
-        else:
+        elif self.check_key(self.ticket) is None:
             self.sends.start(decision)
+        else:
+            self.runner.cancel_send(decision, None)
 
     def _cancel_hedge(self):
         """Cancel a hedge that has not been sent yet."""
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -20,6 +20,7 @@
     "HOP_BY_HOP",
     "HeaderNames",
     "RETRY_AFTER",
+    "build_organisation_header",
     "filter_headers",
     "read_flag",
     "read_limit",
@@ -67,6 +68,7 @@
     DRAINING = "Hingesill-Draining"
     COLD = "Hingesill-Cold"
     LIMIT = "Hingesill-Limit"
+    ORGANISATION = "Hingesill-Organisation"
 
 
 RETRIES_TAKEN = "taken"
@@ -118,6 +120,22 @@
 MAX_LIMIT_PER_SECOND = 1e6
 
 
+def build_organisation_header(name, organisation):
+    """Return the headers that name a request's organisation to an endpoint.
+
+    Parameters
+    ----------
+    name : str
+        Name of the header.
+    organisation : Organisation or None
+        None for a request without a key.
+    """
+    if organisation is None:
+        return []
+    # Header values are written as Latin-1; names may have any printable characters.
+    return [(name, organisation.name.encode().decode("latin-1"))]
+
+
 def list_connection_options(pairs):
     """Return the header names that are listed in Connection headers."""
     options = set()
--- a/packages/hingesill-node/hingesill_node/datapath/hedges.py
+++ b/packages/hingesill-node/hingesill_node/datapath/hedges.py
@@ -30,13 +30,20 @@
         self.is_waiting = False
         if not isinstance(result.decision, Send):
             runner.dispatcher.hedging.cancel(exchange.ticket)
-        elif self.is_wanted and not runner.guard.is_suspect(exchange.request):
+        elif self._may_start():
             self._start(result)
         else:
             runner.cancel_send(result.decision, result.connection)
         if exchange.hedge is self:
             exchange.hedge = None
 
+    def _may_start(self):
+        """Return whether the send is still wanted and allowed."""
+        exchange = self.exchange
+        if not self.is_wanted or exchange.runner.guard.is_suspect(exchange.request):
+            return False
+        return exchange.check_key(exchange.ticket) is None
+
     def _start(self, result):
         """Send to the endpoint of a query result."""
         started = self.exchange.sends.start(result.decision, result.connection)
--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -5,7 +5,7 @@
 
 from msgspec import Struct
 
-from hingesill_core.reasons import RefusalReason
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_node.datapath.headers import HeaderNames
 
 __all__ = ["RefusalAnswer", "build_refusal_answer", "is_valid_request_id"]
@@ -13,8 +13,10 @@
 MAX_REQUEST_ID_LENGTH = 128
 REASON_PHRASES = {
     400: "Bad Request",
+    401: "Unauthorized",
     404: "Not Found",
     413: "Content Too Large",
+    429: "Too Many Requests",
     499: "Caller Gone",
     500: "Internal Server Error",
     502: "Bad Gateway",
@@ -23,6 +25,8 @@
 }
 STATUSES = {
     RefusalReason.NO_ROUTE: 404,
+    RefusalReason.UNAUTHENTICATED: 401,
+    RefusalReason.QUOTA_EXCEEDED: 429,
     RefusalReason.BAD_FRAMING: 400,
     RefusalReason.BAD_HEADER: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
@@ -33,6 +37,10 @@
     RefusalReason.INTERNAL: 500,
 }
 DEFAULT_STATUS = 503
+# Statuses that may be sent only if the request has certainly not run, and the one that
+# is sent in their place.
+NOT_RUN_STATUSES = frozenset({401, 429})
+UNKNOWN_STATUS = 502
 CLOSING_REASONS = frozenset(
     {
         RefusalReason.BAD_FRAMING,
@@ -67,7 +75,7 @@
 def build_refusal_answer(refusal, request_id):
     """Return the RefusalAnswer for a Refusal."""
     reason = refusal.reason
-    status = STATUSES.get(reason, DEFAULT_STATUS)
+    status = choose_status(refusal)
     content = {"outcome": refusal.outcome.value, "reason": reason.value}
     headers = [
         ("Content-Type", "application/json"),
@@ -86,6 +94,14 @@
     return RefusalAnswer(f"{status} {REASON_PHRASES[status]}", headers, body, closes)
 
 
+def choose_status(refusal):
+    """Return the status of a refusal, which claims no more than is certain."""
+    status = STATUSES.get(refusal.reason, DEFAULT_STATUS)
+    if status in NOT_RUN_STATUSES and refusal.outcome is not Outcome.NOT_RUN:
+        return UNKNOWN_STATUS
+    return status
+
+
 def is_valid_request_id(text):
     """Return whether a request id is valid as a header value."""
     return (
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
@@ -13,10 +13,17 @@
     SendBudget,
     Service,
 )
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.loadqueries import LoadQuery
-from hingesill_core.routing.messages import Send, SendResult, SendStatus, Ticket
+from hingesill_core.routing.messages import (
+    Refusal,
+    Send,
+    SendResult,
+    SendStatus,
+    Ticket,
+)
 from hingesill_node.datapath.hedges import QueryingHedge
 from hingesill_node.datapath.messages import Body, CallerRequest
 from hingesill_node.datapath.responses import EndpointResponse
@@ -184,6 +191,10 @@
         self.sends = RecordingSends(self.started)
         self.dispatcher = self.runner.dispatcher
         self.dispatcher.retries.tokens = 3.0
+        self.key_refusal = None
+
+    def check_key(self, ticket):
+        return self.key_refusal
 
     def start(self):
         query = self.dispatcher.hedging.start(self.ticket, self.runner.clock())
@@ -198,6 +209,14 @@
         thread.wait()
         self.assertEqual(self.started, ["i2"])
 
+    def test_it_is_not_sent_if_the_key_was_removed_meanwhile(self):
+        thread = self.start()
+        self.key_refusal = Refusal(RefusalReason.UNAUTHENTICATED, Outcome.UNKNOWN)
+        self.query_client.offer("i2", self.report(0))
+        thread.wait()
+        self.assertEqual(self.started, [])
+        self.assertEqual(self.dispatcher.states["i2"].in_flight, 0)
+
     def test_cancelled_while_it_waits(self):
         thread = self.start()
         self.hedge.cancel()
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -70,7 +70,9 @@
     for name, value in request.headers:
         connection.putheader(name, value)
     remaining = request.ticket.deadline - now
-    added = wire.build_request_headers(request.request_id, endpoint, remaining)
+    added = wire.build_request_headers(
+        request.request_id, endpoint, remaining, request.ticket.organisation
+    )
     for name, value in added:
         connection.putheader(name, value)
     body = request.body
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -17,6 +17,7 @@
     SET_BY_NODE,
     EndpointHeaders,
     HeaderNames,
+    build_organisation_header,
     read_backoff,
     read_flag,
     read_limit,
@@ -72,6 +73,7 @@
         leaving=HeaderNames.DRAINING,
     )
     retries_environ = "HTTP_HINGESILL_RETRIES"
+    organisation_header = HeaderNames.ORGANISATION
 
     def read_request_id(self, environ):
         """Return the request id set by the caller, or None."""
@@ -91,7 +93,7 @@
         """Return whether the node may retry: no layer nearer to the caller does."""
         return environ.get(self.retries_environ) != RETRIES_TAKEN
 
-    def build_request_headers(self, request_id, endpoint, remaining):
+    def build_request_headers(self, request_id, endpoint, remaining, organisation=None):
         """Return the headers that the node adds to a request.
 
         Parameters
@@ -102,11 +104,14 @@
             Identity of the endpoint.
         remaining : float
             Remaining seconds of the request.
+        organisation : Organisation or None
+            The organisation of its caller.
         """
         return [
             (HeaderNames.REQUEST_ID, request_id),
             (HeaderNames.REMAINING, str(max(0, int(remaining * 1000)))),
             (HeaderNames.RETRIES, RETRIES_TAKEN),
+            *build_organisation_header(self.organisation_header, organisation),
         ]
 
     def build_answer_headers(self, request_id):
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -110,6 +110,11 @@
         logging.WARNING,
         "a request was refused because endpoints crashed during it",
     )
+    REQUEST_UNAUTHENTICATED = (
+        6005,
+        logging.WARNING,
+        "a request was refused because it has no valid key",
+    )
     REQUEST_FAULT = (
         6001,
         logging.ERROR,
