Changed organisations reach followers without the whole table

Cause: a declaration passes between nodes whole. With 4,000 organisations that is 345 KB for each follower and change, 101 MB at 300 nodes.

Change: relays pass on the organisations that changed, with a digest of the table after the change; a follower that gets another digest takes the complete directory. Content names its format, as an earlier build drops organisations from what it passes on, and its declaration must not pass for one without them.

Ruled out: a version to start from in place of the digest; a version may be written again with other content after the store is restored.

--- a/bench/registry.py
+++ b/bench/registry.py
@@ -10,6 +10,7 @@
 MODULES = (
     "added_latency",
     "control_cost",
+    "organisation_changes",
     "probe_cost",
     "propagation",
     "routing",
--- a/packages/hingesill-core/hingesill_core/discovery/difference.py
+++ b/packages/hingesill-core/hingesill_core/discovery/difference.py
@@ -1,6 +1,9 @@
 """Changes between two snapshots of a directory."""
 
+from msgspec.structs import replace
+
 from hingesill_core.discovery.records import Changes
+from hingesill_core.organisations.changes import find_organisation_changes
 
 __all__ = ["find_changed_evacuations", "find_changes"]
 
@@ -18,7 +21,7 @@
     Records are compared by identity: a directory replaces a record only if its content
     changes.
     """
-    declared = after.declared if after.declared is not before.declared else None
+    declared, organisations = find_declaration_changes(before.declared, after.declared)
     return Changes(
         after.position,
         declared,
@@ -28,7 +31,28 @@
         find_changed_evacuations(before.evacuated, after.evacuated),
         find_changed_records(before.held, after.held),
         after.unlisted if after.unlisted != before.unlisted else None,
+        organisations,
+    )
+
+
+def find_declaration_changes(before, after):
+    """Return the later declaration, and the changes of its organisations.
+
+    Returns
+    -------
+    tuple
+        DeclaredConfiguration or None, OrganisationChanges or None. The declaration is
+        without organisations if there are changes of them: among thousands, few
+        change.
+    """
+    if after is before:
+        return None, None
+    if before is None or before.organisations is None or after.organisations is None:
+        return after, None
+    organisations = find_organisation_changes(
+        before.organisations, after.organisations, after.organisations_digest
     )
+    return replace(after, organisations=None), organisations
 
 
 def find_changed_evacuations(before, after):
--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -1,6 +1,7 @@
 """A node's view of the store, which never moves back to an older position."""
 
 from msgspec import Struct, field
+from msgspec.structs import replace
 
 from hingesill_core.discovery.deferral import (
     MISSING_NODE_SECONDS,
@@ -9,8 +10,9 @@
     compute_node_deferral,
 )
 from hingesill_core.discovery.position import Position
-from hingesill_core.discovery.records import DeclaredConfiguration, Snapshot
+from hingesill_core.discovery.records import FORMAT, DeclaredConfiguration, Snapshot
 from hingesill_core.discovery.recordtable import RecordTable
+from hingesill_core.organisations.changes import apply_organisation_changes
 from hingesill_core.routing.profile import Profile
 
 __all__ = ["Directory"]
@@ -98,6 +100,41 @@
         """
         return self.position != Position() and position.era > self.position.era
 
+    def can_apply(self, content):
+        """Return whether another node's Snapshot or Changes can be applied here.
+
+        Notes
+        -----
+        A node of an earlier build drops the organisations from declarations that it
+        passes on: its declaration would let all callers in without a key. Changes of
+        organisations that start from other ones than the known ones would mix two
+        versions.
+        """
+        if content.declared is None:
+            return True
+        if content.format < FORMAT:
+            known = self.declared
+            return known is not None and known.organisations is None
+        return self._complete_declaration(content) is not None
+
+    def _complete_declaration(self, content):
+        """Return the declaration of Changes with its organisations, None if unknown."""
+        declared = content.declared
+        changes = getattr(content, "organisations", None)
+        known = self.declared
+        if changes is None or declared is None:
+            return declared
+        if known is None or known.organisations is None:
+            return None
+        if declared.version < known.version:
+            return known
+        organisations = apply_organisation_changes(
+            known.organisations, known.organisations_digest, changes
+        )
+        if organisations is None:
+            return None
+        return replace(declared, organisations=organisations)
+
     def apply_snapshot(self, snapshot, now):
         """Apply the complete content of the store; return whether it was accepted.
 
@@ -132,7 +169,7 @@
             self._defer_node_removals(changes.unlisted, now)
         for name, reported in changes.evacuated.items():
             self._evacuated.update(name, reported, None, now, is_written=True)
-        self._apply_declaration(changes.declared)
+        self._apply_declaration(self._complete_declaration(changes))
         self._apply_profile(changes.profile)
         if changes.held:
             held = {**self.held, **changes.held}
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -4,6 +4,7 @@
 
 from hingesill_core.configuration.services import Route
 from hingesill_core.discovery.position import Position
+from hingesill_core.organisations.changes import OrganisationChanges
 from hingesill_core.organisations.organisation import Organisation
 from hingesill_core.routing.profile import Profile
 
@@ -12,6 +13,7 @@
     "DeclaredConfiguration",
     "DeclaredService",
     "EndpointRecord",
+    "FORMAT",
     "QuarantineRecord",
     "HistoryGone",
     "Limits",
@@ -20,6 +22,10 @@
     "StoreRestored",
 ]
 
+# Format of the snapshots and changes that this build passes to other nodes. Format 1
+# has no organisations: a node of such a build drops them from what it passes on.
+FORMAT = 2
+
 
 class DeclaredService(Struct, frozen=True):
     """A service without its endpoints.
@@ -76,6 +82,8 @@
         Limits for callers.
     organisations : dict or None
         Organisation by name; None if callers need no keys.
+    organisations_digest : int
+        Digest of all organisations, by which nodes see that they have the same ones.
     """
 
     version: int
@@ -83,6 +91,7 @@
     routes: tuple[Route, ...]
     limits: Limits = Limits()
     organisations: dict[str, Organisation] | None = None
+    organisations_digest: int = 0
 
 
 class EndpointRecord(Struct, frozen=True):
@@ -179,6 +188,8 @@
         QuarantineRecord by fingerprint.
     unlisted : tuple of str
         Known nodes whose entries a restored store lacks.
+    format : int
+        Format of the build that sent it.
     """
 
     position: Position
@@ -189,6 +200,7 @@
     evacuated: dict[str, int] = field(default_factory=dict)
     held: dict[str, QuarantineRecord] = field(default_factory=dict)
     unlisted: tuple[str, ...] = ()
+    format: int = FORMAT
 
 
 class Changes(Struct, frozen=True):
@@ -199,7 +211,8 @@
     position : Position
         The later position.
     declared : DeclaredConfiguration or None
-        None if it did not change.
+        None if it did not change. With `organisations` below it is without its
+        organisations.
     endpoints, nodes : dict
         Records that were written; None for removed ones.
     profile : Profile or None
@@ -210,6 +223,10 @@
         QuarantineRecord by fingerprint; None for removed ones.
     unlisted : tuple of str or None
         Known nodes whose entries a restored store lacks; None if they did not change.
+    organisations : OrganisationChanges or None
+        Changes of the declaration's organisations; None if the declaration is complete.
+    format : int
+        Format of the build that sent it.
     """
 
     position: Position
@@ -220,6 +237,8 @@
     evacuated: dict[str, int | None] = field(default_factory=dict)
     held: dict[str, QuarantineRecord | None] = field(default_factory=dict)
     unlisted: tuple[str, ...] | None = None
+    organisations: OrganisationChanges | None = None
+    format: int = FORMAT
 
 
 class StoreRestored(Struct, frozen=True):
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -200,7 +200,8 @@
             return
         self.last_contact_at = self.clock()
         for snapshot in self._fetch_newer_at_start(answer):
-            self.directory.merge_snapshot(snapshot, self.clock())
+            if self.directory.can_apply(snapshot):
+                self.directory.merge_snapshot(snapshot, self.clock())
         self.published_directory.publish_changes()
         waited = self.clock() - self._started_at
         if (
@@ -291,6 +292,8 @@
         self.last_contact_at = now
         if frame.return_age is not None:
             self.directory.record_return(now - frame.return_age)
+        if frame.content is not None and not self.directory.can_apply(frame.content):
+            raise RelayLost("its declaration does not match the known organisations")
         if frame.kind is FrameKind.WHOLE:
             self._start_stream(relay, frame.content)
         elif frame.kind is FrameKind.CHANGES:
@@ -469,7 +472,7 @@
     def _query_peer(self):
         """Merge another node's snapshot if it is newer."""
         snapshot = self.peers.fetch_newer(self.directory)
-        if snapshot is None:
+        if snapshot is None or not self.directory.can_apply(snapshot):
             return
         self.last_contact_at = self.clock()
         if self.published_directory.apply(self.directory.merge_snapshot, snapshot):
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_frames.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_frames.py
@@ -4,10 +4,15 @@
 import unittest
 import zlib
 
-from msgspec.json import encode as encode_json
+from msgspec.json import decode as decode_json, encode as encode_json
 
 from hingesill_core.discovery.position import Position
-from hingesill_core.discovery.records import Changes, NodeRecord, QuarantineRecord
+from hingesill_core.discovery.records import (
+    FORMAT,
+    Changes,
+    NodeRecord,
+    QuarantineRecord,
+)
 from hingesill_core.routing.profile import LevelProfile, Profile, ServiceProfile
 from hingesill_node.discovery.codec import (
     decode_changes,
@@ -43,6 +48,21 @@
 )
 
 
+class FormatTests(unittest.TestCase):
+    """Guards against content of an earlier build that passes for complete."""
+
+    def test_content_of_this_build(self):
+        self.assertEqual(decode_snapshot(encode(SNAPSHOT)).format, FORMAT)
+        self.assertEqual(decode_changes(encode(CHANGES)).format, FORMAT)
+
+    def test_content_without_a_format(self):
+        for content, decode_content in CONTENTS[:2]:
+            fields = decode_json(encode_json(content))
+            del fields["format"]
+            encoded = zlib.compress(encode_json(fields))
+            self.assertEqual(decode_content(encoded).format, 1)
+
+
 class FrameTests(unittest.TestCase):
     def test_frames_are_decoded_from_any_pieces(self):
         reader = FrameReader()
