Organisations are declared in files and shown by hingesill tenants

Cause: in hingesill's own mode there was no way to declare organisations, so that routes could not need keys, and trace and breakdown did not know organisations.

- A declaration `organisation: NAME` has keys or key_digests, rank, rate and burst.
The command replaces keys by digests when it reads the file.
Messages have the place of a fault and no part of a key: also not for an unknown field, a YAML alias or a tag.
- The change log holds a document `organisation:NAME` per organisation.
The document has an empty list of routes, since nodes of earlier builds read the routes of all documents when they accept a change.
- Nodes refuse a key of two organisations against the newest state, also for a dry run, which did not report conflicts of routes before either.
- A node that holds some services gets all organisations.
From a parent of an earlier build, which would leave them out, it takes the whole state.
- The fields `public` and `overload` are left out of documents unless they are set, as nodes of earlier builds reject unknown fields.
- The admin page /organisations, the command `tenants`, and `--organisation` for trace and breakdown; both understand event 6005.

Ruled out: one document for all organisations (344,607 bytes at 4,000 organisations, docs/design/organisations.md, sent whole with each change); a new field in Change and in the log's entries (nodes of earlier builds compute the log's digests from entries as they know them, and would take the log for another one).

--- a/packages/hingesill-cli/hingesill_cli/breakdown.py
+++ b/packages/hingesill-cli/hingesill_cli/breakdown.py
@@ -1,13 +1,18 @@
-"""Latency breakdown of requests by window and service, from nodes' log files."""
+"""Latency breakdown by window and service or organisation, from nodes' log files."""
 
 import re
 from collections import Counter
 from dataclasses import dataclass, field
 from datetime import datetime
 
-from hingesill_cli.trace import REQUEST_EVENTS
+from hingesill_cli.trace import REQUEST_EVENTS, is_final_refusal
 
-__all__ = ["Window", "collect_windows", "format_windows"]
+__all__ = ["SUBJECTS", "Window", "collect_windows", "format_windows"]
+
+# Log fields by which requests can be grouped.
+SUBJECTS = ("service", "organisation")
+NO_SUBJECT = "-"
+UNAUTHENTICATED = "unauthenticated"
 
 # Time format of log lines, with milliseconds after the comma.
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
@@ -15,14 +20,14 @@
 SEND = re.compile(r"(\d+)ms (sent|hedged) (\S+)(?: (\d+)/\d+)?")
 EMPTY_QUERY = re.compile(r"\d+ms asked(?: \(\d+ resting\))?$")
 HEADER = (
-    "from      service       requests  wait ms 50/90  endpoint ms 50/90  all ms 50/99"
+    "from      {:12}  requests  wait ms 50/90  endpoint ms 50/90  all ms 50/99"
     "  hedged  sent again  asked nobody  taken slots at the send, refusals"
 )
 
 
 @dataclass(slots=True)
 class Window:
-    """Statistics of one service's requests that ended within a time window.
+    """Statistics of requests of one subject that ended within a time window.
 
     Attributes
     ----------
@@ -63,8 +68,8 @@
             self.endpoint_times.append(milliseconds - int(sends[-1][1]))
 
 
-def collect_windows(lines, seconds):
-    """Return the windows by start, in seconds since the epoch, and service.
+def collect_windows(lines, seconds, organisation="", by="service"):
+    """Return the windows by start, in seconds since the epoch, and subject.
 
     Parameters
     ----------
@@ -72,13 +77,27 @@
         Log lines of all nodes.
     seconds : float
         Length of a window.
+    organisation : str
+        Only requests of this organisation; empty for all.
+    by : str
+        One of `SUBJECTS`.
+
+    Notes
+    -----
+    Requests without a valid key have neither service nor organisation.
     """
     windows = {}
     for line in lines:
+        fields = line.fields
+        if is_final_refusal(line):
+            fields = {"reason": UNAUTHENTICATED}
+        elif line.event not in REQUEST_EVENTS:
+            continue
         start = find_start(line.time, seconds)
-        if line.event in REQUEST_EVENTS and start is not None:
-            key = start, line.fields.get("service", "")
-            windows.setdefault(key, Window()).record(line.fields)
+        if start is None or organisation not in ("", fields.get("organisation")):
+            continue
+        key = start, fields.get(by) or NO_SUBJECT
+        windows.setdefault(key, Window()).record(fields)
     return windows
 
 
@@ -91,13 +110,13 @@
     return at - at % seconds
 
 
-def format_windows(windows):
-    """Yield the lines of a table, one for each window and service in order."""
-    yield HEADER
-    for (start, service), window in sorted(windows.items()):
+def format_windows(windows, by="service"):
+    """Yield the lines of a table, one for each window and subject in order."""
+    yield HEADER.format(by)
+    for (start, subject), window in sorted(windows.items()):
         time = datetime.fromtimestamp(start).strftime("%H:%M:%S")
         yield (
-            f"{time}  {service[:12]:12}  {len(window.total_times):8}"
+            f"{time}  {subject[:12]:12}  {len(window.total_times):8}"
             f"  {format_quantiles(window.wait_times, 0.5, 0.9):>13}"
             f"  {format_quantiles(window.endpoint_times, 0.5, 0.9):>17}"
             f"  {format_quantiles(window.total_times, 0.5, 0.99):>12}"
--- a/packages/hingesill-cli/hingesill_cli/commands.py
+++ b/packages/hingesill-cli/hingesill_cli/commands.py
@@ -9,9 +9,16 @@
 import yaml
 
 from hingesill_api.generated import hingesill_pb2 as pb
-from hingesill_cli.breakdown import collect_windows, format_windows
+from hingesill_cli.breakdown import SUBJECTS, collect_windows, format_windows
 from hingesill_cli.client import CallFailed, Client
-from hingesill_cli.trace import find_traces, format_trace, read_lines
+from hingesill_cli.tenants import collect_rows, fetch_organisations, format_rows
+from hingesill_cli.trace import (
+    ANY_REQUEST,
+    MAX_TRACES,
+    find_traces,
+    format_trace,
+    read_lines,
+)
 from hingesill_core.configuration.files import load_declarations
 
 __all__ = ["Commands"]
@@ -24,6 +31,7 @@
 EXIT_DENIED = 6
 EXIT_LAGGING = 7
 POLL_INTERVAL_SECONDS = 0.2
+DEFAULT_ADMIN_ADDRESS = "127.0.0.1:8082"
 
 EXITS = {
     pb.ACCEPTED: EXIT_OK,
@@ -80,36 +88,44 @@
         if findings:
             return report_findings(findings)
         for declaration in declarations:
-            print(f"{declaration.service}: valid")
+            print(f"{declaration.label}: valid")
         return EXIT_OK
 
-    def trace(self, request, *files):
+    def trace(self, request, *files, organisation=""):
         """Print the trace of a request from nodes' log files.
 
         Parameters
         ----------
         request : str
-            ID of the request, as sent by the caller.
+            ID of the request, as sent by the caller; ``all`` for the last requests of
+            an organisation.
         files : str
             Log files of one or more nodes.
+        organisation : str
+            Only requests of this organisation.
         """
+        if request == ANY_REQUEST and not organisation:
+            print_error("trace: all needs --organisation=NAME")
+            return EXIT_INVALID
         if not files:
             print_error("trace: name at least one log file")
             return EXIT_INVALID
         try:
-            traces = list(find_traces(read_lines(map(str, files)), str(request)))
+            lines = read_lines(map(str, files))
+            traces = list(find_traces(lines, str(request), str(organisation)))
         except OSError as error:
             print_error(f"trace: {error.filename}: {error.strerror}")
             return EXIT_INVALID
         if not traces:
-            print_error(f"trace: no log line has the request {request}")
+            of = f" of the organisation {organisation}" if organisation else ""
+            print_error(f"trace: no log line has the request {request}{of}")
             return EXIT_NO_ANSWER
-        for trace in traces:
+        for trace in traces[-MAX_TRACES:]:
             for line in format_trace(trace):
                 print(line)
         return EXIT_OK
 
-    def breakdown(self, *files, seconds=2.0):
+    def breakdown(self, *files, seconds=2.0, organisation="", by="service"):
         """Print a latency breakdown of requests by window and service.
 
         Parameters
@@ -118,6 +134,10 @@
             Log files of one or more nodes.
         seconds : float
             Length of a window.
+        organisation : str
+            Only requests of this organisation.
+        by : str
+            ``service``, or ``organisation`` for a line for each organisation.
         """
         if not files:
             print_error("breakdown: name at least one log file")
@@ -125,19 +145,47 @@
         if not isinstance(seconds, (int, float)) or seconds <= 0:
             print_error("breakdown: --seconds must be a number above 0")
             return EXIT_INVALID
+        if by not in SUBJECTS:
+            print_error(f"breakdown: --by must be one of {', '.join(SUBJECTS)}")
+            return EXIT_INVALID
         try:
-            windows = collect_windows(read_lines(map(str, files)), seconds)
+            lines = read_lines(map(str, files))
+            windows = collect_windows(lines, seconds, str(organisation), by)
         except OSError as error:
             print_error(f"breakdown: {error.filename}: {error.strerror}")
             return EXIT_INVALID
         if not windows:
             print_error("breakdown: no line of a request in the log files")
             return EXIT_NO_ANSWER
-        for line in format_windows(windows):
+        for line in format_windows(windows, by):
             print(line)
         return EXIT_OK
 
-    def apply(self, f, dry_run=False, operation="", author="", remove=""):
+    def tenants(self, *addresses):
+        """Print the organisations with their quotas and what is used of them.
+
+        Parameters
+        ----------
+        addresses : str
+            Admin addresses of nodes, ``IP:PORT``; used, refused and waiting are sums
+            over these nodes.
+        """
+        pages = []
+        for address in addresses or (DEFAULT_ADMIN_ADDRESS,):
+            try:
+                pages.append(fetch_organisations(str(address)))
+            except (OSError, ValueError) as error:
+                print_error(f"tenants: {address}: {error}")
+        if not pages:
+            return EXIT_NO_ANSWER
+        rows = collect_rows(pages)
+        if rows is None:
+            print("no organisations: callers need no keys")
+        else:
+            print("\n".join(format_rows(rows)))
+        return EXIT_OK if len(pages) == len(addresses or (1,)) else EXIT_NO_ANSWER
+
+    def apply(self, f, dry_run=False, operation="", author="", remove="", check=False):
         """Apply declarations.
 
         Parameters
@@ -152,21 +200,23 @@
         author : str
             Author of the change; the user's name if empty.
         remove : str
-            Services to remove, comma-separated.
+            Services and ``organisation:NAME`` to remove, comma-separated.
+        check : bool
+            The same as ``dry_run``.
         """
         declarations, findings = load_declarations(f)
         if findings:
             return report_findings(findings)
         changes = [
-            pb.Change(service=d.service, document=d.model_dump_json().encode())
+            pb.Change(service=d.document_name, document=d.encode_document())
             for d in declarations
         ]
         names = [name for name in str(remove).split(",") if name]
         changes += [pb.Change(service=name) for name in names]
-        return self._apply(changes, dry_run, operation, author)
+        return self._apply(changes, dry_run or check, operation, author)
 
     def remove(self, service, operation="", author=""):
-        """Remove a service; a tombstone keeps it from reappearing."""
+        """Remove a service or ``organisation:NAME``, which leaves a tombstone."""
         return self._apply([pb.Change(service=service)], False, operation, author)
 
     def _apply(self, changes, dry_run, operation, author):
--- a/packages/hingesill-cli/hingesill_cli/tests/test_breakdown.py
+++ b/packages/hingesill-cli/hingesill_cli/tests/test_breakdown.py
@@ -13,9 +13,9 @@
 LATER = "2026-12-02 10:00:03,900"
 
 
-def build_end(time, milliseconds, steps, reason=""):
+def build_end(time, milliseconds, steps, reason="", **others):
     fields = {"service": "arena", "ms": milliseconds, "steps": steps, "reason": reason}
-    return build_line(6003, "trouble", time, **fields)
+    return build_line(6003, "trouble", time, **fields, **others)
 
 
 class BreakdownTests(unittest.TestCase):
@@ -62,6 +62,28 @@
         _, lines, _ = self.break_down(self.file, seconds=60)
         self.assertEqual(len(lines), 2)
 
+    def test_organisations(self):
+        self.write(
+            build_end(FIRST, 90, [], organisation="acme"),
+            build_end(FIRST, 70, [], "quota-exceeded", organisation="acme"),
+            build_end(FIRST, 50, [], organisation="other"),
+            build_line(6005, "no key", FIRST, cause="unknown key"),
+            build_line(6005, "no key", FIRST, cause="key removed"),
+        )
+        _, lines, _ = self.break_down(self.file, by="organisation")
+        self.assertIn("organisation", lines[0])
+        rows = [line.split() for line in lines[1:]]
+        self.assertEqual(
+            [(row[1], row[2], row[-1]) for row in rows],
+            [
+                ("-", "1", "unauthenticated:1"),
+                ("acme", "2", "quota-exceeded:1"),
+                ("other", "1", "-"),
+            ],
+        )
+        _, lines, _ = self.break_down(self.file, organisation="acme")
+        self.assertEqual([line.split()[1:3] for line in lines[1:]], [["arena", "2"]])
+
     def test_logs_without_requests_give_an_error(self):
         self.write(build_line(3001, "the store does not answer"))
         code, _, err = self.break_down(self.file)
@@ -74,6 +96,7 @@
             (("/nowhere.log",), {}, "/nowhere.log"),
             ((self.file,), {"seconds": 0}, "--seconds"),
             ((self.file,), {"seconds": "x"}, "--seconds"),
+            ((self.file,), {"by": "colour"}, "--by"),
         ):
             with self.subTest(arguments=arguments, options=options):
                 code, _, err = self.break_down(*arguments, **options)
--- a/packages/hingesill-cli/hingesill_cli/trace.py
+++ b/packages/hingesill-cli/hingesill_cli/trace.py
@@ -3,14 +3,28 @@
 import json
 from dataclasses import dataclass, field
 
-__all__ = ["Line", "find_traces", "format_trace", "read_lines"]
+__all__ = [
+    "ANY_REQUEST",
+    "Line",
+    "MAX_TRACES",
+    "UNAUTHENTICATED_EVENT",
+    "find_traces",
+    "format_trace",
+    "is_final_refusal",
+    "read_lines",
+]
 
 # Event numbers; docs/EVENTS.md lists them.
 REQUEST_EVENTS = frozenset({6001, 6002, 6003})
+# A request without a valid key. Its line has neither service nor organisation.
+UNAUTHENTICATED_EVENT = 6005
 ENDPOINT_EVENTS = frozenset({4001, 4002, 4003, 4004})
 NODE_EVENTS = range(1000, 4000)
 # Number of the node's events before the end of the request that are printed.
 MAX_NODE_EVENTS = 5
+# Stands for all IDs.
+ANY_REQUEST = "all"
+MAX_TRACES = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,14 +106,40 @@
         return None
 
 
-def find_traces(lines, request_id):
-    """Yield a Trace for each node that completed a request with this ID."""
+def find_traces(lines, request_id, organisation=""):
+    """Yield a Trace for each node that completed a request with this ID.
+
+    Parameters
+    ----------
+    lines : iterable of Line
+        Log lines of all nodes.
+    request_id : str
+        ID, or `ANY_REQUEST`.
+    organisation : str
+        Only requests of this organisation; empty for all.
+    """
     lines = list(lines)
     for end in lines:
-        if end.event in REQUEST_EVENTS and end.fields.get("request") == request_id:
+        is_end = end.event in REQUEST_EVENTS or is_final_refusal(end)
+        if not is_end or request_id not in (ANY_REQUEST, end.fields.get("request")):
+            continue
+        if organisation in ("", end.fields.get("organisation")):
             yield Trace(end, find_node_events(lines, end), find_endpoints(lines, end))
 
 
+def is_final_refusal(line):
+    """Return whether a line is the only one of a request without a valid key.
+
+    Notes
+    -----
+    A request whose key is removed while it waits has a line at its end as well.
+    """
+    return (
+        line.event == UNAUTHENTICATED_EVENT
+        and line.fields.get("cause") != "key removed"
+    )
+
+
 def find_node_events(lines, end):
     """Return the last events of the request's node before the request's end."""
     found = [
@@ -128,11 +168,22 @@
     """Yield the lines of a trace as text."""
     end = trace.request
     fields = end.fields
+    if end.event == UNAUTHENTICATED_EVENT:
+        yield (
+            f"  {fields.get('cause')}, route {fields.get('host', '')}"
+            f"{fields.get('path', '')}, configuration {fields.get('version')}, "
+            "outcome not-run, reason unauthenticated, status 401"
+        )
+        yield from format_events("what the node knew", trace.node)
+        return
     outcome = fields.get("outcome")
+    organisation = fields.get("organisation")
+    of = f", organisation {organisation}" if organisation else ""
     reason = f", reason {fields['reason']}" if fields.get("reason") else ""
     yield f"{end.time} {end.node}: {end.text}"
     yield (
-        f"  service {fields.get('service')}, configuration {fields.get('version')}, "
+        f"  service {fields.get('service')}{of}, "
+        f"configuration {fields.get('version')}, "
         f"outcome {outcome}{reason}, {fields.get('ms')} ms, "
         f"{fields.get('sends')} sends"
     )
--- a/packages/hingesill-core/hingesill_core/configuration/declaration.py
+++ b/packages/hingesill-core/hingesill_core/configuration/declaration.py
@@ -4,11 +4,10 @@
 
 from pydantic import (
     AfterValidator,
-    BaseModel,
-    ConfigDict,
     Field,
     ValidationError,
     field_validator,
+    model_serializer,
 )
 
 from hingesill_core.configuration.addresses import NAME, check_address
@@ -20,6 +19,7 @@
     SendBudget,
     Service,
 )
+from hingesill_core.configuration.strictmodel import StrictModel
 from hingesill_core.routing.policies import POLICIES
 
 __all__ = [
@@ -35,12 +35,6 @@
 MAX_ROUTES = 200
 
 
-class StrictModel(BaseModel):
-    """A model that rejects unknown fields."""
-
-    model_config = ConfigDict(extra="forbid", frozen=True)
-
-
 class EndpointDeclaration(StrictModel):
     """Declaration of an endpoint of a service."""
 
@@ -61,6 +55,15 @@
     host: str = Field(default="", max_length=253)
     target_ms: int = Field(default=0, ge=0, le=600_000)
     most_sends: int = Field(default=DEFAULT_MAX_SENDS, ge=1, le=10)
+    public: bool = False
+
+    @model_serializer(mode="wrap")
+    def omit_defaults(self, serialize):
+        """Omit fields that nodes of an earlier build reject, unless they are set."""
+        content = serialize(self)
+        if not self.public:
+            del content["public"]
+        return content
 
 
 class ProbeDeclaration(StrictModel):
@@ -91,6 +94,29 @@
     sends: SendDeclaration = SendDeclaration()
     queue_limit: int = Field(default=64, ge=0, le=100_000)
     places: int = Field(default=0, ge=0, le=1000)
+    overload: Literal["queue", "refuse-early"] = "queue"
+
+    @property
+    def document_name(self):
+        """Name of its document in the change log."""
+        return self.service
+
+    @property
+    def label(self):
+        """Kind and name, for messages."""
+        return f"service {self.service}"
+
+    def encode_document(self):
+        """Return the document to store, as JSON bytes."""
+        return self.model_dump_json().encode()
+
+    @model_serializer(mode="wrap")
+    def omit_defaults(self, serialize):
+        """Omit fields that nodes of an earlier build reject, unless they are set."""
+        content = serialize(self)
+        if self.overload == "queue":
+            del content["overload"]
+        return content
 
     @field_validator("policy")
     @classmethod
@@ -183,6 +209,7 @@
         sends=SendBudget(declaration.sends.hedge_share, declaration.sends.retry_share),
         queue_limit=declaration.queue_limit,
         places=declaration.places,
+        early_refusal=declaration.overload == "refuse-early",
     )
 
 
@@ -198,4 +225,5 @@
         host=declaration.host,
         target=declaration.target_ms / 1000,
         most_sends=declaration.most_sends,
+        public=declaration.public,
     )
--- a/packages/hingesill-core/hingesill_core/configuration/log.py
+++ b/packages/hingesill-core/hingesill_core/configuration/log.py
@@ -11,14 +11,24 @@
 
 from msgspec import Struct
 
-__all__ = ["EMPTY_CHAIN", "Entry", "ServiceChange", "decode_entry", "encode_entry"]
+__all__ = [
+    "EMPTY_CHAIN",
+    "ORGANISATION_PREFIX",
+    "Entry",
+    "ServiceChange",
+    "decode_entry",
+    "encode_entry",
+    "is_organisation",
+]
 
 EMPTY_CHAIN = "0" * 16
 CHAIN_BYTES = 8
+# Prefix of the names of organisations' documents. No service has a colon in its name.
+ORGANISATION_PREFIX = "organisation:"
 
 
 class ServiceChange(Struct, frozen=True):
-    """The new declaration of a service; None is a tombstone."""
+    """The new document of a service or an organisation; None is a tombstone."""
 
     service: str
     document: str | None
@@ -39,6 +49,11 @@
         return digest.hexdigest()
 
 
+def is_organisation(name):
+    """Return whether the document with a name is that of an organisation."""
+    return name.startswith(ORGANISATION_PREFIX)
+
+
 def encode_entry(entry):
     """Return the entry as JSON bytes; equal entries have equal bytes."""
     return json.dumps(
--- a/packages/hingesill-core/hingesill_core/configuration/routes.py
+++ b/packages/hingesill-core/hingesill_core/configuration/routes.py
@@ -3,6 +3,7 @@
 import json
 from functools import lru_cache
 
+from hingesill_core.configuration.log import is_organisation
 from hingesill_core.findings import Findings
 
 __all__ = ["find_route_conflicts"]
@@ -43,11 +44,13 @@
     changed = {change.service for change in changes}
     owners = {}
     for name, versioned in replica.services.items():
-        if name not in changed and versioned.document is not None:
+        if is_organisation(name) or versioned.document is None:
+            continue
+        if name not in changed:
             for key in list_route_keys(versioned.document):
                 owners[key] = name
     for change in changes:
-        if change.document is None:
+        if change.document is None or is_organisation(change.service):
             continue
         for key in list_route_keys(change.document):
             owner = owners.setdefault(key, change.service)
--- a/packages/hingesill-core/hingesill_core/configuration/state.py
+++ b/packages/hingesill-core/hingesill_core/configuration/state.py
@@ -7,7 +7,7 @@
 
 from msgspec import Struct, field
 
-from hingesill_core.configuration.log import EMPTY_CHAIN
+from hingesill_core.configuration.log import EMPTY_CHAIN, is_organisation
 
 __all__ = [
     "Applied",
@@ -161,13 +161,13 @@
         since : int
             A revision; 0 for the complete state.
         names : collection of str
-            Services to include; empty for all.
+            Services to include, beside all organisations; empty for all.
         """
         changed = []
         for name, item in reversed(self.services.items()):
             if item.version <= since:
                 break
-            if not names or name in names:
+            if not names or name in names or is_organisation(name):
                 changed.append((name, item))
         changed.reverse()
         return Difference(since, self.revision, self.chain, dict(changed))
--- a/packages/hingesill-node/hingesill_node/admin.py
+++ b/packages/hingesill-node/hingesill_node/admin.py
@@ -1,12 +1,15 @@
-"""Admin HTTP endpoint: readiness of the node, and its metrics."""
+"""Admin HTTP endpoint: readiness of the node, its metrics and the organisations."""
+
+from hingesill_node.organisations import encode_organisations
 
 __all__ = ["AdminApplication"]
 
 PLAIN = [("Content-Type", "text/plain; charset=utf-8")]
+JSON = [("Content-Type", "application/json")]
 
 
 class AdminApplication:
-    """WSGI application that serves the readiness and metrics pages.
+    """WSGI application of the admin address.
 
     Parameters
     ----------
@@ -18,13 +21,20 @@
         Returns the current values by gauge name.
     ready_path : str
         Path that the platform's balancer polls for readiness.
+    read_figures : callable
+        Returns `OrganisationFigures` by organisation.
     """
 
-    def __init__(self, blackboard, counters, gauges, ready_path):
+    def __init__(self, blackboard, counters, gauges, ready_path, read_figures=dict):
         self.blackboard = blackboard
         self.counters = counters
         self.gauges = gauges
-        self.pages = {ready_path: self._show_ready, "/metrics": self._show_metrics}
+        self.read_figures = read_figures
+        self.pages = {
+            ready_path: self._show_ready,
+            "/metrics": self._show_metrics,
+            "/organisations": self._show_organisations,
+        }
         self._provider = None
 
     def __call__(self, environ, start_response):
@@ -41,6 +51,12 @@
         start_response(status, PLAIN)
         return [f"{self.blackboard.phase.value}\n".encode()]
 
+    def _show_organisations(self, start_response):
+        """Return the organisations in force as JSON, without their keys."""
+        start_response("200 OK", JSON)
+        configuration = self.blackboard.configuration
+        return [encode_organisations(configuration, self.read_figures())]
+
     def _show_metrics(self, start_response):
         """Return all metrics; the first request loads the libraries."""
         from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
--- a/packages/hingesill-node/hingesill_node/control/acceptance.py
+++ b/packages/hingesill-node/hingesill_node/control/acceptance.py
@@ -9,7 +9,11 @@
     Rejection,
 )
 from hingesill_core.configuration.declaration import parse_declaration
-from hingesill_core.configuration.log import ServiceChange
+from hingesill_core.configuration.log import ServiceChange, is_organisation
+from hingesill_core.configuration.organisations import (
+    find_key_conflicts,
+    parse_organisation,
+)
 from hingesill_core.configuration.routes import find_route_conflicts
 from hingesill_core.findings import Findings
 from hingesill_node.control.state import copy_replica
@@ -85,12 +89,18 @@
         return findings
 
     def _check_document(self, change, prefix, findings):
-        declaration = parse_declaration(change.document, findings, prefix)
-        if declaration is not None and declaration.service != change.service:
+        if is_organisation(change.service):
+            parsed = parse_organisation(change.document, findings, prefix)
+        else:
+            parsed = parse_declaration(change.document, findings, prefix)
+        if parsed is not None and parsed.document_name != change.service:
             findings.add(f"{prefix}service", "differs from the name in the declaration")
 
     def _preview(self, request, changes):
         """Return the ApplyReply of a dry run or of a request that changes nothing."""
+        findings = find_conflicts(self.state.replica, build_changes(changes))
+        if findings:
+            return build_invalid_reply(pb.INVALID, findings)
         outcome = pb.ACCEPTED if changes else pb.UNCHANGED
         reply = pb.ApplyReply(outcome=outcome, revision=self.state.replica.revision)
         reply.results.extend(build_results(self.state.replica, request.changes))
@@ -103,11 +113,9 @@
         change_request = ChangeRequest(
             request.operation_id,
             author,
-            tuple(
-                ServiceChange(c.service, c.document.decode() or None) for c in changes
-            ),
+            build_changes(changes),
             tuple(change.expected_version for change in changes),
-            find_route_conflicts,
+            find_conflicts,
         )
         append_result = await self.store_calls.run(
             self.changelog.append,
@@ -155,6 +163,18 @@
         return reply
 
 
+def build_changes(changes):
+    """Return the ServiceChanges for the changes of a request."""
+    return tuple(ServiceChange(c.service, c.document.decode() or None) for c in changes)
+
+
+def find_conflicts(replica, changes):
+    """Return findings for routes of two services and keys of two organisations."""
+    findings = find_route_conflicts(replica, changes)
+    findings.extend(find_key_conflicts(replica, changes))
+    return findings
+
+
 def build_invalid_reply(outcome, findings):
     """Return a reply that lists findings."""
     reply = pb.ApplyReply(outcome=outcome, reason="invalid request")
--- a/packages/hingesill-node/hingesill_node/control/peers.py
+++ b/packages/hingesill-node/hingesill_node/control/peers.py
@@ -10,7 +10,7 @@
     decode_drain_notices,
     encode_drain_notices,
 )
-from hingesill_node.control.replicator import HEARTBEAT_SECONDS
+from hingesill_node.control.replicator import HEARTBEAT_SECONDS, UPDATE_FORMAT
 
 __all__ = ["Peers"]
 
@@ -68,6 +68,7 @@
             revision=replica.revision,
             chain=replica.chain,
             confirmed_age_ms=state.get_confirmed_age_ms(),
+            format=UPDATE_FORMAT,
         )
         if replica.revision > known_revision:
             update.difference = self._encode_since(known_revision, names)
--- a/packages/hingesill-node/hingesill_node/control/publisher.py
+++ b/packages/hingesill-node/hingesill_node/control/publisher.py
@@ -3,8 +3,14 @@
 from msgspec.structs import replace
 
 from hingesill_core.configuration.declaration import build_service, parse_declaration
+from hingesill_core.configuration.log import is_organisation
+from hingesill_core.configuration.organisations import (
+    build_organisation,
+    parse_organisation,
+)
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.findings import Findings
+from hingesill_core.organisations.keytable import KeyTable
 from hingesill_core.routing.fleetview import FleetView
 from hingesill_node.blackboard import Configuration
 from hingesill_node.listeners import split_address
@@ -35,6 +41,8 @@
         self.peers = ()
         self.generation = 0
         self._built = {}
+        self._organisations = None
+        self._keys = None
 
     def publish(self, state):
         """Post the parts that have changed since the last call."""
@@ -78,15 +86,47 @@
             built[name] = known
         self._built = built
         services = {
-            name: service for name, (_, service) in built.items() if service is not None
+            name: item
+            for name, (_, item) in built.items()
+            if item is not None and not is_organisation(name)
         }
+        self._build_organisations(replica, built)
         return Configuration(
-            replica.revision, services, RouteTable(list_routes(services))
+            replica.revision,
+            services,
+            RouteTable(list_routes(services)),
+            organisations=self._organisations,
+            keys=self._keys,
         )
 
+    def _build_organisations(self, replica, built):
+        """Build the organisations and their keys, unless they are unchanged.
+
+        Notes
+        -----
+        The tombstone of an organisation counts as well: routes do not become open to
+        all because an operator removed the last organisation.
+        """
+        if not any(map(is_organisation, replica.services)):
+            self._organisations = self._keys = None
+            return
+        organisations = {
+            item.name: item
+            for name, (_, item) in sorted(built.items())
+            if item is not None and is_organisation(name)
+        }
+        if organisations != self._organisations:
+            self._organisations = organisations
+            self._keys = KeyTable(organisations.values())
+
     def _parse(self, name, versioned):
+        """Return the Service or Organisation of a document, None if it is invalid."""
         findings = Findings()
-        declaration = parse_declaration(versioned.document, findings)
+        if is_organisation(name):
+            parse, build = parse_organisation, build_organisation
+        else:
+            parse, build = parse_declaration, build_service
+        declaration = parse(versioned.document, findings)
         if declaration is None:
             log_event(
                 Event.DOCUMENT_INVALID,
@@ -95,7 +135,7 @@
                 findings=[str(finding) for finding in findings],
             )
             return None
-        return build_service(declaration)
+        return build(declaration)
 
 
 def list_routes(services):
--- a/packages/hingesill-node/hingesill_node/control/replicator.py
+++ b/packages/hingesill-node/hingesill_node/control/replicator.py
@@ -29,6 +29,8 @@
 PARENT_TIMEOUT_SECONDS = 5.0
 POSITION_CHECK_SECONDS = 1.0
 SNAPSHOT_INTERVAL_ENTRIES = 512
+# Updates of builds before format 1 lack the organisations if services were named.
+UPDATE_FORMAT = 1
 
 
 class Replicator:
@@ -53,6 +55,8 @@
         self.channels = channels
         self.tail_version = None
         self.snapshot_revision = 0
+        # Nodes of builds without organisations, by name.
+        self.earlier_builds = set()
 
     async def run(self):
         """Follow the store or a parent, as the position in the tree says."""
@@ -169,6 +173,7 @@
     def _open_subscription(self, vm):
         """Return the stream of changes of another node."""
         state = self.state
+        names = () if vm.name in self.earlier_builds else state.interests
         stub = PeersStub(self.channels.get(vm.control))
         return stub.Subscribe(
             pb.SubscribeRequest(
@@ -176,7 +181,7 @@
                 data_centre=state.own.data_centre,
                 revision=state.replica.revision,
                 chain=state.replica.chain,
-                services=sorted(state.interests),
+                services=sorted(names),
             )
         )
 
@@ -229,6 +234,8 @@
         now = state.clock()
         state.last_peer_at = now
         state.counters.add("peer_bytes", "received", amount=update.ByteSize())
+        if self._found_other_build(update, source):
+            return False
         if update.difference:
             try:
                 difference = decode_difference(update.difference)
@@ -246,6 +253,23 @@
         state.apply_drain_notices(decode_drain_notices(update.signs, now))
         return True
 
+    def _found_other_build(self, update, source):
+        """Return whether to subscribe again, as the parent is of another build.
+
+        Notes
+        -----
+        A node of a build without organisations leaves them out, and this node would let
+        everybody through. It is asked for everything instead.
+        """
+        is_earlier = update.format < UPDATE_FORMAT
+        if not self.state.interests or is_earlier == (source in self.earlier_builds):
+            return False
+        if is_earlier:
+            self.earlier_builds.add(source)
+        else:
+            self.earlier_builds.discard(source)
+        return True
+
     def _has_same_log(self, update, source):
         """Return whether a parent follows the same change log as this node."""
         known = self.state.replica.find_chain(update.revision)
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -85,6 +85,11 @@
         Reads the settings again; None if they cannot change.
     clock : callable
         Seconds, for the deadlines of requests and the idle times of connections.
+
+    Attributes
+    ----------
+    read_figures : callable
+        Returns `OrganisationFigures` by organisation, for the admin address.
     """
 
     def __init__(
@@ -93,6 +98,7 @@
         self.settings = settings
         self.load = load or (lambda: settings)
         self.counters = Counters()
+        self.read_figures = dict
         fleet = FleetView(settings.data_centre, 1, settings.fleet_limit)
         self.blackboard = Blackboard(fleet)
         self.control = build_control(settings, self.blackboard, self.counters)
@@ -163,7 +169,11 @@
 
     def _build_admin(self):
         return AdminApplication(
-            self.blackboard, self.counters, self.read_gauges, self.settings.ready_path
+            self.blackboard,
+            self.counters,
+            self.read_gauges,
+            self.settings.ready_path,
+            lambda: self.read_figures(),
         )
 
     def _listen(self):
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -31,7 +31,7 @@
             return run("hingesill", "validate", "-f", str(file))
 
     def test_examples_are_valid(self):
-        for example in ("zugzwang", "harvest-log"):
+        for example in ("zugzwang", "harvest-log", "organisations"):
             with self.subTest(example=example):
                 process = run("hingesill", "validate", "-f", str(EXAMPLES / example))
                 self.assertEqual(process.returncode, 0, process.stderr)
