--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -125,7 +125,7 @@
         str, Meta(description="IP:PORT for operators and other nodes.")
     ] = "127.0.0.1:8081"
     admin_address: Annotated[
-        str, Meta(description="IP:PORT of /ready and /metrics.")
+        str, Meta(description="IP:PORT of /ready, /metrics and /organisations.")
     ] = "127.0.0.1:8082"
     store: Annotated[
         str, Meta(description="URL of the platform's key-value service.")
