Keys are checked by the table in force at each send, on public routes too

Change: a request keeps the table under which it was checked. If another one is in force before a send or hedge, and again once the connection is open, its route and key are looked up anew and its headers filtered again. A request from before there were organisations is judged by the key it brought: 401 without a valid one, in place of 503 for all (the replaced test is stricter).

Ruled out: 503 for each waiting request when a version changes, as public requests would fail with every change of keys.

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -158,6 +158,8 @@
             return Refusal(RefusalReason.BAD_HEADER, Outcome.NOT_RUN)
         if limit == 0:
             return Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
+        # The configuration may change while the body is read.
+        headers = self._filter_headers(pairs, route)
         arrived = self.clock()
         body = self._read_body(environ)
         if isinstance(body, Refusal):
@@ -176,21 +178,25 @@
             organisation=identity.organisation,
             key_digest=identity.key_digest,
         )
-        drops = self.request_drops | self.authenticator.list_dropped_headers(
-            pairs, route
-        )
         return CallerRequest(
             request_id,
             environ["REQUEST_METHOD"],
             f"{path}?{query}" if query else path,
-            list(filter_headers(pairs, drops)),
+            headers,
             body,
             ticket,
             environ["eventlet.input"].get_socket(),
             host,
             environ.get("REMOTE_ADDR", ""),
+            configuration.keys,
         )
 
+    def _filter_headers(self, pairs, route):
+        """Return the headers of a request that its endpoint receives."""
+        dropped = self.authenticator.list_dropped_headers(pairs, route)
+        drops = self.request_drops | dropped if dropped else self.request_drops
+        return list(filter_headers(pairs, drops))
+
     def _refuse_unrouted(self, configuration):
         if configuration.revision == 0:
             reason = RefusalReason.NO_CONFIGURATION
--- a/packages/hingesill-node/hingesill_node/datapath/authentication.py
+++ b/packages/hingesill-node/hingesill_node/datapath/authentication.py
@@ -8,16 +8,19 @@
 from hingesill_core.organisations.organisation import Organisation, digest_key
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal
+from hingesill_node.datapath.headers import filter_headers
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["ANONYMOUS", "Authenticator", "Identity", "read_bearer_key"]
 
 AUTHORIZATION = "authorization"
+# What separates the parts of an Authorization header, of which each may be a key.
+PART_SEPARATORS = re.compile(r"[\s,]+")
+# Parts of an Authorization header that are compared with keys; a longer header counts
+# as one that holds a key, as each comparison costs a digest.
+MAX_COMPARED_PARTS = 16
 # A scheme, spaces and one key; the scheme's case does not matter.
 BEARER_PATTERN = re.compile(r"[ \t]*bearer +([!-~]{1,4096})[ \t]*", re.IGNORECASE)
-# Time after which a caller that a node without a valid key table refused may come back,
-# in seconds.
-RETRY_AFTER_SECONDS = 0.05
 # Log lines per second on requests without a valid key: callers can cause any number.
 MAX_LOG_LINES_PER_SECOND = 10
 
@@ -98,37 +101,47 @@
         keys = self.blackboard.configuration.keys
         if keys is None:
             return frozenset()
-        if not route.public:
+        if not route.public or holds_known_key(pairs, keys):
             return self._key_drops
-        key = read_bearer_key(pairs)
-        is_known = key and keys.find(digest_key(key)) is not None
-        return self._key_drops if is_known else self._name_drops
+        return self._name_drops
 
-    def check_again(self, ticket, request_id):
+    def check_again(self, request):
         """Check the key of a request before a send; return its Refusal or None.
 
         Notes
         -----
         The configuration may have changed while the request waited: its key may be
-        gone, or belong to another organisation.
+        gone, or belong to another organisation; its route may need a key now; and its
+        headers may hold a key or a name of an organisation that were none on arrival.
         """
-        keys = self.blackboard.configuration.keys
-        if keys is None or ticket.route.public:
+        configuration = self.blackboard.configuration
+        keys = configuration.keys
+        if keys is request.keys:
             return None
-        if ticket.organisation is None:
-            # Accepted under a configuration without organisations: its headers were
-            # not checked, and may hold another organisation's name.
-            outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
-            reason = RefusalReason.NO_CONFIGURATION
-            return Refusal(reason, outcome, RETRY_AFTER_SECONDS)
-        organisation = keys.find(ticket.key_digest)
-        if organisation is None:
-            self._log_refusal("key removed", ticket.route, request_id)
-            outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
-            return Refusal(RefusalReason.UNAUTHENTICATED, outcome)
-        ticket.organisation = organisation
+        ticket = request.ticket
+        if keys is not None:
+            route = self._find_route(configuration, request)
+            if not ticket.key_digest and not route.public:
+                # A request that needed no key on arrival may have brought one.
+                key = read_bearer_key(request.headers)
+                ticket.key_digest = digest_key(key) if key else ""
+            organisation = keys.find(ticket.key_digest)
+            if organisation is None and not route.public:
+                self._log_refusal("key not valid now", route, request.request_id)
+                outcome = Outcome.UNKNOWN if ticket.exposed else Outcome.NOT_RUN
+                return Refusal(RefusalReason.UNAUTHENTICATED, outcome)
+            ticket.organisation = organisation
+            drops = self.list_dropped_headers(request.headers, route)
+            request.headers = list(filter_headers(request.headers, drops))
+        request.keys = keys
         return None
 
+    def _find_route(self, configuration, request):
+        """Return the route of a request in force, or that on its arrival."""
+        path = request.target.partition("?")[0]
+        found = configuration.routes.find(request.method, path, request.host)
+        return found or request.ticket.route
+
     def _log_refusal(self, cause, route, request_id):
         """Log a refusal, at most `MAX_LOG_LINES_PER_SECOND` times a second."""
         second = int(self.clock())
@@ -160,3 +173,24 @@
         return ""
     found = BEARER_PATTERN.fullmatch(values[0])
     return found.group(1) if found else ""
+
+
+def holds_known_key(pairs, keys):
+    """Return whether an Authorization header holds a key of an organisation.
+
+    Parameters
+    ----------
+    pairs : iterable of tuple of str
+        Names and values of headers. A key counts in any of several headers, under any
+        scheme and in lists too: endpoints must not receive it.
+    keys : KeyTable
+        The keys of all organisations.
+    """
+    for name, value in pairs:
+        if name.lower() == AUTHORIZATION:
+            parts = PART_SEPARATORS.split(value)
+            if len(parts) > MAX_COMPARED_PARTS:
+                return True
+            if any(keys.find(digest_key(part)) is not None for part in parts):
+                return True
+    return False
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -81,7 +81,9 @@
         self.fault_answer = None
         self.pending_result = None
         self.timeline = RequestTimeline(self.ticket.arrived)
-        self.sends = RequestSends(runner, request, counters, wire, clock, self.timeline)
+        self.sends = RequestSends(
+            runner, request, counters, wire, clock, self.timeline, self.check_key
+        )
         self.caller_watched = request.caller_socket is not None
 
     def run(self):
@@ -142,24 +144,27 @@
         """
         reply_connection, self.reply_connection = self.reply_connection, None
         # The request may have been quarantined while it waited for an endpoint.
-        refusal = self.guard.find_refusal(
-            self.request, self.ticket.exposed
-        ) or self.check_key(self.ticket)
+        refusal = (
+            self.guard.find_refusal(self.request, self.ticket.exposed)
+            or self.check_key()
+        )
         if refusal is not None:
             self.runner.cancel_send(send, reply_connection)
             return refusal
         live = self.sends.start(send, reply_connection)
+        if live is SendStatus.NOT_SENT:
+            return self.check_key() or live
         if isinstance(live, SendStatus):
             return live
         if live is None:
             return Refusal(RefusalReason.CALLER_GONE, self.sends.get_outcome())
         return self._await_first(live)
 
-    def check_key(self, ticket):
+    def check_key(self):
         """Return the Refusal of a request whose key is no longer valid, or None."""
         if self.authenticator is None:
             return None
-        return self.authenticator.check_again(ticket, self.request.request_id)
+        return self.authenticator.check_again(self.request)
 
     def _await_first(self, live):
         """Wait for an answer, and start a hedge once it is overdue.
@@ -256,7 +261,7 @@
             query_client = self.runner.get_query_client(self.wire, self.counters)
             self.hedge = QueryingHedge(self, query_client)
             eventlet.spawn_n(self.hedge.run, decision)
-        elif self.check_key(self.ticket) is None:
+        elif self.check_key() is None:
             self.sends.start(decision)
         else:
             self.runner.cancel_send(decision, None)
--- a/packages/hingesill-node/hingesill_node/datapath/hedges.py
+++ b/packages/hingesill-node/hingesill_node/datapath/hedges.py
@@ -42,7 +42,7 @@
         exchange = self.exchange
         if not self.is_wanted or exchange.runner.guard.is_suspect(exchange.request):
             return False
-        return exchange.check_key(exchange.ticket) is None
+        return exchange.check_key() is None
 
     def _start(self, result):
         """Send to the endpoint of a query result."""
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -48,6 +48,8 @@
         The caller's connection.
     caller : str
         The caller's IP address.
+    keys : KeyTable or None
+        The keys in force when its own key was last checked and its headers filtered.
     """
 
     request_id: str
@@ -59,6 +61,7 @@
     caller_socket: object = None
     host: str = ""
     caller: str = ""
+    keys: object = None
     _fingerprints: tuple = ()
 
     @property
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -34,6 +34,8 @@
         Monotonic seconds; the request's deadline is on this clock.
     timeline : RequestTimeline
         Gets a step for each start and end of a send.
+    check_key : callable
+        Returns the Refusal of the request if its key is no longer valid, or None.
 
     Attributes
     ----------
@@ -41,13 +43,16 @@
         All started sends, except one whose answer is streamed to the caller.
     """
 
-    def __init__(self, runner, request, counters, wire, clock, timeline):
+    def __init__(
+        self, runner, request, counters, wire, clock, timeline, check_key=lambda: None
+    ):
         self.runner = runner
         self.request = request
         self.counters = counters
         self.wire = wire
         self.clock = clock
         self.timeline = timeline
+        self.check_key = check_key
         self.live_sends = []
 
     def list_in_flight(self):
@@ -90,8 +95,12 @@
             connect(live)
             if self._close_if_settled(live):
                 return live
-            if not self.runner.dispatcher.service_availability.may_write(
-                send, self.clock()
+            # The key may have been removed while the connection was opened.
+            if (
+                not self.runner.dispatcher.service_availability.may_write(
+                    send, self.clock()
+                )
+                or self.check_key() is not None
             ):
                 return self.end(live, SendResult(SendStatus.NOT_SENT), keep=True)
             send_request(live, self.request, self.clock(), self.wire)
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_authentication.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_authentication.py
@@ -3,6 +3,9 @@
 import logging
 import unittest
 
+from msgspec.structs import replace
+
+from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.configuration.services import Route
 from hingesill_core.organisations.keytable import KeyTable
 from hingesill_core.organisations.organisation import Organisation, digest_key
@@ -16,7 +19,8 @@
     Authenticator,
     read_bearer_key,
 )
-from hingesill_node.datapath.headers import build_organisation_header
+from hingesill_node.datapath.headers import build_organisation_header, filter_headers
+from hingesill_node.datapath.messages import Body, CallerRequest
 from hingesill_node.datapath.refusals import build_refusal_answer
 
 CLOSED = Route("arena", "", "/a/", True, True, 2.0, rank=3)
@@ -122,6 +126,15 @@
         self.assertEqual(self.drop(other, route=PUBLIC), {"x-name", "x_name"})
         self.assertIn("authorization", self.drop(BEARER, route=PUBLIC))
 
+    def test_public_routes_get_no_key_in_a_malformed_authorization(self):
+        # Read as the one key of a caller, none of these is a key; endpoints got it.
+        for value in ("Basic k1", "k1", "Bearer k1, Bearer k2", "Bearer\tk1 x"):
+            pairs = (("Authorization", value),)
+            self.assertIn("authorization", self.drop(*pairs, route=PUBLIC), value)
+        self.assertIn("authorization", self.drop(BEARER, BEARER, route=PUBLIC))
+        long = ("Authorization", "x " * 100 + "k1")
+        self.assertIn("authorization", self.drop(long, route=PUBLIC))
+
     def test_nothing_is_dropped_without_organisations(self):
         self.blackboard.configuration = Configuration(1)
         self.assertEqual(self.drop(BEARER), frozenset())
@@ -136,29 +149,62 @@
 
 
 class CheckAgainTests(AuthenticationCase):
-    """Guards against sends under a key that went while the request waited."""
+    """Guards against sends under a key that went while the request waited.
+
+    The headers of a request were filtered only on arrival, by the configuration of that
+    time; a later table of keys did not apply to them.
+    """
 
     def setUp(self):
         super().setUp()
+        self.arrive(BEARER)
+
+    def arrive(self, *pairs, route=CLOSED):
+        """Build the request that waits as the application does on arrival."""
+        identity = self.authenticator.identify(pairs, route, "r1")
+        dropped = self.authenticator.list_dropped_headers(pairs, route)
         self.ticket = Ticket(
-            CLOSED, 0.0, 1.0, organisation=self.acme, key_digest=digest_key("k1")
+            route,
+            0.0,
+            1.0,
+            organisation=identity.organisation,
+            key_digest=identity.key_digest,
+        )
+        self.request = CallerRequest(
+            "r1",
+            "GET",
+            route.path,
+            list(filter_headers(pairs, dropped)),
+            Body(b"", 0),
+            self.ticket,
+            keys=self.blackboard.configuration.keys,
+        )
+
+    def change(self, *organisations, routes=(CLOSED, PUBLIC)):
+        """Put another configuration in force."""
+        configuration = build_configuration(*organisations, revision=2)
+        self.blackboard.configuration = replace(
+            configuration, routes=RouteTable(routes)
         )
 
     def check(self):
-        return self.authenticator.check_again(self.ticket, "r1")
+        return self.authenticator.check_again(self.request)
+
+    def assert_unauthenticated(self, outcome=Outcome.NOT_RUN):
+        expected = Refusal(RefusalReason.UNAUTHENTICATED, outcome)
+        self.assertEqual(self.check(), expected)
 
     def test_an_unchanged_key(self):
         self.assertIsNone(self.check())
         self.assertIs(self.ticket.organisation, self.acme)
 
     def test_a_removed_key(self):
-        self.blackboard.configuration = build_configuration(Organisation("acme"))
-        self.assertEqual(
-            self.check(), Refusal(RefusalReason.UNAUTHENTICATED, Outcome.NOT_RUN)
-        )
+        self.change(Organisation("acme"))
+        self.assert_unauthenticated()
+        self.assert_unauthenticated()
 
     def test_a_request_that_may_have_run_is_not_called_unauthorized(self):
-        self.blackboard.configuration = build_configuration(Organisation("acme"))
+        self.change(Organisation("acme"))
         self.ticket.exposed = True
         refusal = self.check()
         self.assertIs(refusal.outcome, Outcome.UNKNOWN)
@@ -166,15 +212,49 @@
 
     def test_a_key_that_moved_to_another_organisation(self):
         moved = Organisation("zenith", (digest_key("k1"),), rank=7)
-        self.blackboard.configuration = build_configuration(moved)
+        self.change(moved)
         self.assertIsNone(self.check())
         self.assertEqual((self.ticket.organisation, self.ticket.rank), (moved, 7))
 
-    def test_a_request_from_before_there_were_organisations(self):
-        self.ticket = Ticket(CLOSED, 0.0, 1.0)
-        refusal = self.check()
-        self.assertIs(refusal.reason, RefusalReason.NO_CONFIGURATION)
-        self.assertIsNotNone(refusal.retry_after)
+    def test_requests_from_before_there_were_organisations(self):
+        self.blackboard.configuration = Configuration(1)
+        self.arrive(BEARER, ("X-Name", "zenith"), ("Accept", "a"))
+        self.assertEqual(len(self.request.headers), 3)
+        self.change(self.acme)
+        self.assertIsNone(self.check())
+        self.assertIs(self.ticket.organisation, self.acme)
+        self.assertEqual(self.request.headers, [("Accept", "a")])
+        for pairs in ((), (("Authorization", "Bearer k9"),), (BEARER, BEARER)):
+            self.blackboard.configuration = Configuration(1)
+            self.arrive(*pairs)
+            self.change(self.acme)
+            self.assert_unauthenticated()
+
+    def test_a_public_route_from_before_there_were_organisations(self):
+        self.blackboard.configuration = Configuration(1)
+        self.arrive(BEARER, ("X-Name", "zenith"), ("Accept", "a"), route=PUBLIC)
+        self.change(self.acme)
+        self.assertIsNone(self.check())
+        self.assertEqual(self.request.headers, [("Accept", "a")])
+
+    def test_an_authorization_that_becomes_a_key_on_a_public_route(self):
+        self.arrive(("Authorization", "Bearer k9"), route=PUBLIC)
+        self.assertEqual(len(self.request.headers), 1)
+        self.change(self.acme, Organisation("new", (digest_key("k9"),)))
+        self.assertIsNone(self.check())
+        self.assertEqual(self.request.headers, [])
+        self.assertIsNone(self.ticket.organisation)
+
+    def test_a_route_that_is_no_longer_public(self):
+        closed = replace(PUBLIC, public=False)
+        self.arrive(route=PUBLIC)
+        self.change(self.acme, routes=(closed,))
+        self.assert_unauthenticated()
+
+    def test_a_route_that_becomes_public(self):
+        self.change(routes=(replace(CLOSED, public=True),))
+        self.assertIsNone(self.check())
+        self.assertIsNone(self.ticket.organisation)
 
 
 if __name__ == "__main__":
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
@@ -3,10 +3,11 @@
 import unittest
 from unittest.mock import patch
 
-from hingesill_core.reasons import Outcome, RetryReason
+from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.availability import RequestedBackoff
 from hingesill_core.routing.loadqueries import LoadQuery
 from hingesill_core.routing.messages import (
+    Refusal,
     RetryDenied,
     Send,
     SendResult,
@@ -152,6 +153,40 @@
         self.assertEqual(self.runner.dispatcher.retries.tokens, 0.0)
 
 
+class KeyRemovedWhileConnectingTests(unittest.TestCase):
+    """Guards against a request that is written after its key was removed.
+
+    The key was checked before the connection was opened, which may take long.
+    """
+
+    def setUp(self):
+        self.runner = build_runner()
+        self.pool = self.runner.pools["i1"] = BackoffPool(self.runner)
+        self.pool.acquire = lambda: self.pool.connection
+        now = self.runner.clock()
+        ticket = Ticket(ROUTE, now, now + 2.0, may_retry=False)
+        request = CallerRequest("r1", "GET", "/a/", [], Body(b"", 0), ticket)
+        self.refusals = [None]
+        self.exchange = Exchange(
+            self.runner, request, Counters(), OwnFormat(), authenticator=self
+        )
+        state = self.runner.dispatcher.states["i1"]
+        self.send = self.runner.dispatcher.start_send(ticket, state, now)
+
+    def check_again(self, request):
+        """Return no refusal before the connection is opened, and one after it."""
+        if self.refusals:
+            return self.refusals.pop()
+        return Refusal(RefusalReason.UNAUTHENTICATED, Outcome.NOT_RUN)
+
+    def test_the_request_is_refused_and_not_written(self):
+        outcome = self.exchange._execute_send(self.send)
+        self.assertIs(outcome.reason, RefusalReason.UNAUTHENTICATED)
+        self.assertIs(outcome.outcome, Outcome.NOT_RUN)
+        self.assertEqual(self.pool.connection.written, [])
+        self.assertEqual(self.runner.dispatcher.states["i1"].in_flight, 0)
+
+
 class LoadQueryDuringBackoffTests(unittest.TestCase):
     def test_the_load_query_is_not_written(self):
         runner = build_runner()
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
@@ -193,7 +193,7 @@
         self.dispatcher.retries.tokens = 3.0
         self.key_refusal = None
 
-    def check_key(self, ticket):
+    def check_key(self):
         return self.key_refusal
 
     def start(self):
