--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -0,0 +1,75 @@
+"""Messages between nodes about the quotas of organisations."""
+
+from msgspec import Struct
+
+__all__ = ["QuotaReply", "QuotaReport"]
+
+
+class QuotaReport(Struct, frozen=True, array_like=True, tag=1):
+    """A node's report to the coordinator of an organisation.
+
+    Parameters
+    ----------
+    organisation : str
+        Name of the organisation.
+    link : int
+        Identifies the node's counters; another value means that they began anew.
+    number : int
+        Sequence number of the reports of this link.
+    seen : int
+        Number of the last report whose reply the node has applied.
+    taken : float
+        Tokens that the node has got under this link and has not returned.
+    held : float
+        Unused tokens at the node.
+    share : float
+        Requests per second of the node's valid lease; 0 without one.
+    seconds : float
+        Remaining validity of that lease.
+    demand : float
+        Requests per second that the node has received recently.
+    wanted : int
+        Tokens for which requests are waiting.
+    """
+
+    organisation: str
+    link: int
+    number: int
+    seen: int = 0
+    taken: float = 0.0
+    held: float = 0.0
+    share: float = 0.0
+    seconds: float = 0.0
+    demand: float = 0.0
+    wanted: int = 0
+
+
+class QuotaReply(Struct, frozen=True, array_like=True, tag=2):
+    """A coordinator's reply to a report.
+
+    Parameters
+    ----------
+    organisation : str
+        Name of the organisation.
+    link, number : int
+        Those of the report.
+    session : int
+        Identifies the coordinator's counters; another value means a restart.
+    share : float
+        Requests per second that the node may use on its own; 0 for no lease.
+    seconds : float
+        Validity of the lease from the time at which the report was sent.
+    tokens : int
+        Tokens for waiting requests.
+    retry_after : float
+        Seconds until the next token is available; 0 if all wanted tokens were given.
+    """
+
+    organisation: str
+    link: int
+    number: int
+    session: int
+    share: float = 0.0
+    seconds: float = 0.0
+    tokens: int = 0
+    retry_after: float = 0.0
