Messages of the quota coordinators' probes

A coordinator that is cut off keeps its node list, and the others get another coordinator; both would grant the whole rate.

--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -0,0 +1,256 @@
+"""Allocation of one organisation's quota to nodes."""
+
+from msgspec import Struct, field
+
+from hingesill_core.quotas.messages import QuotaReply
+from hingesill_core.quotas.tokenbucket import TokenBucket
+
+__all__ = ["LEASE_SECONDS", "QuotaCoordinator", "TAKEOVER_SECONDS"]
+
+# Validity of a lease, in seconds. It has to outlast a change of the coordinator, for
+# which node lists need 1 to 2 s.
+LEASE_SECONDS = 3.0
+# Time after which leases of an earlier coordinator have ended: a coordinator that is
+# cut off notices it within 1 s.
+TAKEOVER_SECONDS = LEASE_SECONDS + 1.0
+# Share of the rate that a new coordinator grants in addition to the leases that nodes
+# bring: leases that it doesn't know may use the whole rate.
+TAKEOVER_SHARE = 0.1
+# Share of the tolerance by which the pool may exceed the burst.
+EXTRA_POOL_SHARE = 0.2
+# Leases are higher than the demand by this factor, so that few requests wait for tokens.
+HEADROOM = 1.2
+# Demand from which a node gets a lease, in requests per second. Below it, tokens for
+# single requests take fewer datagrams than a lease.
+MIN_LEASE_DEMAND = 1.0
+# Time after which a reply is ignored by its receiver, and after which the demand of a
+# silent node doesn't count, in seconds.
+MAX_REPLY_AGE_SECONDS = 0.5
+DEMAND_SECONDS = 1.5
+MAX_RETRY_AFTER_SECONDS = 5.0
+
+
+class NodeAccount(Struct):
+    """What a coordinator has allocated to a node.
+
+    Parameters
+    ----------
+    link, number : int
+        Those of the node's last report.
+    charged : float
+        Tokens that the node may have taken under this link.
+    reserved : float
+        Highest share that the node may be using, in requests per second.
+    until : float
+        Time at which the last lease ends.
+    at : float
+        Time up to which the reserved share is charged.
+    reported_at : float
+        Time of the last report.
+    demand, held : float
+        Those of the last report.
+    pending : dict
+        (time, tokens, share, until) by number of the replies that the node has not
+        confirmed.
+    """
+
+    link: int
+    at: float
+    number: int = 0
+    charged: float = 0.0
+    reserved: float = 0.0
+    until: float = float("-inf")
+    reported_at: float = float("-inf")
+    demand: float = 0.0
+    held: float = 0.0
+    pending: dict = field(default_factory=dict)
+
+
+class QuotaCoordinator:
+    """Allocates an organisation's tokens to nodes.
+
+    Parameters
+    ----------
+    name : str
+        Name of the organisation.
+    rate, burst : float
+        Quota of the organisation.
+    extra : float
+        Requests beyond the quota that may arrive in a window.
+    session : int
+        Identifies this coordinator's accounts.
+    since : float
+        Time since which this node has been the coordinator.
+    now : float
+        Seconds of the node's clock.
+
+    Notes
+    -----
+    The pool is the fleet's token bucket without what has been allocated. A share is
+    charged as it accrues; a node's report says what it has really taken, and the
+    difference goes back into the pool. The sum of all corrections is therefore exact,
+    however late or incomplete the reports are.
+    """
+
+    def __init__(self, name, rate, burst, extra, session, since, now):
+        self.name = name
+        self.rate = rate
+        self.burst = burst
+        self.extra = extra
+        self.session = session
+        self.normal_from = since + TAKEOVER_SECONDS
+        self.accounts = {}
+        self.reserved = 0.0
+        self.demand = 0.0
+        self.held = 0.0
+        self.brought = 0.0
+        accrued = rate * max(0.0, now - self.normal_from)
+        self.pool = TokenBucket(min(burst, accrued), now)
+
+    def configure(self, rate, burst, extra, now):
+        """Change the quota.
+
+        Notes
+        -----
+        Nodes reduce their own leases by the same factor. Those that have not received
+        the change keep the higher share until they report or their lease ends.
+        """
+        self._fill(now)
+        self.rate, self.burst, self.extra = rate, burst, extra
+        self._fill(now)
+
+    def is_new(self, now):
+        """Return whether leases of an earlier coordinator may be valid."""
+        return now < self.normal_from
+
+    def get_capacity(self):
+        """Return the capacity of the pool.
+
+        Notes
+        -----
+        Tokens that nodes hold may be used in the same moment as the pool.
+        """
+        return max(0.0, self.burst + EXTRA_POOL_SHARE * self.extra - self.held)
+
+    def _fill(self, now):
+        if self.is_new(now):
+            self.pool.fill(TAKEOVER_SHARE * self.rate, self.get_capacity(), now)
+        else:
+            self.pool.fill(self.rate - self.reserved, self.get_capacity(), now)
+
+    def handle_report(self, report, node, now):
+        """Return the QuotaReply to a node's report, or None for an outdated one."""
+        self._fill(now)
+        account = self.accounts.get(node)
+        if account is None or account.link != report.link:
+            account = self._open_account(report, node, now)
+        if report.number <= account.number:
+            return None
+        account.number = report.number
+        self._settle(account, report, now)
+        tokens = self.pool.take(report.wanted)
+        share = self._choose_share(account, now)
+        account.charged += tokens
+        until = now + LEASE_SECONDS
+        account.pending[report.number] = (now, tokens, share, until)
+        account.until = max(account.until, until if share else account.until)
+        self._reserve(account, max(account.reserved, share))
+        return QuotaReply(
+            self.name,
+            report.link,
+            report.number,
+            self.session,
+            share,
+            LEASE_SECONDS if share else 0.0,
+            tokens,
+            self._estimate_wait() if tokens < report.wanted else 0.0,
+        )
+
+    def _open_account(self, report, node, now):
+        """Replace the account of a node and keep the lease that it brings.
+
+        Notes
+        -----
+        What the earlier process at the address has been charged stays charged.
+        """
+        self._close_account(node)
+        account = self.accounts[node] = NodeAccount(report.link, now)
+        account.charged = report.taken
+        if report.share > 0:
+            account.until = now + min(report.seconds, LEASE_SECONDS)
+        return account
+
+    def _close_account(self, node):
+        account = self.accounts.pop(node, None)
+        if account is not None:
+            self.reserved -= account.reserved
+            self.demand -= account.demand
+            self.held -= account.held
+
+    def _reserve(self, account, share):
+        self.reserved += share - account.reserved
+        account.reserved = share
+
+    def _settle(self, account, report, now):
+        """Replace what was charged by what the node has taken."""
+        self._charge(account, now)
+        for number, (at, *_) in list(account.pending.items()):
+            if number <= report.seen or now - at > 2 * MAX_REPLY_AGE_SECONDS:
+                del account.pending[number]
+        outstanding = sum(tokens for _, tokens, _, _ in account.pending.values())
+        charged = report.taken + outstanding
+        self.pool.level += account.charged - charged
+        account.charged = charged
+        shares = [share for _, _, share, _ in account.pending.values()]
+        self._reserve(account, max([report.share, *shares]))
+        self.demand += report.demand - account.demand
+        self.held += report.held - account.held
+        account.demand, account.held = report.demand, report.held
+        account.reported_at = now
+        self.pool.level = min(self.pool.level, self.get_capacity())
+
+    def _charge(self, account, now):
+        """Charge the share that has accrued; the pool was not filled with it."""
+        account.charged += account.reserved * max(0.0, now - account.at)
+        account.at = now
+
+    def _choose_share(self, account, now):
+        """Return the share of a node according to its demand."""
+        if account.demand < MIN_LEASE_DEMAND:
+            return 0.0
+        others = max(0.0, self.reserved - account.reserved)
+        if self.is_new(now):
+            limit = account.reserved
+        else:
+            limit = self.rate - others
+        fair = self.rate * account.demand / max(self.demand, 1e-9)
+        return max(0.0, min(HEADROOM * account.demand, fair, limit))
+
+    def _estimate_wait(self):
+        """Return the seconds until the pool has a token."""
+        free = max(self.rate - self.reserved, 0.1 * self.rate)
+        return min(MAX_RETRY_AFTER_SECONDS, max(0.0, 1.0 - self.pool.level) / free)
+
+    def run_round(self, now):
+        """End leases that were not renewed and forget silent nodes."""
+        self._fill(now)
+        for node, account in list(self.accounts.items()):
+            if now - account.reported_at > DEMAND_SECONDS and account.demand:
+                self.demand -= account.demand
+                account.demand = 0.0
+            if account.reserved and now >= account.until:
+                self._charge(account, now)
+                self._reserve(account, 0.0)
+            if not account.reserved and now - account.reported_at > LEASE_SECONDS:
+                self._close_account(node)
+        if not self.accounts:
+            # Sums of floating-point numbers drift.
+            self.reserved = self.demand = self.held = 0.0
+
+    def is_idle(self, now):
+        """Return whether the state equals that of a coordinator without any."""
+        return (
+            not self.accounts
+            and not self.is_new(now)
+            and self.pool.level + self.rate * (now - self.pool.at) >= self.burst
+        )
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-__all__ = ["QuotaReply", "QuotaReport"]
+__all__ = ["QuotaProbe", "QuotaProbeReply", "QuotaReply", "QuotaReport"]
 
 
 class QuotaReport(Struct, frozen=True, array_like=True, tag=1):
@@ -73,3 +73,30 @@
     seconds: float = 0.0
     tokens: int = 0
     retry_after: float = 0.0
+
+
+class QuotaProbe(Struct, frozen=True, array_like=True, tag=3):
+    """A coordinator's question whether a node accepts it.
+
+    Parameters
+    ----------
+    number : int
+        Sequence number of the sender's probes.
+    """
+
+    number: int
+
+
+class QuotaProbeReply(Struct, frozen=True, array_like=True, tag=4):
+    """The answer to a probe.
+
+    Parameters
+    ----------
+    number : int
+        Sequence number of the probe.
+    is_accepted : bool
+        Whether the node list of the answering node has the coordinator.
+    """
+
+    number: int
+    is_accepted: bool
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -0,0 +1,97 @@
+"""Evidence that most nodes reach this node and accept it as a coordinator."""
+
+from msgspec import Struct, field
+
+__all__ = ["PROBE_INTERVAL_SECONDS", "Quorum"]
+
+# Nodes that are probed before anything is granted, and later in each round.
+MAX_SAMPLE = 15
+ROUND_SAMPLE = 5
+PROBE_INTERVAL_SECONDS = 0.5
+# Positive answers out of a full sample. On the side of a partition with a third of the
+# nodes, 9 of 15 are positive with a probability of 0.03; with 8 it is 0.09.
+MIN_CONFIRMATIONS = 9
+# Time after which a probe counts as unanswered, and for which an answer counts, in
+# seconds. A node that is cut off stops granting about 1 s later.
+PROBE_TIMEOUT_SECONDS = 0.1
+VALID_SECONDS = 2.0
+
+
+class Quorum(Struct):
+    """Samples nodes to find out whether this node may grant.
+
+    A coordinator that is cut off keeps its node list, and other nodes get a new
+    coordinator. Both would grant the whole rate. The number of probes doesn't depend on
+    the size of the fleet.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Chooses the nodes.
+    others : tuple
+        Addresses of the other nodes.
+    """
+
+    rng: object
+    others: tuple = ()
+    outcomes: dict = field(default_factory=dict)
+    pending: dict = field(default_factory=dict)
+    number: int = 0
+    probed_at: float = float("-inf")
+
+    def set_nodes(self, others):
+        """Replace the list of the other nodes."""
+        self.others = tuple(others)
+        known = set(self.others)
+        self.outcomes = {n: o for n, o in self.outcomes.items() if n in known}
+
+    def start_round(self, now):
+        """Return (node, number) of the probes to send now, if any are due."""
+        self._settle(now)
+        if not self.others or now - self.probed_at < PROBE_INTERVAL_SECONDS:
+            # An unconfirmed node repeats its probes: requests wait for the answers.
+            if not self.others or now - self.probed_at < PROBE_TIMEOUT_SECONDS:
+                return []
+            if self.is_confirmed(now):
+                return []
+        size = ROUND_SAMPLE if self.is_confirmed(now) else MAX_SAMPLE
+        chosen = self.rng.sample(self.others, min(size, len(self.others)))
+        self.probed_at = now
+        probes = []
+        for node in chosen:
+            self.number += 1
+            self.pending[self.number] = (node, now)
+            probes.append((node, self.number))
+        return probes
+
+    def _settle(self, now):
+        """Count probes without an answer as negative, and drop old outcomes."""
+        for number, (node, at) in list(self.pending.items()):
+            if now - at > PROBE_TIMEOUT_SECONDS:
+                del self.pending[number]
+                self.outcomes[node] = (at, False)
+        self.outcomes = {
+            node: outcome
+            for node, outcome in self.outcomes.items()
+            if now - outcome[0] <= VALID_SECONDS
+        }
+
+    def record_answer(self, number, sender, is_accepted):
+        """Record a node's answer: whether its node list has this node."""
+        node, at = self.pending.get(number, (None, 0.0))
+        if node == sender:
+            del self.pending[number]
+            self.outcomes[node] = (at, is_accepted)
+
+    def is_confirmed(self, now):
+        """Return whether most nodes have accepted this node recently."""
+        if not self.others:
+            return True
+        fresh = [yes for at, yes in self.outcomes.values() if now - at <= VALID_SECONDS]
+        sample = min(MAX_SAMPLE, len(self.others))
+        # In a small fleet all others are probed, and this node counts as well.
+        needed = (sample + 1) // 2
+        if len(self.others) > MAX_SAMPLE:
+            needed = MIN_CONFIRMATIONS
+        yes = sum(fresh)
+        return yes >= needed and yes * sample >= needed * len(fresh)
