--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -18,7 +18,7 @@
 TAKEOVER_SHARE = 0.1
 # Share of the tolerance by which the pool may exceed the burst.
 EXTRA_POOL_SHARE = 0.2
-# Leases are higher than the demand by this factor, so that few requests wait for tokens.
+# Factor by which leases exceed the demand, so that few requests wait for tokens.
 HEADROOM = 1.2
 # Demand from which a node gets a lease, in requests per second. Below it, tokens for
 # single requests take fewer datagrams than a lease.
@@ -77,8 +77,6 @@
         Quota of the organisation.
     extra : float
         Requests beyond the quota that may arrive in a window.
-    session : int
-        Identifies this coordinator's accounts.
     since : float
         Time since which this node has been the coordinator.
     now : float
@@ -92,12 +90,11 @@
     however late or incomplete the reports are.
     """
 
-    def __init__(self, name, rate, burst, extra, session, since, now):
+    def __init__(self, name, rate, burst, extra, since, now):
         self.name = name
         self.rate = rate
         self.burst = burst
         self.extra = extra
-        self.session = session
         self.normal_from = since + TAKEOVER_SECONDS
         self.accounts = {}
         self.reserved = 0.0
@@ -159,7 +156,6 @@
             self.name,
             report.link,
             report.number,
-            self.session,
             share,
             LEASE_SECONDS if share else 0.0,
             tokens,
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -2,13 +2,36 @@
 
 from msgspec import Struct
 
+from hingesill_core.quotas.allowance import compute_allowance, compute_extra
+from hingesill_core.quotas.client import MAX_WAIT_SECONDS, QuotaClient
+from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS, QuotaCoordinator
 from hingesill_core.quotas.decision import QuotaDecision, QuotaStatus, QuotaTolerance
+from hingesill_core.quotas.messages import (
+    QuotaProbe,
+    QuotaProbeReply,
+    QuotaReply,
+    QuotaReport,
+)
+from hingesill_core.quotas.placement import Placement
+from hingesill_core.quotas.quorum import Quorum
 
 __all__ = ["FleetQuotas", "MAX_WAIT_SECONDS", "QuotaChange", "QuotaUsage"]
 
-# Time for which a request waits for a token, in seconds. A request beyond its quota has
-# to be refused within 20 ms.
-MAX_WAIT_SECONDS = 0.015
+# Gap between rounds that shows a suspension, in seconds.
+SUSPENDED_SECONDS = 2.5
+# Interval at which the node list is refreshed while there is work, in seconds.
+REFRESH_SECONDS = 0.5
+# Time for which nodes that left are remembered, in seconds: any pool is full after it,
+# or is filled more slowly than it could be.
+LEFT_SECONDS = 120.0
+# Reports that wait for the answers to probes, and the time for which they do, in
+# seconds; their requests are decided after `MAX_WAIT_SECONDS` anyway.
+MAX_DEFERRED = 2000
+DEFERRED_SECONDS = 0.02
+
+ADMITTED = QuotaDecision(QuotaStatus.ADMITTED)
+# Until the node list is known, the share of this node isn't known either.
+NOT_READY = QuotaDecision(QuotaStatus.REFUSED, 1.0)
 
 
 class QuotaChange(Struct, frozen=True):
@@ -73,7 +96,7 @@
     Notes
     -----
     All times are seconds of one clock of the node, which continues while the node is
-    suspended.
+    suspended. State is kept only for organisations that were used recently.
     """
 
     def __init__(self, rng, tolerance=QuotaTolerance(), observe=lambda change: None):
@@ -82,12 +105,121 @@
         self.observe = observe
         self.send = lambda node, message: None
         self.refresh_nodes = lambda: None
+        self.own = None
+        self.nodes = frozenset()
+        self.quorum = Quorum(rng)
+        self._limited = {}
+        self._clients = {}
+        self._coordinators = {}
+        self._placements = {}
+        # Requests used and refused, of organisations without a client.
+        self._totals = {}
+        # Waiting requests of organisations that no longer have a quota.
+        self._released = {}
+        self._deferred = {}
+        self._left = {}
+        self._started_at = None
+        self._round_at = None
+        self._refreshed_at = float("-inf")
 
     def configure(self, organisations, now):
-        """Set the organisations: a dict of Organisation by name, or None."""
+        """Set the organisations.
+
+        Parameters
+        ----------
+        organisations : dict or None
+            Organisation by name; None for a configuration without organisations.
+        now : float
+            Seconds of the node's clock.
+        """
+        before = self._limited
+        self._limited = {
+            name: organisation
+            for name, organisation in (organisations or {}).items()
+            if organisation.rate > 0
+        }
+        for name in [name for name in self._clients if name not in self._limited]:
+            self._released[name] = len(self._clients[name].waiting)
+            self._drop_client(name)
+        for name in [name for name in self._coordinators if name not in self._limited]:
+            del self._coordinators[name]
+        for name, coordinator in self._coordinators.items():
+            organisation = self._limited[name]
+            if has_other_quota(organisation, before[name]):
+                extra = compute_extra(organisation, self.tolerance)
+                rate, burst = organisation.rate, organisation.burst
+                coordinator.configure(rate, burst, extra, now)
+        for name, client in self._clients.items():
+            if has_other_quota(self._limited[name], before[name]):
+                self._configure_client(client)
+
+    def _configure_client(self, client):
+        organisation = self._limited[client.name]
+        placement = self._get_placement(client.name)
+        extra = compute_extra(organisation, self.tolerance)
+        allowance = compute_allowance(extra, placement.rank, len(self.nodes))
+        window = self.tolerance.window_seconds
+        client.configure(organisation.rate, allowance, window, len(self.nodes))
+        client.set_coordinator(placement.coordinator)
+
+    def _drop_client(self, name):
+        client = self._clients.pop(name)
+        self._totals[name] = (client.used, client.refused)
+        if name not in self._coordinators:
+            self._placements.pop(name, None)
+
+    def _get_placement(self, name):
+        placement = self._placements.get(name)
+        if placement is None:
+            placement = Placement(name, self.own, self.nodes)
+            self._placements[name] = placement
+        return placement
 
     def set_nodes(self, own, nodes, now):
-        """Set the address of this node and those of the other nodes."""
+        """Set the nodes of the fleet.
+
+        Parameters
+        ----------
+        own : tuple or None
+            IP number and port of this node; None if other nodes cannot reach it.
+        nodes : iterable of tuple
+            IP numbers and ports of the other nodes.
+        now : float
+            Seconds of the node's clock.
+        """
+        self._refreshed_at = now
+        if self._started_at is None or own != self.own:
+            self._started_at = self._round_at = now
+            self._placements.clear()
+            self._coordinators.clear()
+        if own is None:
+            self.own, self.nodes = None, frozenset()
+            return
+        before, self.own = self.nodes, own
+        self.nodes = frozenset({own, *nodes})
+        joined, left = self.nodes - before, before - self.nodes
+        if not joined and not left and self._placements:
+            return
+        self.quorum.set_nodes(sorted(self.nodes - {own}))
+        self._record_left(left, now)
+        for placement in self._placements.values():
+            placement.update(joined, left, self.nodes)
+        for client in self._clients.values():
+            self._configure_client(client)
+        for name in list(self._coordinators):
+            if self._get_placement(name).coordinator != own:
+                del self._coordinators[name]
+
+    def _record_left(self, left, now):
+        for node in left:
+            self._left.pop(node, None)
+            self._left[node] = now
+        while self._left:
+            node, at = next(iter(self._left.items()))
+            if now - at <= LEFT_SECONDS:
+                break
+            del self._left[node]
+            self._started_at = max(self._started_at, at)
 
     def acquire(self, name, now):
         """Return the QuotaDecision on one arrival at an endpoint.
@@ -97,7 +229,33 @@
         After ``WAITING``, the caller keeps the request and gets its decision from
         `resume`, in the order of the calls.
         """
-        return QuotaDecision(QuotaStatus.ADMITTED)
+        if name not in self._limited:
+            return ADMITTED
+        self._detect_suspension(now)
+        if now - self._refreshed_at > REFRESH_SECONDS:
+            self._refreshed_at = now
+            self.refresh_nodes()
+        if self.own is None:
+            return NOT_READY
+        client = self._clients.get(name)
+        if client is None:
+            client = QuotaClient(name, self.rng, self._send_report)
+            client.used, client.refused = self._totals.pop(name, (0, 0))
+            self._clients[name] = client
+            self._configure_client(client)
+        return self._run(client, client.acquire, now)
+
+    def _run(self, client, method, now):
+        """Call a method of a client and report changes of its state."""
+        before = client.is_over, client.is_lost
+        result = method(now)
+        for kind, was, is_now in (
+            (("within-quota", "over-quota"), before[0], client.is_over),
+            (("coordinator-found", "coordinator-lost"), before[1], client.is_lost),
+        ):
+            if was != is_now:
+                self.observe(QuotaChange(client.name, kind[is_now], client.coordinator))
+        return result
 
     def resume(self, name, now):
         """Return the decisions on the requests that have waited longest.
@@ -112,22 +270,143 @@
         -----
         To be called when `handle_message` returned the organisation's name, and every
         5 ms while requests of the organisation wait: lost reports are repeated, and a
-        request is decided `MAX_WAIT_SECONDS` after its arrival at the latest.
+        request is decided `MAX_WAIT_SECONDS` after its arrival at the latest. Waiting
+        requests of an organisation that no longer has a quota are admitted.
         """
-        return []
+        released = [ADMITTED] * self._released.pop(name, 0)
+        client = self._clients.get(name)
+        if client is None:
+            return released
+        return released + self._run(client, client.resume, now)
 
     def give_back(self, name, now):
         """Return a token that no endpoint used."""
+        client = self._clients.get(name)
+        if client is not None:
+            client.give_back(now)
+
+    def _send_report(self, report, now):
+        """Send a report to the coordinator, which may be this node."""
+        coordinator = self._placements[report.organisation].coordinator
+        if coordinator != self.own:
+            self.send(coordinator, report)
+            return
+        reply = self._handle_report(report, self.own, now)
+        if reply is not None:
+            self._clients[report.organisation].handle_reply(reply, now)
 
     def handle_message(self, message, sender, now):
         """Handle a message of another node.
 
+        Parameters
+        ----------
+        message : QuotaReport, QuotaReply, QuotaProbe or QuotaProbeReply
+            The decoded message.
+        sender : tuple
+            IP number and port of the sender.
+        now : float
+            Seconds of the node's clock.
+
         Returns
         -------
-        str or None
-            Organisation whose waiting requests may have decisions now.
+        tuple of str
+            Organisations whose waiting requests may have decisions now.
+        """
+        self._detect_suspension(now)
+        if self.own is None:
+            return ()
+        if isinstance(message, QuotaReply):
+            client = self._clients.get(message.organisation)
+            if client is None or sender != client.coordinator:
+                return ()
+            self._run(client, lambda now: client.handle_reply(message, now), now)
+            return (message.organisation,) if client.waiting else ()
+        if isinstance(message, QuotaReport):
+            reply = self._handle_report(message, sender, now)
+            if reply is not None:
+                self.send(sender, reply)
+        elif isinstance(message, QuotaProbe):
+            is_accepted = sender in self.nodes
+            self.send(sender, QuotaProbeReply(message.number, is_accepted))
+        elif isinstance(message, QuotaProbeReply):
+            self.quorum.record_answer(message.number, sender, message.is_accepted)
+            return self._handle_deferred(now)
+        return ()
+
+    def _handle_report(self, report, sender, now):
+        """Return the reply to a report as the coordinator, or None."""
+        name = report.organisation
+        if name not in self._limited:
+            return None
+        placement = self._get_placement(name)
+        if placement.coordinator != self.own:
+            return None
+        if not self.quorum.is_confirmed(now):
+            if len(self._deferred) < MAX_DEFERRED:
+                self._deferred[name, sender] = (report, now)
+            self._send_probes(now)
+            return None
+        coordinator = self._coordinators.get(name)
+        if coordinator is None:
+            coordinator = self._create_coordinator(name, placement, now)
+        return coordinator.handle_report(report, sender, now)
+
+    def _create_coordinator(self, name, placement, now):
+        organisation = self._limited[name]
+        since = placement.find_since(self._left, self._started_at)
+        if len(self.nodes) == 1 and not self._left:
+            # No other node can have allocated anything.
+            since -= TAKEOVER_SECONDS
+        coordinator = QuotaCoordinator(
+            name,
+            organisation.rate,
+            organisation.burst,
+            compute_extra(organisation, self.tolerance),
+            since,
+            now,
+        )
+        self._coordinators[name] = coordinator
+        return coordinator
+
+    def _send_probes(self, now):
+        for node, number in self.quorum.start_round(now):
+            self.send(node, QuotaProbe(number))
+
+    def _handle_deferred(self, now):
+        """Handle the reports that waited for a confirmation of this node."""
+        if not self._deferred or not self.quorum.is_confirmed(now):
+            return ()
+        deferred, self._deferred = self._deferred, {}
+        resumed = []
+        for (name, sender), (report, at) in deferred.items():
+            if now - at > DEFERRED_SECONDS:
+                continue
+            reply = self._handle_report(report, sender, now)
+            if reply is None:
+                continue
+            if sender != self.own:
+                self.send(sender, reply)
+                continue
+            client = self._clients.get(name)
+            if client is not None:
+                client.handle_reply(reply, now)
+                resumed.append(name)
+        return tuple(resumed)
+
+    def _detect_suspension(self, now):
+        """Begin anew as a coordinator after a suspension.
+
+        Notes
+        -----
+        Another node may have been the coordinator in the meantime.
         """
-        return None
+        if self._round_at is None or now - self._round_at <= SUSPENDED_SECONDS:
+            return
+        self._round_at = self._started_at = now
+        self._coordinators.clear()
+        self._deferred.clear()
+        self.quorum.outcomes.clear()
+        self.quorum.pending.clear()
 
     def run_round(self, now):
         """Renew leases and delete unused state.
@@ -138,12 +417,59 @@
         gap between two calls is taken for a suspension of the node, after which the
         node begins anew as a coordinator.
         """
+        self._detect_suspension(now)
+        self._round_at = now
+        if self.own is None:
+            return
+        if not self.is_idle(now) and now - self._refreshed_at > REFRESH_SECONDS:
+            self._refreshed_at = now
+            self.refresh_nodes()
+        for name, client in list(self._clients.items()):
+            self._run(client, client.run_round, now)
+            if client.is_unused(now):
+                self._drop_client(name)
+        for name, coordinator in list(self._coordinators.items()):
+            coordinator.run_round(now)
+            if coordinator.is_idle(now):
+                del self._coordinators[name]
+                if name not in self._clients:
+                    self._placements.pop(name, None)
+        if self._coordinators:
+            self._send_probes(now)
+        self._deferred = {
+            key: item
+            for key, item in self._deferred.items()
+            if now - item[1] <= DEFERRED_SECONDS
+        }
 
     def is_idle(self, now):
         """Return whether there is nothing to do in rounds of 0.1 s."""
-        return True
+        return not self._coordinators and all(
+            client.is_idle(now) for client in self._clients.values()
+        )
 
     @property
     def usage(self):
-        """QuotaUsage by name of the organisations that were used recently."""
-        return {}
+        """QuotaUsage by name of the organisations that were used at this node.
+
+        Organisations that were not used recently have no coordinator.
+        """
+        unused = {
+            name: QuotaUsage(*totals, 0, None, False)
+            for name, totals in self._totals.items()
+        }
+        return unused | {
+            name: QuotaUsage(
+                client.used,
+                client.refused,
+                len(client.waiting),
+                client.coordinator,
+                client.is_over,
+            )
+            for name, client in self._clients.items()
+        }
+
+
+def has_other_quota(organisation, before):
+    """Return whether the quotas of two versions of an organisation differ."""
+    return (organisation.rate, organisation.burst) != (before.rate, before.burst)
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -13,7 +13,8 @@
     organisation : str
         Name of the organisation.
     link : int
-        Identifies the node's counters; another value means that they began anew.
+        Identifies the node's counters and its current coordinator; another value means
+        that the node or its choice of the coordinator is new.
     number : int
         Sequence number of the reports of this link.
     seen : int
@@ -53,8 +54,6 @@
         Name of the organisation.
     link, number : int
         Those of the report.
-    session : int
-        Identifies the coordinator's counters; another value means a restart.
     share : float
         Requests per second that the node may use on its own; 0 for no lease.
     seconds : float
@@ -68,7 +67,6 @@
     organisation: str
     link: int
     number: int
-    session: int
     share: float = 0.0
     seconds: float = 0.0
     tokens: int = 0
