Requests need a token of their organisation's quota at the node

Cause: organisations have `rate` and `burst` in the configuration, and no code of the node used them: any number of requests was sent.

Change: a request of an organisation with a quota gets a token before its body is read, and waits at most 18 ms for the decision; 429 `quota-exceeded` otherwise. The token goes with the send at the moment it is written, and comes back if the send did not reach the endpoint or the endpoint did not run it. Retries after a send that may have run, and hedges, need a further token at once. A key that moves to another organisation gives the token back and needs one of the new organisation.

A token is held for at most the time that 0.4 of the tolerance allows (0.29 s at a rate and burst of 164): requests that waited at nodes together may reach endpoints together, and would exceed the bound of the window.

Ruled out: giving held tokens back on a timer (newcomers would take them, and waiting requests would starve); waiting for tokens of hedges.

--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -59,4 +59,5 @@
     DENIED_NOT_REPEATABLE = "denied-not-repeatable"
     DENIED_NO_ENDPOINT = "denied-no-endpoint"
     DENIED_TIME = "denied-time"
+    DENIED_QUOTA = "denied-quota"
     DENIED_ENDINGS = "denied-endings"
--- a/packages/hingesill-core/hingesill_core/retries/decision.py
+++ b/packages/hingesill-core/hingesill_core/retries/decision.py
@@ -3,7 +3,14 @@
 from hingesill_core.reasons import Outcome, RefusalReason, RetryReason
 from hingesill_core.routing.messages import Refusal, RetryDenied, SendStatus
 
-__all__ = ["NOT_DELIVERED", "classify_refusal", "decide_retry", "mark_may_have_run"]
+__all__ = [
+    "DEFINITELY_NOT_RUN",
+    "NOT_DELIVERED",
+    "classify_refusal",
+    "decide_retry",
+    "find_denial",
+    "mark_may_have_run",
+]
 
 RETRY_REASONS = {
     SendStatus.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
@@ -26,6 +33,7 @@
 
 # Statuses of sends that did not reach the endpoint.
 NOT_DELIVERED = frozenset({SendStatus.CONNECT_FAILED, SendStatus.NOT_SENT})
+# Statuses of sends that no endpoint ran.
 DEFINITELY_NOT_RUN = NOT_DELIVERED | {SendStatus.REFUSED}
 
 
--- a/packages/hingesill-core/hingesill_core/routing/retryhandler.py
+++ b/packages/hingesill-core/hingesill_core/routing/retryhandler.py
@@ -1,7 +1,7 @@
 """The handling of a failed send: a retry or the final response."""
 
 from hingesill_core.reasons import RetryReason
-from hingesill_core.retries.decision import classify_refusal, decide_retry
+from hingesill_core.retries.decision import classify_refusal, decide_retry, find_denial
 from hingesill_core.routing.messages import Refusal, RetryDenied, SendStatus
 
 __all__ = ["RetryHandler"]
@@ -34,7 +34,7 @@
         p10 = self._dispatcher.get_latency(ticket.route).p10
         retry = decide_retry(ticket, status, self._dispatcher.retries, now, p10)
         if isinstance(retry, RetryDenied):
-            return self._refuse(ticket, status, now), retry.reason
+            return self.refuse(ticket, status, now), retry.reason
         query = self._dispatcher.begin_queries(ticket, now)
         if isinstance(query, Refusal):
             return self._refuse_without_endpoint(ticket, status, now)
@@ -52,9 +52,15 @@
         """Return the Refusal of a request without another eligible endpoint."""
         if status is not SendStatus.NOT_SENT:
             self._dispatcher.retries.refund()
-        return self._refuse(ticket, status, now), RetryReason.DENIED_NO_ENDPOINT
+        return self.refuse(ticket, status, now), RetryReason.DENIED_NO_ENDPOINT
 
-    def _refuse(self, ticket, status, now):
+    def is_forbidden(self, ticket, status, now):
+        """Return whether a request must not be sent again, whatever the budget."""
+        p10 = self._dispatcher.get_latency(ticket.route).p10
+        return find_denial(ticket, status, now, p10) is not None
+
+    def refuse(self, ticket, status, now):
+        """Return the Refusal of a request that is not sent again after this status."""
         retry_after = self._dispatcher.service_availability.suggest_retry_after(
             ticket.route, now
         )
--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -14,6 +14,7 @@
 from hingesill_node.datapath.prober import Prober
 from hingesill_node.explanation import Explainer
 from hingesill_node.listeners import split_address
+from hingesill_node.quotas.exchange import QuotaExchange
 from hingesill_node.ratelimits.exchange import LimitExchange
 
 __all__ = ["LogControl"]
@@ -75,6 +76,9 @@
         LimitExchange(
             runners.limits, port, self._list_peers, runners, self.counters
         ).start(split_address(self.address))
+        QuotaExchange(runners.quotas, port, self._list_peers, self.counters).start(
+            split_address(self.address)
+        )
         eventlet.spawn(Prober(self.blackboard, runners, self.counters).run)
         return ""
 
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -18,6 +18,7 @@
 from hingesill_node.datapath.messages import Body, CallerRequest
 from hingesill_node.datapath.refusals import is_valid_request_id
 from hingesill_node.datapath.wire import OwnFormat
+from hingesill_node.quotas.requesttokens import NO_TOKENS, RequestTokens
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["Application", "PROTOCOL_KEY"]
@@ -90,6 +91,14 @@
         request = self._build_request(environ, request_id)
         if isinstance(request, Refusal):
             return self._refuse(environ, start_response, request, request_id, "")
+        try:
+            return self._exchange(environ, start_response, request)
+        finally:
+            request.tokens.close()
+
+    def _exchange(self, environ, start_response, request):
+        """Send an accepted request to endpoints and respond to it."""
+        request_id = request.request_id
         service = request.ticket.route.choose_service(self.rng)
         refusal = self.runners.guard.find_refusal(request)
         if refusal is not None:
@@ -159,7 +168,15 @@
         if limit == 0:
             return Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
         arrived = self.clock()
-        body = self._read_body(environ)
+        tokens = self._get_tokens(identity.organisation, request_id)
+        if isinstance(tokens, Refusal):
+            return tokens
+        body = None
+        try:
+            body = self._read_body(environ)
+        finally:
+            if not isinstance(body, Body):
+                tokens.close()
         if isinstance(body, Refusal):
             return body
         query = environ.get("QUERY_STRING")
@@ -189,8 +206,16 @@
             environ["eventlet.input"].get_socket(),
             host,
             environ.get("REMOTE_ADDR", ""),
+            tokens,
         )
 
+    def _get_tokens(self, organisation, request_id):
+        """Return the tokens of a request, or the Refusal of one beyond its quota."""
+        if organisation is None:
+            return NO_TOKENS
+        tokens = RequestTokens(self.runners.quotas, request_id)
+        return tokens.admit(organisation) or tokens
+
     def _refuse_unrouted(self, configuration):
         if configuration.revision == 0:
             reason = RefusalReason.NO_CONFIGURATION
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -8,6 +8,7 @@
 import eventlet
 
 from hingesill_core.reasons import RefusalReason, RetryReason
+from hingesill_core.retries.decision import DEFINITELY_NOT_RUN
 from hingesill_core.routing.loadqueries import LoadQuery
 from hingesill_core.routing.messages import (
     Queued,
@@ -79,6 +80,8 @@
         self.reply_connection = None
         self.hedge = None
         self.fault_answer = None
+        self.exposing_status = None
+        self.quota_refusal = None
         self.pending_result = None
         self.timeline = RequestTimeline(self.ticket.arrived)
         self.sends = RequestSends(runner, request, counters, wire, clock, self.timeline)
@@ -110,14 +113,57 @@
         # endpoints must not be sent to one after another.
         if status is SendStatus.LOST and not self.guard.may_send_again(self.request):
             self.ticket.retry_forbidden = True
-        now = self.clock()
-        decision, reason = self.runner.dispatcher.retry(self.ticket, status, now)
+        if status not in DEFINITELY_NOT_RUN:
+            self.exposing_status = status
+        if self._may_ask_for_retry(status):
+            now = self.clock()
+            decision, reason = self.runner.dispatcher.retry(self.ticket, status, now)
+        else:
+            decision, reason = self._refuse_by_quota(status), RetryReason.DENIED_QUOTA
         self.counters.add("retries", self.service, reason.value)
         denied = isinstance(decision, Refusal)
         kind = StepKind.NOT_RETRIED if denied else StepKind.RETRIED
         self._add_step(kind, detail=reason.value)
         return decision
 
+    def _may_ask_for_retry(self, status):
+        """Return whether the quota permits a retry, or a rule forbids it anyway."""
+        if self.request.tokens.is_ready(self.ticket.organisation):
+            return True
+        retrying = self.runner.dispatcher.retrying
+        if retrying.is_forbidden(self.ticket, status, self.clock()):
+            return True
+        return self._has_token()
+
+    def _has_token(self):
+        """Return whether the next send has a token, or get one.
+
+        Notes
+        -----
+        Only a request that no endpoint can have run waits for one.
+        """
+        tokens, organisation = self.request.tokens, self.ticket.organisation
+        if tokens.is_ready(organisation):
+            return True
+        if self.ticket.exposed:
+            return tokens.take(organisation)
+        self.quota_refusal = tokens.admit(organisation)
+        return self.quota_refusal is None
+
+    def _refuse_by_quota(self, status):
+        """Return the Refusal of a request that gets no further token.
+
+        Parameters
+        ----------
+        status : SendStatus
+            Status of the last send, unless an earlier one may have run the request.
+        """
+        if not self.ticket.exposed:
+            return self.quota_refusal
+        return self.runner.dispatcher.retrying.refuse(
+            self.ticket, self.exposing_status or status, self.clock()
+        )
+
     def _add_step(self, kind, endpoint="", detail=""):
         """Add a step to the request's timeline."""
         self.timeline.add(kind, self.clock(), endpoint, detail)
@@ -142,9 +188,7 @@
         """
         reply_connection, self.reply_connection = self.reply_connection, None
         # The request may have been quarantined while it waited for an endpoint.
-        refusal = self.guard.find_refusal(
-            self.request, self.ticket.exposed
-        ) or self.check_key(self.ticket)
+        refusal = self._find_refusal()
         if refusal is not None:
             self.runner.cancel_send(send, reply_connection)
             return refusal
@@ -155,6 +199,25 @@
             return Refusal(RefusalReason.CALLER_GONE, self.sends.get_outcome())
         return self._await_first(live)
 
+    def _find_refusal(self):
+        """Return the Refusal of a request that must not be sent, or None.
+
+        Notes
+        -----
+        The request may have been quarantined, and its key removed or moved to another
+        organisation, while it waited for an endpoint or for a token.
+        """
+        while True:
+            refusal = self.guard.find_refusal(
+                self.request, self.ticket.exposed
+            ) or self.check_key(self.ticket)
+            if refusal is not None:
+                return refusal
+            if self.request.tokens.is_ready(self.ticket.organisation):
+                return None
+            if not self._has_token():
+                return self.fault_answer or self._refuse_by_quota(SendStatus.LOST)
+
     def check_key(self, ticket):
         """Return the Refusal of a request whose key is no longer valid, or None."""
         if self.authenticator is None:
@@ -247,8 +310,13 @@
         """Start a second send if the hedging rules and retry budget allow it."""
         if self.hedge is not None:
             return
+        tokens = self.request.tokens
+        if not tokens.take(self.ticket.organisation):
+            self.counters.add("retries", self.service, RetryReason.DENIED_QUOTA.value)
+            return
         decision = self.runner.dispatcher.hedging.start(self.ticket, self.clock())
         if isinstance(decision, RetryDenied):
+            tokens.release()
             self.counters.add("retries", self.service, decision.reason.value)
             return
         self.counters.add("retries", self.service, RetryReason.HEDGE.value)
--- a/packages/hingesill-node/hingesill_node/datapath/hedges.py
+++ b/packages/hingesill-node/hingesill_node/datapath/hedges.py
@@ -30,6 +30,8 @@
         self.is_waiting = False
         if not isinstance(result.decision, Send):
             runner.dispatcher.hedging.cancel(exchange.ticket)
+            if self.is_wanted:
+                exchange.request.tokens.release()
         elif self._may_start():
             self._start(result)
         else:
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -4,6 +4,7 @@
 
 from hingesill_core.crashes.fingerprint import describe_request
 from hingesill_core.routing.messages import Send, Ticket
+from hingesill_node.quotas.requesttokens import NO_TOKENS
 
 __all__ = ["Answer", "Body", "CallerRequest", "LiveSend", "QueryResult"]
 
@@ -48,6 +49,8 @@
         The caller's connection.
     caller : str
         The caller's IP address.
+    tokens : RequestTokens or NoTokens
+        Its tokens under the quota of its organisation.
     """
 
     request_id: str
@@ -59,6 +62,7 @@
     caller_socket: object = None
     host: str = ""
     caller: str = ""
+    tokens: object = NO_TOKENS
     _fingerprints: tuple = ()
 
     @property
@@ -112,10 +116,11 @@
 
 
 class LiveSend(Struct, eq=False):
-    """A send in flight, with the connection that carries it."""
+    """A send in flight, with the connection that carries it and its quota token."""
 
     send: Send
     pool: object
     connection: object = None
     response: object = None
+    token: object = None
     settled: bool = field(default=False)
--- a/packages/hingesill-node/hingesill_node/datapath/runnertable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runnertable.py
@@ -3,6 +3,7 @@
 import time
 
 from hingesill_core.limits.querybudget import QueryBudget
+from hingesill_core.quotas.decision import QuotaTolerance
 from hingesill_core.ratelimits.fleet import FleetLimits
 from hingesill_core.routing.availability import AvailabilityRegistry
 from hingesill_core.routing.latencycurves import LatencyCurves, merge_level_profiles
@@ -10,6 +11,7 @@
 from hingesill_node.crashes.requestguard import RequestGuard
 from hingesill_node.datapath.availabilitylog import AvailabilityLog
 from hingesill_node.datapath.runner import ServiceRunner
+from hingesill_node.quotas.gate import QuotaGate
 from hingesill_node.ratelimits.exchange import log_limit
 
 __all__ = ["RunnerTable"]
@@ -26,9 +28,18 @@
         Source of randomness of the dispatchers.
     announcements : Announcements
         Sends leaving endpoints and overdue answers to other nodes.
+    tolerance : QuotaTolerance
+        How far the requests of all nodes together may exceed an organisation's quota.
     """
 
-    def __init__(self, blackboard, rng, announcements, clock=time.monotonic):
+    def __init__(
+        self,
+        blackboard,
+        rng,
+        announcements,
+        clock=time.monotonic,
+        tolerance=QuotaTolerance(),
+    ):
         self.blackboard = blackboard
         self.rng = rng
         self.announcements = announcements
@@ -38,6 +49,7 @@
         self.curves = LatencyCurves()
         self.guard = RequestGuard()
         self.limits = FleetLimits(rng, log_limit, self._is_declared)
+        self.quotas = QuotaGate(rng, tolerance, clock)
         self.availability_log = AvailabilityLog(clock)
         self.availabilities = AvailabilityRegistry(self.availability_log.record)
         self._wire = None
@@ -79,6 +91,7 @@
         self._wire = wire
         self._counters = counters
         self.availability_log.counters = counters
+        self.quotas.labels.counters = counters
 
     def query_load(self, name, endpoints):
         """Query the load of some endpoints of a service without a request."""
@@ -90,6 +103,7 @@
         """Apply the current configuration and fleet to all runners."""
         board = self.blackboard
         self.limits.keep(board.configuration.services)
+        self.quotas.configure(board.configuration.organisations)
         for name, runner in list(self.runners.items()):
             service = board.configuration.services.get(name)
             if service is None:
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -1,6 +1,7 @@
 """The sends of one request: start, settlement and logging."""
 
 from hingesill_core.reasons import Outcome
+from hingesill_core.retries.decision import DEFINITELY_NOT_RUN
 from hingesill_core.routing.messages import SendResult, SendStatus
 from hingesill_node.datapath.connections import ConnectFailed
 from hingesill_node.datapath.messages import LiveSend
@@ -94,6 +95,11 @@
                 send, self.clock()
             ):
                 return self.end(live, SendResult(SendStatus.NOT_SENT), keep=True)
+            is_permitted, live.token = self.request.tokens.use(
+                self.request.ticket.organisation
+            )
+            if not is_permitted:
+                return self.end(live, SendResult(SendStatus.NOT_SENT), keep=True)
             send_request(live, self.request, self.clock(), self.wire)
             self._close_if_settled(live)
             return live
@@ -135,6 +141,8 @@
         detail = describe_status(result.end, live.response)
         self._add_step(StepKind.ENDED, live.send.endpoint, detail)
         self._notify_guard(live, result.end)
+        if result.end in DEFINITELY_NOT_RUN:
+            self.request.tokens.recover(live.token)
         connection, live.connection = live.connection, None
         if connection is not None:
             if keep:
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -27,6 +27,7 @@
 from hingesill_node.discovery.reports import Reporter
 from hingesill_node.discovery.source import open_source
 from hingesill_node.listeners import split_address
+from hingesill_node.quotas.exchange import QuotaExchange
 from hingesill_node.ratelimits.exchange import LimitExchange
 from hingesill_node.telemetry.events import Event, log_event
 
@@ -154,7 +155,7 @@
         eventlet.spawn(self.quarantine_store.run)
 
     def _start_datagrams(self, runners):
-        """Start gossip on crashes and limits, which needs no agreement; see `start`."""
+        """Start messages on crashes, limits and quotas by datagrams; see `start`."""
         port = DatagramPort(self.counters)
         try:
             port.start(self.address)
@@ -164,6 +165,9 @@
         LimitExchange(
             runners.limits, port, self.list_peers, runners, self.counters
         ).start(split_address(self.address))
+        QuotaExchange(runners.quotas, port, self.list_peers, self.counters).start(
+            split_address(self.address)
+        )
         return ""
 
     def list_peers(self):
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -9,6 +9,7 @@
 
 import eventlet
 
+from hingesill_core.quotas.decision import QuotaTolerance
 from hingesill_core.routing.fleetview import FleetView
 from hingesill_node.admin import AdminApplication
 from hingesill_node.blackboard import Blackboard
@@ -97,7 +98,13 @@
         self.blackboard = Blackboard(fleet)
         self.control = build_control(settings, self.blackboard, self.counters)
         self.runners = RunnerTable(
-            self.blackboard, random.Random(), self.control.announcements, clock
+            self.blackboard,
+            random.Random(),
+            self.control.announcements,
+            clock,
+            QuotaTolerance(
+                settings.quota_window_s, settings.quota_overshoot, settings.quota_slack
+            ),
         )
         self.runners.enable_load_queries(wire or OwnFormat(), self.counters)
         self.lifecycle = Lifecycle(self.blackboard, settings, self.control)
@@ -120,6 +127,8 @@
             "limited_endpoints": self.runners.limits.count_limited(),
             "resting_endpoints": availabilities.count_backing_off(now),
             "leaving_endpoints": availabilities.count_leaving(now),
+            "over_quota": self.runners.quotas.count_over(),
+            "quota_waiting": self.runners.quotas.count_waiting(),
             "quarantined": len(self.runners.guard.decisions.quarantine),
             "revision": self.blackboard.configuration.revision,
             "invalid_entries": self.control.count_invalid(),
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Quotas of organisations at a node: tokens for requests, and their exchange."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/quotas/datagrams.py
@@ -0,0 +1,80 @@
+"""Encodes, decodes and validates datagrams on the quotas of organisations."""
+
+from msgspec import DecodeError
+from msgspec.msgpack import Decoder, encode
+
+from hingesill_core.quotas.messages import (
+    QuotaProbe,
+    QuotaProbeReply,
+    QuotaReply,
+    QuotaReport,
+)
+
+__all__ = ["QUOTA_PREFIX", "decode_message", "encode_message"]
+
+MAX_NAME_LENGTH = 256
+# Largest identifier or sequence number, and largest number of tokens or rate.
+MAX_NUMBER = 2**63 - 1
+MAX_AMOUNT = 1e12
+# Maximum validity of a lease and maximum wait for a token, in seconds.
+MAX_SECONDS = 3600.0
+KINDS = (QuotaReport, QuotaReply, QuotaProbe, QuotaProbeReply)
+DECODER = Decoder(QuotaReport | QuotaReply | QuotaProbe | QuotaProbeReply)
+NAME = "organisation"
+NUMBERS = ("link", "number", "seen", "session")
+AMOUNTS = ("taken", "held", "share", "demand", "wanted", "tokens")
+TIMES = ("seconds", "retry_after")
+FLAGS = ("is_accepted",)
+# First byte of each message on quotas; other datagrams between nodes have another one.
+QUOTA_PREFIX = b"Q"
+
+
+def list_limits(kind):
+    """Return the name and the maximum of each numeric field of a message type."""
+    limits = {
+        **dict.fromkeys(NUMBERS, MAX_NUMBER),
+        **dict.fromkeys(AMOUNTS, MAX_AMOUNT),
+        **dict.fromkeys(TIMES, MAX_SECONDS),
+        **dict.fromkeys(FLAGS, True),
+    }
+    names = [name for name in kind.__struct_fields__ if name != NAME]
+    return [(name, limits[name]) for name in names]
+
+
+# A field without a maximum raises a KeyError when this module is loaded.
+LIMITS = {kind: list_limits(kind) for kind in KINDS}
+
+
+def encode_message(message):
+    """Return the bytes of a message."""
+    return QUOTA_PREFIX + encode(message)
+
+
+def decode_message(data):
+    """Return the message of a datagram.
+
+    Raises
+    ------
+    ValueError
+        If the datagram is no message on quotas or a value is out of range.
+    """
+    if data[:1] != QUOTA_PREFIX:
+        raise ValueError("not a quota message: wrong first byte")
+    try:
+        message = DECODER.decode(data[1:])
+    except (DecodeError, RecursionError) as error:
+        raise ValueError(f"not a quota message: {error}") from error
+    check_values(message)
+    return message
+
+
+def check_values(message):
+    """Raise ValueError if a value of a message is out of range."""
+    length = len(getattr(message, NAME, "-"))
+    if not 0 < length <= MAX_NAME_LENGTH:
+        raise ValueError(f"organisation has {length} characters")
+    for name, limit in LIMITS[type(message)]:
+        value = getattr(message, name)
+        # A value that is not a number fails this comparison.
+        if not 0 <= value <= limit:
+            raise ValueError(f"{name} of {value} is out of range")
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/quotas/exchange.py
@@ -0,0 +1,124 @@
+"""Exchanges messages on the quotas of organisations with other nodes, by UDP."""
+
+import random
+
+import eventlet
+from eventlet import event as green_event
+
+from hingesill_node.quotas.datagrams import (
+    QUOTA_PREFIX,
+    decode_message,
+    encode_message,
+)
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["QuotaExchange"]
+
+# Interval between rounds while quotas are exchanged, in seconds.
+ROUND_INTERVAL_SECONDS = 0.1
+# Interval between rounds otherwise, in seconds; they send nothing. After a longer gap,
+# the node counts as suspended.
+IDLE_INTERVAL_SECONDS = 0.9
+# Interval between updates of the list of nodes while quotas are exchanged, in seconds.
+REFRESH_INTERVAL_SECONDS = 0.5
+# Minimum interval between log lines on invalid datagrams, in seconds.
+LOG_INTERVAL_SECONDS = 5.0
+COUNTER = "quota_datagrams"
+
+
+class QuotaExchange:
+    """Sends reports and replies on quotas to other nodes and receives theirs.
+
+    Parameters
+    ----------
+    gate : QuotaGate
+        Its decisions build the messages and apply the received ones.
+    port : DatagramPort
+        The node's port for datagrams.
+    list_peers : callable
+        Returns IP number and port of the control address of each other node.
+    counters : Counters
+        Counts messages as ``quota_datagrams``.
+    """
+
+    def __init__(self, gate, port, list_peers, counters):
+        self.gate = gate
+        self.quotas = gate.quotas
+        self.clock = gate.clock
+        self.port = port
+        self.list_peers = list_peers
+        self.counters = counters
+        self.own = None
+        self._next_log_at = 0.0
+        self._refreshed_at = 0.0
+        self._wake = None
+
+    def start(self, own):
+        """Start, given the IP number and port of the node's own control address."""
+        self.own = own
+        self.quotas.send = self._send
+        self.quotas.refresh_nodes = self._refresh_nodes
+        self.gate.on_activity = self._end_idle_wait
+        self.port.register(QUOTA_PREFIX, self.handle_datagram)
+        self._refresh_nodes()
+        eventlet.spawn(self._run_rounds)
+
+    def _refresh_nodes(self):
+        """Update the list of nodes; without work, changes of the fleet cost nothing."""
+        self._refreshed_at = self.clock()
+        self.quotas.set_nodes(self.own, self.list_peers(), self._refreshed_at)
+
+    def _refresh_old_nodes(self, now):
+        """Update the list of nodes unless that was done recently."""
+        if now - self._refreshed_at > REFRESH_INTERVAL_SECONDS:
+            self._refresh_nodes()
+
+    def handle_datagram(self, data, sender):
+        """Apply the message of a datagram; drop an invalid one as a whole."""
+        now = self.clock()
+        try:
+            message = decode_message(data)
+        except ValueError as error:
+            self.counters.add(COUNTER, "invalid")
+            self._log_invalid(str(error), sender, now)
+            return
+        self.counters.add(COUNTER, "heard")
+        self._refresh_old_nodes(now)
+        name = self.quotas.handle_message(message, sender, now)
+        if name is not None:
+            self.gate.resume(name)
+        self._end_idle_wait()
+
+    def _log_invalid(self, detail, sender, now):
+        if now >= self._next_log_at:
+            self._next_log_at = now + LOG_INTERVAL_SECONDS
+            log_event(Event.GOSSIP_INVALID, detail=detail, sender="%s:%d" % sender)
+
+    def _send(self, node, message):
+        self.counters.add(COUNTER, "told")
+        try:
+            self.port.send(encode_message(message), node)
+        except OSError:
+            # Handled like a datagram that is lost on the way.
+            self.counters.add(COUNTER, "failed")
+
+    def _end_idle_wait(self):
+        """Start rounds at once if there is work after a time without."""
+        if self._wake is not None and not self.quotas.is_idle(self.clock()):
+            wake, self._wake = self._wake, None
+            wake.send()
+
+    def _run_rounds(self):
+        while True:
+            if self.quotas.is_idle(self.clock()):
+                self._wake = green_event.Event()
+                self._wake.wait(timeout=IDLE_INTERVAL_SECONDS)
+                self._wake = None
+            else:
+                # Nodes that started together do not report in the same moment.
+                seconds = ROUND_INTERVAL_SECONDS * random.uniform(0.8, 1.2)
+                eventlet.sleep(seconds)
+            now = self.clock()
+            if not self.quotas.is_idle(now):
+                self._refresh_old_nodes(now)
+            self.quotas.run_round(now)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/quotas/gate.py
@@ -0,0 +1,208 @@
+"""Tokens of organisations' quotas for the requests at one node."""
+
+from collections import deque
+
+import eventlet
+from eventlet import event as green_event
+from msgspec import Struct, field
+
+from hingesill_core.quotas.decision import QuotaDecision, QuotaStatus, QuotaTolerance
+from hingesill_core.quotas.fleet import FleetQuotas
+from hingesill_node.quotas.labels import OrganisationLabels
+from hingesill_node.quotas.quotalog import QuotaLog
+
+__all__ = ["MAX_WAIT_SECONDS", "QuotaGate", "compute_max_age", "split_tolerance"]
+
+# Time after which a request without a decision is refused, in seconds.
+MAX_WAIT_SECONDS = 0.018
+# Interval at which decisions on waiting requests are read, in seconds.
+RESUME_INTERVAL_SECONDS = 0.005
+# Age after which waits without a decision are deleted, in seconds. No request waits
+# that long: the organisation was removed in the meantime.
+MAX_WAITER_AGE_SECONDS = 1.0
+# Retry-After of a request whose decision did not arrive in time, in seconds.
+DEFAULT_RETRY_AFTER_SECONDS = 0.1
+# Share of the tolerance for tokens that requests hold while they wait for an endpoint:
+# requests with tokens of several seconds may arrive at endpoints within one.
+HELD_SHARE = 0.4
+# Minimum time for which a token may be held, in seconds: the wait for the token and the
+# connection to the endpoint take part of it.
+MIN_AGE_SECONDS = 0.05
+NO_DECISION = QuotaDecision(QuotaStatus.REFUSED, DEFAULT_RETRY_AFTER_SECONDS)
+
+
+class Waiter(Struct, eq=False):
+    """A request that waits for its decision.
+
+    Attributes
+    ----------
+    since : float
+        Time at which the wait began.
+    is_abandoned : bool
+        The decision is no longer needed; a token is given back.
+    """
+
+    since: float
+    is_abandoned: bool = False
+    event: object = field(default_factory=green_event.Event)
+
+
+class QuotaGate:
+    """Gets tokens for requests and counts them.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Source of all random choices.
+    tolerance : QuotaTolerance
+        How far the arrivals of all nodes together may exceed a quota.
+    clock : callable
+        Seconds of a clock that continues while the node is suspended.
+    quotas : FleetQuotas or None
+        The decisions; created if None.
+
+    Attributes
+    ----------
+    on_activity : callable
+        Called after a request asked for a token.
+    """
+
+    def __init__(self, rng, tolerance, clock, quotas=None):
+        self.clock = clock
+        self.log = QuotaLog(clock)
+        kept, self.held_tolerance = split_tolerance(tolerance)
+        self.quotas = quotas or FleetQuotas(rng, kept, self.log.log_change)
+        self.labels = OrganisationLabels("quota")
+        self.on_activity = lambda: None
+        self._organisations = None
+        self._waiters = {}
+        self._resume_loop = None
+
+    def configure(self, organisations):
+        """Set the organisations: a dict of Organisation by name, or None."""
+        if organisations is self._organisations:
+            return
+        self._organisations = organisations
+        self.labels.configure(organisations)
+        self.quotas.configure(organisations, self.clock())
+
+    def count_over(self):
+        """Return the number of organisations that are over their quota."""
+        return sum(usage.is_over for usage in self.quotas.usage.values())
+
+    def count_waiting(self):
+        """Return the number of requests that wait for a token."""
+        return sum(
+            not waiter.is_abandoned
+            for waiters in self._waiters.values()
+            for waiter in waiters
+        )
+
+    def get_max_age(self, organisation):
+        """Return the seconds for which a token may be held before it is used."""
+        return compute_max_age(self.held_tolerance, organisation)
+
+    def acquire(self, name, may_wait):
+        """Return the QuotaDecision on one arrival, which is never ``WAITING``.
+
+        Parameters
+        ----------
+        name : str
+            Name of the organisation.
+        may_wait : bool
+            Whether the decision may take `MAX_WAIT_SECONDS`; otherwise a request
+            without a token at once is refused.
+        """
+        now = self.clock()
+        decision = self.quotas.acquire(name, now)
+        self.on_activity()
+        if decision.status is QuotaStatus.WAITING:
+            waiter = Waiter(now, is_abandoned=not may_wait)
+            self._add(name, waiter)
+            decision = self._wait(waiter) if may_wait else NO_DECISION
+            self.labels.add(name, "waited" if may_wait else "not-waited")
+        if decision.status is QuotaStatus.ADMITTED:
+            self.labels.add(name, "admitted")
+        return decision
+
+    def _add(self, name, waiter):
+        self._waiters.setdefault(name, deque()).append(waiter)
+        if self._resume_loop is None:
+            self._resume_loop = eventlet.spawn(self._run_resumptions)
+
+    def _wait(self, waiter):
+        """Return the decision on a waiting request."""
+        try:
+            waiter.event.wait(timeout=MAX_WAIT_SECONDS)
+        finally:
+            waiter.is_abandoned = not waiter.event.ready()
+        return NO_DECISION if waiter.is_abandoned else waiter.event.wait()
+
+    def _run_resumptions(self):
+        """Read decisions as long as requests wait."""
+        while self._waiters:
+            eventlet.sleep(RESUME_INTERVAL_SECONDS)
+            for name in list(self._waiters):
+                self.resume(name)
+        self._resume_loop = None
+
+    def resume(self, name):
+        """Deliver decisions to the waiting requests of an organisation."""
+        now = self.clock()
+        waiters = self._waiters.get(name, ())
+        for decision in self.quotas.resume(name, now):
+            waiter = waiters.popleft() if waiters else None
+            if waiter is not None and not waiter.is_abandoned:
+                waiter.event.send(decision)
+            elif decision.status is QuotaStatus.ADMITTED:
+                self.quotas.give_back(name, now)
+        while waiters and now - waiters[0].since > MAX_WAITER_AGE_SECONDS:
+            waiters.popleft()
+        if not waiters:
+            self._waiters.pop(name, None)
+
+    def give_back(self, name):
+        """Return a token that no endpoint used."""
+        self.labels.add(name, "returned")
+        self.quotas.give_back(name, self.clock())
+
+    def log_refusal(self, request_id, organisation, decision, waited):
+        """Count and log the refusal of a request without a token."""
+        self.labels.add(organisation.name, "refused")
+        self.log.log_refusal(
+            request_id,
+            organisation,
+            decision,
+            waited,
+            lambda: self.quotas.usage.get(organisation.name),
+        )
+
+
+def split_tolerance(tolerance):
+    """Return the tolerances of the fleet's allocation and of held tokens."""
+    window = tolerance.window_seconds
+    return tuple(
+        QuotaTolerance(window, share * tolerance.overshoot, share * tolerance.slack)
+        for share in (1 - HELD_SHARE, HELD_SHARE)
+    )
+
+
+def compute_max_age(tolerance, organisation):
+    """Return the seconds for which a token may be held.
+
+    Parameters
+    ----------
+    tolerance : QuotaTolerance
+        The part of the tolerance for held tokens.
+    organisation : Organisation
+        An organisation with a quota.
+
+    Notes
+    -----
+    Requests that arrive in a window use tokens of this window and of the age before it.
+    The rate of that age has to fit into the tolerance.
+    """
+    rate, burst = organisation.rate, organisation.burst
+    window_quota = rate * tolerance.window_seconds + burst
+    age = (tolerance.overshoot * window_quota + tolerance.slack) / rate
+    return max(MIN_AGE_SECONDS, age)
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quotas sub-package."""
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
@@ -0,0 +1,154 @@
+"""Tests of datagrams on quotas, and of their exchange over a socket."""
+
+import random
+import unittest
+import unittest.mock
+
+from msgspec.structs import replace
+
+from hingesill_core.quotas.messages import (
+    QuotaProbe,
+    QuotaProbeReply,
+    QuotaReply,
+    QuotaReport,
+)
+from hingesill_node.quotas.datagrams import (
+    MAX_NAME_LENGTH,
+    QUOTA_PREFIX,
+    decode_message,
+    encode_message,
+)
+from hingesill_node.quotas.exchange import QuotaExchange
+from hingesill_node.quotas.tests.fakequotas import FakeQuotas, build_gate
+from hingesill_node.telemetry.counters import Counters
+
+REPORT = QuotaReport("acme", 7, 3, 2, 40.0, 1.5, 12.5, 4.9, 30.0, 6)
+REPLY = QuotaReply("acme", 7, 3, 9, 12.5, 5.0, 4, 0.25)
+MESSAGES = (REPORT, REPLY, QuotaProbe(4), QuotaProbeReply(4, True))
+MAX_DATAGRAM_BYTES = 1400
+
+
+class CodecTests(unittest.TestCase):
+    """Guards against values from the network that break decisions on quotas."""
+
+    def test_decoded_message_equals_the_encoded_one(self):
+        for message in MESSAGES:
+            self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_the_longest_name_fits_into_a_datagram(self):
+        message = replace(REPORT, organisation="\U0001f600" * MAX_NAME_LENGTH)
+        self.assertLess(len(encode_message(message)), MAX_DATAGRAM_BYTES)
+        self.assertEqual(decode_message(encode_message(message)), message)
+
+    def test_each_number_is_checked(self):
+        for message in MESSAGES:
+            for name in message.__struct_fields__:
+                if isinstance(getattr(message, name), (str, bool)):
+                    continue
+                for value in (-1, float("nan"), float("inf"), 1e300, "x", None):
+                    changed = replace(message, **{name: value})
+                    with self.subTest(changed), self.assertRaises(ValueError):
+                        decode_message(encode_message(changed))
+
+    def test_names(self):
+        for name in ("", "x" * (MAX_NAME_LENGTH + 1), 5):
+            with self.assertRaises(ValueError):
+                decode_message(encode_message(replace(REPLY, organisation=name)))
+
+    def test_corrupt_bytes_raise_nothing_but_value_error(self):
+        rng = random.Random(1)
+        for _ in range(3000):
+            data = bytearray(encode_message(rng.choice(MESSAGES)))
+            for _ in range(rng.randint(1, 4)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            try:
+                decode_message(bytes(data[: rng.randint(0, len(data))]))
+            except ValueError:
+                continue
+
+
+class Port:
+    """Records what is sent, in place of a DatagramPort."""
+
+    def __init__(self):
+        self.handlers = {}
+        self.sent = []
+
+    def register(self, prefixes, handler):
+        self.handlers[prefixes] = handler
+
+    def send(self, data, peer):
+        self.sent.append((data, peer))
+
+
+class BusyQuotas(FakeQuotas):
+    """Records what the exchange passes on."""
+
+    def __init__(self):
+        super().__init__()
+        self.is_busy = False
+        self.node_lists = []
+        self.heard = []
+        self.rounds = []
+
+    def is_idle(self, now):
+        return not self.is_busy
+
+    def set_nodes(self, own, nodes, now):
+        self.node_lists.append((own, tuple(nodes)))
+
+    def handle_message(self, message, sender, now):
+        self.heard.append((message, sender))
+
+    def run_round(self, now):
+        self.rounds.append(now)
+
+
+class ExchangeTests(unittest.TestCase):
+    """Guards against messages and node lists of nodes whose quotas need none."""
+
+    def setUp(self):
+        self.now = 5.0
+        self.quotas = BusyQuotas()
+        self.counters = Counters()
+        gate = build_gate(self.quotas, lambda: self.now)
+        self.port = Port()
+        own, other = ("10.0.0.1", 7200), ("10.0.0.2", 7200)
+        self.exchange = QuotaExchange(gate, self.port, lambda: [other], self.counters)
+        self.exchange.start(own)
+        self.other = other
+
+    def receive(self, data):
+        self.port.handlers[QUOTA_PREFIX](data, self.other)
+
+    def test_messages_reach_the_decisions_and_the_nodes(self):
+        self.receive(encode_message(REPLY))
+        self.assertEqual(self.quotas.heard, [(REPLY, self.other)])
+        self.quotas.send(self.other, REPORT)
+        self.assertEqual(self.port.sent, [(encode_message(REPORT), self.other)])
+
+    def test_invalid_datagrams_are_counted_and_logged_with_a_bound(self):
+        with self.assertLogs("hingesill", "WARNING") as logs:
+            for data in (b"Q", b"Q\x00", encode_message(REPORT)[:9]):
+                self.receive(data)
+        self.assertEqual(len(logs.records), 1)
+        counts = dict(self.counters.sum_by_name())
+        self.assertEqual(counts, {"quota_datagrams": 3})
+        self.assertEqual(self.quotas.heard, [])
+
+    def test_a_full_socket_buffer_is_like_a_lost_datagram(self):
+        self.port.send = unittest.mock.Mock(side_effect=BlockingIOError)
+        self.quotas.send(self.other, REPORT)
+        self.assertEqual(self.counters.counts[("quota_datagrams", "failed", "")], 1)
+
+    def test_the_node_list_is_read_again_only_for_messages_and_work(self):
+        self.assertEqual(len(self.quotas.node_lists), 1)
+        self.receive(encode_message(REPLY))
+        self.now += 1.0
+        self.receive(encode_message(REPLY))
+        self.receive(encode_message(REPLY))
+        self.assertEqual(len(self.quotas.node_lists), 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -200,6 +200,33 @@
             "fleet; 0 for ten per node.",
         ),
     ] = 0.0
+    quota_window_s: Annotated[
+        float,
+        Meta(
+            ge=1,
+            le=300,
+            description="With a directory: window in seconds in which the requests of "
+            "an organisation are counted against its quota.",
+        ),
+    ] = 5.0
+    quota_overshoot: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=1,
+            description="With a directory: share of an organisation's quota of a "
+            "window that may reach endpoints in addition.",
+        ),
+    ] = 0.1
+    quota_slack: Annotated[
+        float,
+        Meta(
+            ge=0,
+            le=100_000,
+            description="With a directory: requests of an organisation that may reach "
+            "endpoints in addition in a window.",
+        ),
+    ] = 20.0
     queue_limit: Annotated[
         int,
         Meta(
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -22,6 +22,8 @@
     "gossip": "Datagrams between nodes on ended endpoints: told, heard, not valid.",
     "datagrams": "Datagrams to the node that nothing takes: failed, unknown.",
     "limits": "Datagrams between nodes on endpoints' limits: told, heard, not valid.",
+    "quota": "Tokens of organisations' quotas, by organisation and event.",
+    "quota_datagrams": "Datagrams between nodes on quotas: told, heard, not valid.",
     "availability": "Rests that endpoints asked for, and words that they leave.",
     "suspicions": "Overdue answers told to other nodes, and heard of.",
 }
@@ -31,6 +33,8 @@
     "held": "Requests held in the node's queues.",
     "quarantined": "Requests held back as endpoints ended under them, or on trial.",
     "limited_endpoints": "Endpoints that name a limit now.",
+    "over_quota": "Organisations over their quota now, as far as this node knows.",
+    "quota_waiting": "Requests that wait for a token of their organisation's quota.",
     "resting_endpoints": "Endpoints that asked this node for a rest now.",
     "leaving_endpoints": "Endpoints that told this node that they leave.",
     "invalid_entries": "Entries of the store that cannot be read, as last read here.",
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -115,11 +115,28 @@
         logging.WARNING,
         "a request was refused because it has no valid key",
     )
+    REQUEST_OVER_QUOTA = (
+        6006,
+        logging.WARNING,
+        "a request was refused because its organisation is over its quota",
+    )
     REQUEST_FAULT = (
         6001,
         logging.ERROR,
         "a request failed because of an internal error",
     )
+    OVER_QUOTA = (7001, logging.WARNING, "an organisation is over its quota")
+    WITHIN_QUOTA = (7002, logging.INFO, "an organisation is within its quota again")
+    COORDINATOR_LOST = (
+        7003,
+        logging.WARNING,
+        "the coordinator of an organisation's quota does not answer",
+    )
+    COORDINATOR_FOUND = (
+        7004,
+        logging.INFO,
+        "the coordinator of an organisation's quota answers again",
+    )
 
     @property
     def number(self):
