--- a/packages/hingesill-node/hingesill_node/quotas/tests/test_requesttokens.py
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_requesttokens.py
@@ -1,15 +1,17 @@
 """Tests of the tokens of requests: who gets one, and which come back."""
 
 import logging
+import random
 import time
 import unittest
+from bisect import bisect_left
 
 import eventlet
 
 from hingesill_core.organisations.organisation import Organisation
 from hingesill_core.quotas.decision import QuotaDecision, QuotaStatus, QuotaTolerance
 from hingesill_core.reasons import Outcome, RefusalReason
-from hingesill_node.quotas.gate import compute_max_age
+from hingesill_node.quotas.gate import QuotaGate, compute_max_age
 from hingesill_node.quotas.labels import MAX_LABELS, OTHER
 from hingesill_node.quotas.quotalog import MAX_LOG_LINES_PER_SECOND
 from hingesill_node.quotas.requesttokens import RequestTokens
@@ -128,6 +130,44 @@
         self.assertGreater(compute_max_age(QuotaTolerance(5.0, 0.0, 0.0), ACME), 0.02)
 
 
+class ReleaseTests(unittest.TestCase):
+    """Guards against requests that waited for capacity and are sent together."""
+
+    def setUp(self):
+        handler = logging.NullHandler()
+        logging.getLogger("hingesill").addHandler(handler)
+        self.addCleanup(logging.getLogger("hingesill").removeHandler, handler)
+        self.now = 100.0
+        self.gate = QuotaGate(random.Random(1), QuotaTolerance(), lambda: self.now)
+        self.gate.quotas.set_nodes(("10.0.0.1", 7200), (), self.now)
+        self.gate.configure({"acme": ACME})
+        self.sent = []
+
+    def send(self, request):
+        if request.use(ACME)[0]:
+            self.sent.append(self.now)
+        request.close()
+
+    def test_arrivals_of_a_window(self):
+        """Requests within the rate wait for 2 s, then three times as many do not."""
+        held = []
+        for step in range(1700):
+            self.now += 0.01
+            self.gate.quotas.run_round(self.now)
+            is_free = step >= 1000
+            for _ in range(3 if is_free else 1):
+                request = RequestTokens(self.gate, "r")
+                if request.admit(ACME) is None:
+                    held.append((self.now, request))
+            while held and (is_free or self.now - held[0][0] >= 2.0):
+                self.send(held.pop(0)[1])
+        counts = [
+            bisect_left(self.sent, at + 5.0) - first
+            for first, at in enumerate(self.sent)
+        ]
+        self.assertLessEqual(max(counts), (5 * 100 + 100) * 1.1 + 20)
+
+
 class WaitTests(TokenCase):
     """Guards against waits over 20 ms, and tokens for requests that left."""
 
