Requests that cannot be sent in time are refused when their target is out of reach

Cause: a request without a free endpoint was held until 0.45 of its caller's time, though an answer could no longer meet its target. Where Service.early_refusal is set, it now waits until the target less the route's usual time to an answer, and a late one 50 ms for leftover capacity. It is refused with no-capacity-in-time, and its caller is told to return after a sixth to a third of its remaining time.

--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -15,6 +15,7 @@
 from hingesill_core.routing.limitedrequests import LimitedRequests
 from hingesill_core.routing.loadqueries import FRESH_REPORT_POLICY
 from hingesill_core.routing.messages import Queued, Refusal, Send, SendStatus
+from hingesill_core.routing.overload import suggest_return
 from hingesill_core.routing.policies import POLICIES
 from hingesill_core.routing.retryhandler import RetryHandler
 from hingesill_core.routing.selection import takes_work
@@ -230,6 +231,10 @@
             return Refusal(
                 reason, outcome, self.latency.suggest_retry_after(wait, self.rng)
             )
+        if reason is RefusalReason.NO_CAPACITY_IN_TIME:
+            return Refusal(
+                reason, outcome, suggest_return(ticket.deadline - now, self.rng)
+            )
         return Refusal(reason, outcome, self.suggest_retry_after(ticket.route, now))
 
     def suggest_retry_after(self, route, now):
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -14,6 +14,7 @@
     is_good_enough,
 )
 from hingesill_core.routing.messages import SendStatus
+from hingesill_core.routing.overload import compute_latest_send
 from hingesill_core.routing.selection import EndpointSelection, can_get_work, takes_work
 from hingesill_core.routing.unhealthyreports import UnhealthyReports
 from hingesill_core.routing.waiting import WaitingRequest
@@ -97,6 +98,12 @@
     def _build_waiting(self, ticket, now):
         latency = self.dispatcher.get_latency(ticket.route)
         target = ticket.route.target or self.rules.default_target
+        if self.dispatcher.service.early_refusal:
+            work = latency.median if latency.answers else 0.0
+            latest = compute_latest_send(
+                now, ticket.arrived, target, ticket.elapsed, work, ticket.deadline
+            )
+            return WaitingRequest(ticket, now, latest.late_at, latest.until)
         max_wait = self.rules.max_wait_share * (ticket.deadline - ticket.arrived)
         return WaitingRequest(
             ticket,
@@ -304,6 +311,8 @@
         ticket = waiting.ticket
         if now >= waiting.until:
             reason = RefusalReason.DEADLINE_UNREACHABLE
+            if self.dispatcher.service.early_refusal:
+                reason = RefusalReason.NO_CAPACITY_IN_TIME
             return self.dispatcher.refuse(ticket, reason, now)
         return self._find_availability_refusal(ticket, now)
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/loadsimulation.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/loadsimulation.py
@@ -74,7 +74,9 @@
             Endpoint(identity, endpoint.data_centre, SLOTS, 2400, identity)
             for identity, endpoint in self.endpoints.items()
         )
-        probes = ProbeBudget(54.0 * len(endpoints), 30.0, 1.0, 0.001, "/", True)
+        probes = ProbeBudget(
+            self.workload.query_rate * len(endpoints), 30.0, 1.0, 0.001, "/", True
+        )
         routes = tuple(kind.route for kind in self.workload.kinds)
         return Service(
             "arena",
@@ -86,6 +88,7 @@
             1000,
             0,
             self.workload.warm_up_rate,
+            self.workload.early_refusal,
         )
 
     def _start_nodes(self):
@@ -184,20 +187,33 @@
 
     def _schedule_next(self):
         rate = self.workload.rate * self.workload.get_factor(self.now)
+        if self.workload.surges:
+            rate *= sum(self._get_weights()) * sum(self._get_organisation_weights())
         interval = self.rng.expovariate(rate)
         if self.now + interval < self.workload.seconds:
             self.schedule(interval, self._arrive)
 
     def _arrive(self):
-        weights = [kind.share for kind in self.workload.kinds]
-        kind = self.rng.choices(self.workload.kinds, weights)[0]
+        kind = self.rng.choices(self.workload.kinds, self._get_weights())[0]
         is_impatient = self.rng.random() < self.workload.impatient_share
         time = kind.limit * self.rng.uniform(self.workload.min_time_share, 1.0)
         request = Request(kind, self.now, is_impatient, time)
+        if self.workload.organisations:
+            organisations = list(self.workload.organisations)
+            weights = self._get_organisation_weights()
+            request.organisation = self.rng.choices(organisations, weights)[0]
         self.requests.append(request)
         self._attempt(request)
         self._schedule_next()
 
+    def _get_weights(self):
+        shares = {kind: kind.share for kind in self.workload.kinds}
+        return self.workload.get_weights(shares, self.now)
+
+    def _get_organisation_weights(self):
+        shares = self.workload.organisations or {None: 1.0}
+        return self.workload.get_weights(shares, self.now)
+
     def _attempt(self, request):
         if self.now >= request.deadline or request.answered_at is not None:
             return
--- a/packages/hingesill-core/hingesill_core/routing/tests/simulatedendpoint.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/simulatedendpoint.py
@@ -1,5 +1,7 @@
 """A simulated endpoint: its slots, its queue, and its faults."""
 
+from random import Random
+
 from hingesill_core.ratelimits.reportedlimits import NO_LIMIT, ParsedLimit
 from hingesill_core.routing.load_report import LoadReport
 from hingesill_core.routing.messages import SendResult, SendStatus
@@ -12,8 +14,11 @@
 MAX_QUEUED = 6
 # Standard deviation of the logarithm of service times.
 LOG_STANDARD_DEVIATION = 0.3
-# Factor of the service time while all three slots are in use.
-FULL_SLOTS_FACTOR = 1.7
+# Factor of the service time in slow periods, their length, and the step at which the
+# progress of work is computed.
+SLOW_FACTOR = 4.0
+SLOW_SECONDS = 0.3
+SLOW_STEP_SECONDS = 0.02
 
 
 class SimulatedEndpoint:
@@ -40,7 +45,30 @@
     def report(self):
         """Return its load report."""
         taken = len(self.running) + len(self.queue)
-        return LoadReport(taken, self.simulation.now, 0, SLOTS)
+        now = self.simulation.now
+        return LoadReport(
+            taken, now, 0, SLOTS, SLOW_FACTOR if self._is_slow(now) else 1.0
+        )
+
+    def _is_slow(self, now):
+        """Return whether a neighbour on its VM slows it down."""
+        share = self.simulation.workload.slow_share
+        if not share:
+            return False
+        period = int(now / SLOW_SECONDS + self.position)
+        return Random(self.number * 1009 + period).random() < share
+
+    def _compute_duration(self, seconds):
+        """Return the duration of work in seconds, including slow periods."""
+        if not self.simulation.workload.slow_share:
+            return seconds
+        now = self.simulation.now
+        while seconds > 0:
+            factor = SLOW_FACTOR if self._is_slow(now) else 1.0
+            step = min(SLOW_STEP_SECONDS, seconds * factor)
+            seconds -= step / factor
+            now += step
+        return now - self.simulation.now
 
     def get_warm_in(self):
         """Return the seconds for which it remains cold."""
@@ -81,8 +109,11 @@
             0.0, LOG_STANDARD_DEVIATION
         )
         seconds *= fault.slowness if fault else 1.0
-        seconds *= FULL_SLOTS_FACTOR if len(self.running) == SLOTS else 1.0
-        self.simulation.schedule(seconds, self._finish, node, send)
+        if len(self.running) == SLOTS:
+            seconds *= self.simulation.workload.full_slots_factor
+        self.simulation.schedule(
+            self._compute_duration(seconds), self._finish, node, send
+        )
 
     def _finish(self, node, send):
         if send not in self.running:
--- a/packages/hingesill-core/hingesill_core/routing/tests/simulatednode.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/simulatednode.py
@@ -70,6 +70,7 @@
         elapsed = self.elapsed.estimate(route, left, now)
         deadline = now + min(left, route.timeout)
         ticket = Ticket(route, now, deadline, elapsed=elapsed)
+        ticket.organisation = request.organisation
         attempt = self.attempts[ticket] = Attempt(request, ticket)
         self.simulation.schedule(deadline - now, self._expire, attempt)
         self._apply(attempt, self.dispatcher.submit(ticket, now))
--- a/packages/hingesill-core/hingesill_core/routing/tests/workloads.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/workloads.py
@@ -1,8 +1,11 @@
 """Workloads of a simulation: callers, faults of endpoints, outages."""
 
+from math import prod
+
 from msgspec import Struct, field
 
 from hingesill_core.configuration.services import Route, SendBudget
+from hingesill_core.organisations.organisation import Organisation
 
 __all__ = ["Kind", "Workload", "Request", "FaultPeriod"]
 
@@ -20,12 +23,16 @@
         Mean seconds at an endpoint with free slots.
     limit : float
         Seconds until its caller gives up.
+    value, late_value : float
+        What an answer in time and a late one are worth to its caller.
     """
 
     route: Route
     share: float
     service_time: float
     limit: float
+    value: float = 1.0
+    late_value: float = 0.1
 
 
 class FaultPeriod(Struct, frozen=True):
@@ -97,6 +104,18 @@
         none.
     sends : SendBudget
         Extra sends of the fleet.
+    early_refusal : bool
+        Whether requests that cannot be sent in time are refused at once.
+    organisations : dict
+        Share of the requests by Organisation; empty without organisations.
+    surges : tuple of tuple
+        Begin, end, factor, and the Kind or Organisation whose requests are multiplied.
+    slow_share : float
+        Share of the time in which an endpoint works slowly, and reports so.
+    full_slots_factor : float
+        Factor of the service time while all slots are in use.
+    query_rate : float
+        Load queries a second of all nodes for each endpoint.
     """
 
     nodes: int
@@ -111,6 +130,19 @@
     min_time_share: float = 1.0
     warm_up_rate: float = 0.0
     sends: SendBudget = SendBudget(0.0, 0.15, 344.0)
+    early_refusal: bool = False
+    organisations: dict = {}
+    surges: tuple = ()
+    slow_share: float = 0.0
+    full_slots_factor: float = 1.7
+    query_rate: float = 54.0
+
+    def get_weights(self, shares, now):
+        """Return the weight of each Kind or Organisation at a time."""
+        return [
+            share * prod(f for b, e, f, of in self.surges if b <= now < e and of is key)
+            for key, share in shares.items()
+        ]
 
     def get_factor(self, now):
         """Return the factor of the request rate at a time."""
@@ -137,6 +169,8 @@
         Seconds that a node held the request before each refusal.
     attempts : int
         Attempts so far.
+    organisation : Organisation or None
+        The organisation of its caller.
     """
 
     kind: Kind
@@ -146,6 +180,7 @@
     answered_at: float | None = None
     refusals: list = field(default_factory=list)
     attempts: int = 0
+    organisation: Organisation | None = None
 
     @property
     def deadline(self):
@@ -157,3 +192,9 @@
         if self.answered_at is None:
             return False
         return self.answered_at - self.sent_at <= self.kind.route.target
+
+    def get_value(self):
+        """Return what the caller got."""
+        if self.answered_at is None:
+            return 0.0
+        return self.kind.value if self.is_in_time() else self.kind.late_value
