Only the part of the requests that finds capacity is admitted under load

Each node now follows the share of load replies that show a free slot, and admits the part of its requests that goes first: those that can meet their target, then by rank, within their organisation's fair share, and with the least work. Others get one load query and are refused within 20 ms. A freed slot goes by the same order.

--- a/packages/hingesill-core/hingesill_core/routing/baselinelatency.py
+++ b/packages/hingesill-core/hingesill_core/routing/baselinelatency.py
@@ -104,6 +104,13 @@
             for key, baseline in self._by_route.items()
         )
 
+    def get_usual(self, route):
+        """Return the usual seconds to an answer of a route, or None if unknown."""
+        baseline = self._by_route.get(get_key(route))
+        if baseline is None or baseline.answers < MIN_ANSWERS:
+            return None
+        return exp(baseline.mean)
+
     def compute_ratio(self, route, seconds, now):
         """Return the ratio of a response time to the baseline, and update the baseline.
 
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -14,7 +14,7 @@
     is_good_enough,
 )
 from hingesill_core.routing.messages import SendStatus
-from hingesill_core.routing.overload import compute_latest_send
+from hingesill_core.routing.overload import EarlyRefusal
 from hingesill_core.routing.selection import EndpointSelection, can_get_work, takes_work
 from hingesill_core.routing.unhealthyreports import UnhealthyReports
 from hingesill_core.routing.waiting import WaitingRequest
@@ -55,6 +55,7 @@
         self.waiting = {}
         self.limits = dispatcher.limits
         self.limited_waiting = LimitedWaiting(self, dispatcher.limited_requests)
+        self.early_refusal = EarlyRefusal()
         self._late_queried_at = float("-inf")
 
     def configure(self, service, fleet):
@@ -88,22 +89,34 @@
             self.waiting.pop(ticket)
             return self.dispatcher.refuse(ticket, RefusalReason.ENDPOINTS_LIMITED, now)
         if waiting.get_stage(now, self.rules) is Stage.LATE:
-            return LoadQuery(())
+            return LoadQuery(self._choose_leftover_endpoints(ticket.route, now))
         return LoadQuery(
             self._choose_endpoints(
                 self.rules.first_fan_out, now, (ticket.route,), is_first=True
             )
         )
 
+    def _choose_leftover_endpoints(self, route, now):
+        """Return the endpoints to query for a request that gets leftover capacity.
+
+        Notes
+        -----
+        With early refusal a single reply decides, and shows whether the load has ended.
+        """
+        if not self.dispatcher.service.early_refusal:
+            return ()
+        return self._choose_endpoints(1, now, (route,), is_first=True)
+
     def _build_waiting(self, ticket, now):
         latency = self.dispatcher.get_latency(ticket.route)
         target = ticket.route.target or self.rules.default_target
         if self.dispatcher.service.early_refusal:
-            work = latency.median if latency.answers else 0.0
-            latest = compute_latest_send(
-                now, ticket.arrived, target, ticket.elapsed, work, ticket.deadline
+            work = self._get_usual_work(ticket.route)
+            rng = self.dispatcher.rng
+            item = self.early_refusal.assess(ticket, target, work, now, rng)
+            return WaitingRequest(
+                ticket, now, item.late_at, item.until, precedence=item.precedence
             )
-            return WaitingRequest(ticket, now, latest.late_at, latest.until)
         max_wait = self.rules.max_wait_share * (ticket.deadline - ticket.arrived)
         return WaitingRequest(
             ticket,
@@ -112,6 +125,11 @@
             until=min(ticket.deadline - latency.p10, ticket.arrived + max_wait),
         )
 
+    def _get_usual_work(self, route):
+        """Return the usual seconds from a send to the answer."""
+        baseline = self.concurrency_model.baselines.get_usual(route)
+        return baseline or self.dispatcher.get_latency(route).median
+
     def add_hedge(self, ticket, now):
         """Add a request with a send in flight to those that wait for an endpoint.
 
@@ -204,6 +222,8 @@
         if reply.is_unhealthy and self.unhealthy_reports.should_apply():
             return None
         running = reply.report.running
+        if self.dispatcher.service.early_refusal:
+            self._record_free_slots(reply, state, now)
         is_cold = self.warm_up.is_cold(state, now)
         if not self.warm_up.allows(state, running, now, self.dispatcher.rng):
             return None
@@ -218,10 +238,29 @@
         self.waiting.pop(first.ticket)
         if not first.hedge:
             self.dequeue_interval.record_dequeue(now)
+            if self.dispatcher.service.early_refusal:
+                work = self._get_usual_work(first.ticket.route)
+                self.early_refusal.record_send(work, now)
         send = self.dispatcher.start_send(first.ticket, state, now, first.hedge)
         send.occupied = 0 if is_cold else running + 1
         return send
 
+    def _record_free_slots(self, reply, state, now):
+        """Record whether a load reply shows a free slot.
+
+        Notes
+        -----
+        Answers report the slot that they have just freed, and slow endpoints have free
+        slots that no request may use; both say nothing of the capacity.
+        """
+        report = state.report
+        is_slow = report.slowness >= self.selection.get_max_slowness()
+        if reply.sent_at is None or is_slow:
+            return
+        usable = self.concurrency_model.get_concurrency_limit(report.slots, now)
+        has_free_slot = report.running < min(usable, report.slots or 1)
+        self.early_refusal.admission.record_reply(has_free_slot)
+
     def _fits(self, waiting, state, now, is_cold):
         """Return whether a waiting request may go to the endpoint of a reply.
 
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_overload.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_overload.py
@@ -3,27 +3,84 @@
 import random
 import unittest
 
-from hingesill_core.routing.overload import compute_latest_send, suggest_return
+from hingesill_core.configuration.services import Route
+from hingesill_core.routing.fairshare import FairShares, compute_fair_level
+from hingesill_core.routing.messages import Ticket
+from hingesill_core.routing.overload import AdmissionShare, EarlyRefusal, suggest_return
 
+ROUTE = Route("arena", "", "/a/", True, True, 4.0, target=0.5)
 
-class LatestSendTests(unittest.TestCase):
+
+class AssessmentTests(unittest.TestCase):
     """Requests that could no longer be answered in time were held for 0.45 of their
     callers' time, and callers had too little left for another attempt.
     """
 
+    def assess(self, **fields):
+        refusal = EarlyRefusal()
+        refusal.admission.share = fields.pop("share", 1.0)
+        ticket = Ticket(ROUTE, 10.0, fields.pop("deadline", 14.0), **fields)
+        rng = random.Random(1)
+        for _ in range(20):
+            refusal.admission.admits((False, 0, False, 0.1), 0.1, 10.0, rng)
+        return refusal.assess(ticket, 0.5, 0.2, 10.0, rng)
+
     def test_a_request_waits_no_longer_than_its_target_allows(self):
-        latest = compute_latest_send(10.0, 10.0, 0.5, 0.0, 0.2, 14.0)
-        self.assertLess(latest.until, 10.5)
-        self.assertEqual(latest.until, latest.late_at)
+        self.assertEqual(self.assess().until, 10.3)
+
+    def test_a_late_request_is_refused_at_once(self):
+        self.assertLess(self.assess(elapsed=1.0).until, 10.02)
 
-    def test_a_late_request_waits_for_leftover_capacity_only(self):
-        latest = compute_latest_send(10.0, 10.0, 0.5, 1.0, 0.2, 13.0)
-        self.assertLess(latest.late_at, 10.0)
-        self.assertLessEqual(latest.until, 10.06)
+    def test_a_request_that_is_not_admitted_is_refused_at_once(self):
+        self.assertLess(self.assess(share=0.5).until, 10.02)
+
+    def test_a_retry_has_been_admitted(self):
+        self.assertEqual(self.assess(share=0.5, tried=["i1"]).until, 10.3)
 
     def test_the_wait_ends_before_the_deadline(self):
-        latest = compute_latest_send(10.0, 10.0, 5.0, 0.0, 0.2, 10.1)
-        self.assertLess(latest.until, 10.0)
+        self.assertLess(self.assess(deadline=10.3).until, 10.2)
+
+
+class AdmissionShareTests(unittest.TestCase):
+    """With all requests admitted under twice the load that can be served, those with
+    much work made the others late: 0.48 of all were answered in time, of 0.57.
+    """
+
+    def test_share_follows_the_free_slots(self):
+        admission = AdmissionShare()
+        for _ in range(30):
+            admission.record_reply(False)
+        self.assertLess(admission.share, 0.2)
+        for _ in range(8):
+            admission.record_reply(True)
+        self.assertEqual(admission.share, 1.0)
+
+    def test_the_requests_that_go_first_are_admitted(self):
+        admission, rng = AdmissionShare(share=0.5), random.Random(1)
+        admitted = {0: 0, 1: 0}
+        for number in range(200):
+            rank = number % 2
+            admitted[rank] += admission.admits((rank,), 0.1, 0.01 * number, rng)
+        self.assertGreater(admitted[0], 95)
+        self.assertLess(admitted[1], 5)
+
+
+class FairShareTests(unittest.TestCase):
+    """One organisation with many times its usual load took the capacity of all."""
+
+    def test_the_level_leaves_small_organisations_their_demand(self):
+        self.assertAlmostEqual(compute_fair_level([4.0] * 8 + [120.0], 60.0), 28.0)
+        self.assertEqual(compute_fair_level([1.0, 2.0], 5.0), 2.0)
+
+    def test_only_the_large_organisation_has_excess_requests(self):
+        shares, rng = FairShares(), random.Random(1)
+        excess = {"large": 0, "small": 0}
+        for number in range(400):
+            name = "small" if number % 10 == 0 else "large"
+            excess[name] += shares.is_excess(name, 0.1, 0.05 * number, rng)
+            shares.record_send(0.05, 0.05 * number)
+        self.assertLess(excess["small"], 3)
+        self.assertGreater(excess["large"], 150)
 
 
 class ReturnTests(unittest.TestCase):
--- a/packages/hingesill-core/hingesill_core/routing/waiting.py
+++ b/packages/hingesill-core/hingesill_core/routing/waiting.py
@@ -22,6 +22,8 @@
         Time at which the wait ends.
     hedge : bool
         Another send of it is in flight.
+    precedence : tuple
+        Order among waiting requests where early refusal is enabled.
     """
 
     ticket: object
@@ -29,6 +31,7 @@
     late_at: float
     until: float
     hedge: bool = False
+    precedence: tuple = ()
 
     def get_stage(self, now, rules):
         """Return the stage that decides which endpoints it accepts."""
@@ -49,4 +52,6 @@
         that no other request waits for.
         """
         is_late = now >= self.late_at
+        if self.precedence:
+            return (self.hedge, is_late, *self.precedence, self.late_at)
         return (self.hedge, self.ticket.rank, is_late, self.late_at)
