--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -185,13 +185,14 @@
                 self.run_fault(divide, rate, burst=5)
 
     def test_idle_coordinator_is_suspended_and_comes_back(self):
-        """Its pool would be full, while another node has allocated the rate."""
+        """Its pool would be full just after the other node's pool was used up."""
         simulation = start(107, 164, 164)
         node = simulation.find_coordinator()
         node.is_alive = False
         others = [a for a in simulation.addresses if a != node.address]
         simulation.set_nodes(others, others)
-        simulation.load(3 * 164, 10)
+        simulation.load(0, 10)
+        simulation.load(3 * 164, 1)
         node.is_alive = True
         simulation.set_nodes(simulation.addresses, others)
         simulation.load(3 * 164, 10)
