A lone node starts its quotas with an empty pool

Each node of a fleet that starts may know no other node at first, and all of them would have given the whole burst.

--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -186,8 +186,14 @@
             self._estimate_wait() if tokens < report.wanted else 0.0,
         )
 
+    def record_nodes(self, joined, left, now):
+        """Record a change of the node list."""
+        if self.missing is not None:
+            self.missing.update(joined)
+            self.record_known(left, now)
+
     def record_known(self, nodes, now):
-        """Record that the leases of some nodes are known, or that the nodes left."""
+        """Record that the leases of some nodes are known, or that they left."""
         if self.missing is None:
             return
         self.missing.difference_update(nodes)
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -215,7 +215,7 @@
             if self._get_placement(name).coordinator != own:
                 del self._coordinators[name]
             else:
-                self._coordinators[name].record_known(left, now)
+                self._coordinators[name].record_nodes(joined, left, now)
 
     def _record_left(self, left, now):
         for node in left:
@@ -374,9 +374,6 @@
     def _create_coordinator(self, name, placement, now):
         organisation = self._limited[name]
         since = placement.find_since(self._left, self._started_at)
-        if len(self.nodes) == 1 and not self._left:
-            # No other node can have allocated anything.
-            since -= TAKEOVER_SECONDS
         # Of several nodes that left together, some may use leases on the side of an
         # earlier coordinator.
         left = sum(now - at <= TAKEOVER_SECONDS for at in self._left.values())
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -178,6 +178,20 @@
         kinds = [change.kind for change in changes]
         self.assertEqual(kinds, ["over-quota", "within-quota"])
 
+    def test_callers_are_sent_back_at_different_times(self):
+        """All of them would return for the same token."""
+        quotas = self.start({"acme": Organisation("acme", rate=5.0)}, ())
+        decisions = [quotas.acquire("acme", 0.5) for _ in range(40)]
+        waits = [d.retry_after for d in decisions if d.retry_after is not None]
+        self.assertGreater(max(waits) - min(waits), 2.0)
+        self.assertLessEqual(max(waits), 5.0)
+
+    def test_lone_node_starts_without_a_full_pool(self):
+        """Each node of a fleet that starts may know no other node at first."""
+        quotas = self.start({"acme": Organisation("acme", rate=50, burst=500)}, ())
+        decisions = [quotas.acquire("acme", 0.1).status for _ in range(500)]
+        self.assertLess(decisions.count(QuotaStatus.ADMITTED), 60)
+
 
 class MessageTests(unittest.TestCase):
     def test_messages_fit_into_a_datagram(self):
