A coordinator that was replaced begins anew when it is back

Cause: a coordinator that was cut off for over a second, and left out by the others, kept its accounts.

Change: a node to which reports came while a node was left out tells that node three times that it was replaced; it then starts as a new coordinator. Probes may have no name. Simulations of tokens wait until the first takeover is over.

Ruled out: notices of every node that left it out: one node with a fault would disturb all organisations of a coordinator.

--- a/packages/hingesill-core/hingesill_core/quotas/liveness.py
+++ b/packages/hingesill-core/hingesill_core/quotas/liveness.py
@@ -56,6 +56,11 @@
         """Whether all nodes answer as far as is known."""
         return not (self._pings or self._excluded)
 
+    @property
+    def unresponsive(self):
+        """Addresses of the nodes that do not answer."""
+        return self._excluded.keys()
+
     def set_nodes(self, nodes):
         """Set the addresses of all other registered nodes.
 
--- a/packages/hingesill-node/hingesill_node/quotas/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/datagrams.py
@@ -70,8 +70,9 @@
 
 def check_values(message):
     """Raise ValueError if a value of a message is out of range."""
-    length = len(getattr(message, NAME, "-"))
-    if not 0 < length <= MAX_NAME_LENGTH:
+    length = len(getattr(message, NAME, ""))
+    has_no_name = isinstance(message, (QuotaProbe, QuotaProbeReply))
+    if length > MAX_NAME_LENGTH or not (length or has_no_name):
         raise ValueError(f"organisation has {length} characters")
     for name, limit in LIMITS[type(message)]:
         value = getattr(message, name)
--- a/packages/hingesill-node/hingesill_node/quotas/exchange.py
+++ b/packages/hingesill-node/hingesill_node/quotas/exchange.py
@@ -27,6 +27,10 @@
 # Minimum interval between log lines on invalid datagrams, in seconds.
 LOG_INTERVAL_SECONDS = 5.0
 COUNTER = "quota_datagrams"
+# Notice to a node that another one was the coordinator in its place. It is sent several
+# times, in rounds, as it may be lost.
+REPLACED = QuotaProbeReply(2**41, False)
+NOTICES = 3
 
 
 class QuotaExchange:
@@ -55,6 +59,10 @@
         self.liveness = NodeLiveness(random.Random())
         self._nodes = ()
         self._coordinators = {}
+        # Unresponsive nodes in whose place this node may have been the coordinator, and
+        # how often each is still told so when it is back.
+        self._replaced = set()
+        self._notices = {}
         self._next_log_at = 0.0
         self._refreshed_at = 0.0
         self._wake = None
@@ -103,6 +111,23 @@
             self._coordinators[name] = rank_coordinators(name, nodes)[0]
         if self._coordinators[name] != self.own:
             self._suspect(self._coordinators[name])
+        else:
+            self._replaced.update(self.liveness.unresponsive)
+
+    def _send_notices(self):
+        """Tell nodes that are back that another one was the coordinator meanwhile."""
+        for node, count in list(self._notices.items()):
+            self._replaced.discard(node)
+            self._send(node, REPLACED)
+            if count > 1:
+                self._notices[node] = count - 1
+            else:
+                del self._notices[node]
+
+    def _begin_anew(self, now):
+        """Begin anew as a coordinator: another one may have granted the same rate."""
+        self.quotas.set_nodes(None, (), now)
+        self._refresh_nodes()
 
     def _refresh_old_nodes(self, now):
         """Update the list of nodes unless that was done recently."""
@@ -120,12 +145,17 @@
             return
         self.counters.add(COUNTER, "heard")
         if self.liveness.record_datagram(sender, now):
+            if sender in self._replaced:
+                self._notices[sender] = NOTICES
+                self._send_notices()
             self._refresh_nodes()
         self._refresh_old_nodes(now)
         if isinstance(message, QuotaProbeReply):
             self.liveness.quorum.record_answer(
                 message.number, sender, message.is_accepted
             )
+            if message == REPLACED:
+                self._begin_anew(now)
         elif isinstance(message, QuotaReport) and self.gate.knows(message.organisation):
             self._check_coordinator(message.organisation)
         for name in self.quotas.handle_message(message, sender, now):
@@ -147,7 +177,9 @@
 
     def _is_idle(self):
         """Return whether there is nothing to do in rounds of 0.1 s."""
-        return self.liveness.is_idle and self.quotas.is_idle(self.clock())
+        if self._notices or not self.liveness.is_idle:
+            return False
+        return self.quotas.is_idle(self.clock())
 
     def _end_idle_wait(self):
         """Start rounds at once if there is work after a time without."""
@@ -168,6 +200,7 @@
             now = self.clock()
             if not self._is_idle():
                 self._refresh_old_nodes(now)
+            self._send_notices()
             if self.liveness.run_round(now):
                 self._refresh_nodes()
             self.quotas.run_round(now)
--- a/packages/hingesill-node/hingesill_node/quotas/tests/test_requesttokens.py
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_requesttokens.py
@@ -151,6 +151,9 @@
         self.gate.quotas.set_nodes(("10.0.0.1", 7200), (), self.now)
         self.gate.configure({"acme": ACME})
         self.sent = []
+        for _ in range(500):
+            # A coordinator that has just started grants a small part of the rate.
+            self.tick()
 
     def send(self, request):
         if request.use(ACME)[0]:
