A joining quota coordinator starts as soon as it knows all leases

A node that joined and became the coordinator waited for 2.2 s although the earlier coordinator is in the list and tells its leases as all others do. Nodes now keep their answer back only while a coordinator that left may be allocating.

--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -16,10 +16,6 @@
 # Validity of the coordinator's own lease, in seconds. If it is cut off, no other node
 # knows this lease.
 OWN_LEASE_SECONDS = 1.2
-# Time after which a new coordinator allocates the whole rate if all other nodes have
-# told it their leases, in seconds. Node lists differ for 1 to 2 s, and a coordinator
-# that is cut off and its own lease end within 2.2 s.
-COUNTED_TAKEOVER_SECONDS = 2.2
 # Share of the rate that a new coordinator grants in addition to the leases that nodes
 # bring: leases that it doesn't know may use the whole rate. Over `TAKEOVER_SECONDS`
 # it comes to a third of the tolerance.
@@ -97,6 +93,8 @@
     missing : iterable of tuple or None
         Nodes that have to tell their leases before the whole rate is allocated; None
         if leases may be valid that none of them knows.
+    counted_from : float
+        Time from which the whole rate is allocated once these nodes have told.
 
     Notes
     -----
@@ -106,13 +104,24 @@
     however late or incomplete the reports are.
     """
 
-    def __init__(self, name, rate, burst, extra, since, now, own=None, missing=None):
+    def __init__(
+        self,
+        name,
+        rate,
+        burst,
+        extra,
+        since,
+        now,
+        own=None,
+        missing=None,
+        counted_from=0.0,
+    ):
         self.name = name
         self.rate = rate
         self.burst = burst
         self.extra = extra
         self.own = own
-        self.since = since
+        self.counted_from = counted_from
         self.normal_from = since + TAKEOVER_SECONDS
         self.missing = None if missing is None else set(missing)
         self.accounts = {}
@@ -199,8 +208,7 @@
         self.missing.difference_update(nodes)
         if not self.missing:
             self.missing = None
-            counted = max(now, self.since + COUNTED_TAKEOVER_SECONDS)
-            self.normal_from = min(self.normal_from, counted)
+            self.normal_from = min(self.normal_from, max(now, self.counted_from))
 
     def _open_account(self, report, node, now):
         """Replace the account of a node and keep the lease that it brings.
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -14,6 +14,7 @@
 )
 from hingesill_core.quotas.placement import Placement
 from hingesill_core.quotas.quorum import Quorum
+from hingesill_core.ratelimits.coordinators import compute_weight
 
 __all__ = ["FleetQuotas", "MAX_WAIT_SECONDS", "QuotaChange", "QuotaUsage"]
 
@@ -23,7 +24,13 @@
 # with leases report every second.
 PROBED_SECONDS = 1.5
 # Interval at which a new coordinator asks nodes for their leases, in seconds.
-QUERY_SECONDS = 0.5
+QUERY_SECONDS = 0.25
+# Time after which a coordinator that left the node list allocates nothing, in seconds.
+# Node lists differ for 1 to 2 s, and the confirmation of a coordinator that is cut off
+# and then its own lease end within 2.2 s.
+ENDED_SECONDS = 2.2
+# Time for which the node list of a starting node may be incomplete, in seconds.
+START_SECONDS = 1.0
 # Interval at which the node list is refreshed while there is work, in seconds.
 REFRESH_SECONDS = 0.5
 # Time for which nodes that left are remembered, in seconds: any pool is full after it,
@@ -365,10 +372,22 @@
         return coordinator.handle_report(report, sender, now)
 
     def _tell_lease(self, name, sender, now):
-        """Tell a new coordinator this node's lease, if it is the coordinator here."""
+        """Tell a new coordinator this node's lease, if it is the coordinator here.
+
+        Notes
+        -----
+        It isn't told while an earlier coordinator that left may be allocating: the new
+        one may have started too late to know that one.
+        """
         if name not in self._limited:
             return
-        if self._get_placement(name).coordinator == sender:
+        if self._get_placement(name).coordinator != sender:
+            return
+        weight = compute_weight(name, sender)
+        if not any(
+            now - at < ENDED_SECONDS and compute_weight(name, node) < weight
+            for node, at in self._left.items()
+        ):
             self._get_client(name).report_lease(now)
 
     def _create_coordinator(self, name, placement, now):
@@ -387,6 +406,10 @@
             now,
             self.own,
             missing,
+            max(
+                self._started_at + START_SECONDS,
+                placement.find_since(self._left, float("-inf")) + ENDED_SECONDS,
+            ),
         )
         self._coordinators[name] = coordinator
         self._query_leases(coordinator, now)
