--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -1,5 +1,7 @@
 """The quotas of all organisations at one node, and their exchange with other nodes."""
 
+from functools import partial
+
 from msgspec import Struct
 
 from hingesill_core.quotas.allowance import compute_allowance, compute_extra
@@ -446,7 +448,7 @@
                 continue
             client = self._clients.get(name)
             if client is not None:
-                client.handle_reply(reply, now)
+                self._run(client, partial(client.handle_reply, reply), now)
                 resumed.append(name)
         return tuple(resumed)
 
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_liveness.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_liveness.py
@@ -3,8 +3,12 @@
 import random
 import unittest
 
+from hingesill_core.organisations.organisation import Organisation
+from hingesill_core.quotas.decision import QuotaStatus
+from hingesill_core.quotas.fleet import FleetQuotas
 from hingesill_core.quotas.liveness import MAX_PINGS, PING_NUMBER, NodeLiveness
-from hingesill_core.quotas.messages import QuotaProbe
+from hingesill_core.quotas.messages import QuotaProbe, QuotaProbeReply
+from hingesill_core.ratelimits.coordinators import rank_coordinators
 
 ROUND_SECONDS = 0.1
 
@@ -91,5 +95,25 @@
         self.assertTrue(self.liveness.is_idle)
 
 
+class SubstituteTests(unittest.TestCase):
+    """Guards against a loss of the coordinator whose end isn't logged."""
+
+    def test_a_node_becomes_the_coordinator_itself(self):
+        own, other = ("10.0.0.1", 7200), ("10.0.0.2", 7200)
+        names = [f"o{number}" for number in range(20)]
+        name = next(n for n in names if rank_coordinators(n, (own, other))[0] == own)
+        changes, sent = [], []
+        quotas = FleetQuotas(random.Random(1), observe=changes.append)
+        quotas.send = lambda node, message: sent.append(message)
+        quotas.set_nodes(own, (other,), 5.0)
+        quotas.configure({name: Organisation(name, rate=1.0)}, 5.0)
+        decision = quotas.acquire(name, 5.0)
+        while decision.status is not QuotaStatus.WAITING:
+            decision = quotas.acquire(name, 5.0)
+        quotas._clients[name].is_lost = True
+        quotas.handle_message(QuotaProbeReply(sent[0].number, True), other, 5.01)
+        self.assertEqual([c.kind for c in changes], ["coordinator-found"])
+
+
 if __name__ == "__main__":
     unittest.main()
