--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -109,6 +109,11 @@
     -----
     All times are seconds of one clock of the node, which continues while the node is
     suspended. State is kept only for organisations that were used recently.
+
+    Tokens count from `acquire`. A request that then waits for an endpoint for more than
+    a few tenths of a second should give its token back, and get another one right
+    before it is sent. `set_nodes` should be called first when the node list is known:
+    a node that knows no other one takes the whole tolerance for its own.
     """
 
     def __init__(self, rng, tolerance=QuotaTolerance(), observe=lambda change: None):
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -10,7 +10,7 @@
 from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS, QuotaCoordinator
 from hingesill_core.quotas.decision import QuotaStatus
 from hingesill_core.quotas.fleet import FleetQuotas
-from hingesill_core.quotas.messages import QuotaReply, QuotaReport
+from hingesill_core.quotas.messages import QuotaProbe, QuotaReply, QuotaReport
 from hingesill_core.quotas.placement import Placement
 from hingesill_core.quotas.quorum import MAX_SAMPLE, Quorum
 from hingesill_core.ratelimits.coordinators import rank_coordinators
@@ -178,6 +178,18 @@
         kinds = [change.kind for change in changes]
         self.assertEqual(kinds, ["over-quota", "within-quota"])
 
+    def test_lease_is_not_told_while_an_earlier_coordinator_may_allocate(self):
+        """The new coordinator may have started too late to know the earlier one."""
+        quotas = self.start({"acme": Organisation("acme", rate=5.0)})
+        sent = []
+        quotas.send = lambda node, message: sent.append(node)
+        first, second = rank_coordinators("acme", NODES[1:])
+        quotas.set_nodes(NODES[0], [n for n in NODES if n != first], 10.0)
+        for now in (10.1, 12.0, 12.5):
+            quotas.handle_message(QuotaProbe(0, "acme"), second, now)
+            quotas.run_round(now)
+            self.assertEqual(sent, [second] if now > 12.2 else [])
+
     def test_callers_are_sent_back_at_different_times(self):
         """All of them would return for the same token."""
         quotas = self.start({"acme": Organisation("acme", rate=5.0)}, ())
