--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -137,6 +137,7 @@
         self._left = {}
         self._started_at = None
         self._round_at = None
+        self._rejected_at = float("-inf")
         self._refreshed_at = float("-inf")
 
     def configure(self, organisations, now):
@@ -366,6 +367,11 @@
         placement = self._get_placement(name)
         if placement.coordinator != self.own:
             return None
+        if self.quorum.is_rejected(now):
+            # Another node may have become the coordinator, and have allocated the rate.
+            self._coordinators.clear()
+            self._rejected_at = now
+        self.quorum.end_rejection(now)
         if not self.quorum.is_confirmed(now):
             if len(self._deferred) < MAX_DEFERRED:
                 self._deferred[name, sender] = (report, now)
@@ -397,7 +403,8 @@
 
     def _create_coordinator(self, name, placement, now):
         organisation = self._limited[name]
-        since = placement.find_since(self._left, self._started_at)
+        begin = max(self._started_at, self._rejected_at)
+        since = placement.find_since(self._left, begin)
         # Of several nodes that left together, some may use leases on the side of an
         # earlier coordinator.
         left = sum(now - at <= TAKEOVER_SECONDS for at in self._left.values())
@@ -412,7 +419,7 @@
             self.own,
             missing,
             max(
-                self._started_at + START_SECONDS,
+                begin + START_SECONDS,
                 placement.find_since(self._left, float("-inf")) + ENDED_SECONDS,
             ),
         )
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -15,6 +15,9 @@
 # seconds. A node that is cut off stops granting about 1 s later.
 PROBE_TIMEOUT_SECONDS = 0.1
 VALID_SECONDS = 2.0
+# Time without a confirmation after which other nodes may have another coordinator, in
+# seconds; probes that are lost once don't count.
+REJECTED_SECONDS = 0.3
 
 
 class Quorum(Struct):
@@ -38,6 +41,7 @@
     pending: dict = field(default_factory=dict)
     number: int = 0
     probed_at: float = float("-inf")
+    unconfirmed_since: float | None = None
 
     def set_nodes(self, others):
         """Replace the list of the other nodes."""
@@ -54,7 +58,12 @@
                 return []
             if self.is_confirmed(now):
                 return []
-        size = ROUND_SAMPLE if self.is_confirmed(now) else MAX_SAMPLE
+        is_confirmed = self.is_confirmed(now)
+        if is_confirmed:
+            self.unconfirmed_since = None
+        elif self.unconfirmed_since is None:
+            self.unconfirmed_since = now
+        size = ROUND_SAMPLE if is_confirmed else MAX_SAMPLE
         chosen = self.rng.sample(self.others, min(size, len(self.others)))
         self.probed_at = now
         probes = []
@@ -83,6 +92,18 @@
             del self.pending[number]
             self.outcomes[node] = (at, is_accepted)
 
+    def end_rejection(self, now):
+        """Begin anew if this node is confirmed."""
+        if self.is_confirmed(now):
+            self.unconfirmed_since = None
+
+    def is_rejected(self, now):
+        """Return whether most nodes have not accepted this node for some time."""
+        return (
+            self.unconfirmed_since is not None
+            and now - self.unconfirmed_since > REJECTED_SECONDS
+        )
+
     def is_confirmed(self, now):
         """Return whether most nodes have accepted this node recently."""
         if not self.others:
