--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -1,5 +1,7 @@
 """The quotas of all organisations at one node, and their exchange with other nodes."""
 
+from functools import partial
+
 from msgspec import Struct
 
 from hingesill_core.quotas.allowance import compute_allowance, compute_extra
@@ -14,6 +16,7 @@
 )
 from hingesill_core.quotas.placement import Placement
 from hingesill_core.quotas.quorum import Quorum
+from hingesill_core.ratelimits.coordinators import compute_weight
 
 __all__ = ["FleetQuotas", "MAX_WAIT_SECONDS", "QuotaChange", "QuotaUsage"]
 
@@ -22,6 +25,14 @@
 # Time after a report for which a coordinator keeps itself confirmed, in seconds. Nodes
 # with leases report every second.
 PROBED_SECONDS = 1.5
+# Interval at which a new coordinator asks nodes for their leases, in seconds.
+QUERY_SECONDS = 0.25
+# Time after which a coordinator that left the node list allocates nothing, in seconds.
+# Node lists differ for 1 to 2 s, and the confirmation of a coordinator that is cut off
+# and then its own lease end within 2.2 s.
+ENDED_SECONDS = 2.2
+# Time for which the node list of a starting node may be incomplete, in seconds.
+START_SECONDS = 1.0
 # Interval at which the node list is refreshed while there is work, in seconds.
 REFRESH_SECONDS = 0.5
 # Time for which nodes that left are remembered, in seconds: any pool is full after it,
@@ -100,6 +111,11 @@
     -----
     All times are seconds of one clock of the node, which continues while the node is
     suspended. State is kept only for organisations that were used recently.
+
+    Tokens count from `acquire`. A request that then waits for an endpoint for more than
+    a few tenths of a second should give its token back, and get another one right
+    before it is sent. `set_nodes` should be called first when the node list is known:
+    a node that knows no other one takes the whole tolerance for its own.
     """
 
     def __init__(self, rng, tolerance=QuotaTolerance(), observe=lambda change: None):
@@ -123,6 +139,7 @@
         self._left = {}
         self._started_at = None
         self._round_at = None
+        self._rejected_at = float("-inf")
         self._refreshed_at = float("-inf")
 
     def configure(self, organisations, now):
@@ -212,6 +229,8 @@
         for name in list(self._coordinators):
             if self._get_placement(name).coordinator != own:
                 del self._coordinators[name]
+            else:
+                self._coordinators[name].record_nodes(joined, left, now)
 
     def _record_left(self, left, now):
         for node in left:
@@ -240,13 +259,17 @@
             self.refresh_nodes()
         if self.own is None:
             return NOT_READY
+        client = self._get_client(name)
+        return self._run(client, client.acquire, now)
+
+    def _get_client(self, name):
         client = self._clients.get(name)
         if client is None:
             client = QuotaClient(name, self.rng, self._send_report)
             client.used, client.refused = self._totals.pop(name, (0, 0))
             self._clients[name] = client
             self._configure_client(client)
-        return self._run(client, client.acquire, now)
+        return client
 
     def _run(self, client, method, now):
         """Call a method of a client and report changes of its state."""
@@ -328,6 +351,8 @@
             reply = self._handle_report(message, sender, now)
             if reply is not None:
                 self.send(sender, reply)
+        elif isinstance(message, QuotaProbe) and message.organisation:
+            self._tell_lease(message.organisation, sender, now)
         elif isinstance(message, QuotaProbe):
             is_accepted = sender in self.nodes
             self.send(sender, QuotaProbeReply(message.number, is_accepted))
@@ -344,6 +369,11 @@
         placement = self._get_placement(name)
         if placement.coordinator != self.own:
             return None
+        if self.quorum.is_rejected(now):
+            # Another node may have become the coordinator, and have allocated the rate.
+            self._coordinators.clear()
+            self._rejected_at = now
+        self.quorum.end_rejection(now)
         if not self.quorum.is_confirmed(now):
             if len(self._deferred) < MAX_DEFERRED:
                 self._deferred[name, sender] = (report, now)
@@ -354,12 +384,33 @@
             coordinator = self._create_coordinator(name, placement, now)
         return coordinator.handle_report(report, sender, now)
 
+    def _tell_lease(self, name, sender, now):
+        """Tell a new coordinator this node's lease, if it is the coordinator here.
+
+        Notes
+        -----
+        It isn't told while an earlier coordinator that left may be allocating: the new
+        one may have started too late to know that one.
+        """
+        if name not in self._limited:
+            return
+        if self._get_placement(name).coordinator != sender:
+            return
+        weight = compute_weight(name, sender)
+        if not any(
+            now - at < ENDED_SECONDS and compute_weight(name, node) < weight
+            for node, at in self._left.items()
+        ):
+            self._get_client(name).report_lease(now)
+
     def _create_coordinator(self, name, placement, now):
         organisation = self._limited[name]
-        since = placement.find_since(self._left, self._started_at)
-        if len(self.nodes) == 1 and not self._left:
-            # No other node can have allocated anything.
-            since -= TAKEOVER_SECONDS
+        begin = max(self._started_at, self._rejected_at)
+        since = placement.find_since(self._left, begin)
+        # Of several nodes that left together, some may use leases on the side of an
+        # earlier coordinator.
+        left = sum(now - at <= TAKEOVER_SECONDS for at in self._left.values())
+        missing = self.nodes - {self.own} if left <= 1 else None
         coordinator = QuotaCoordinator(
             name,
             organisation.rate,
@@ -367,10 +418,27 @@
             compute_extra(organisation, self.tolerance),
             since,
             now,
+            self.own,
+            missing,
+            max(
+                begin + START_SECONDS,
+                placement.find_since(self._left, float("-inf")) + ENDED_SECONDS,
+            ),
         )
         self._coordinators[name] = coordinator
+        self._query_leases(coordinator, now)
         return coordinator
 
+    def _query_leases(self, coordinator, now):
+        """Ask the nodes for leases of an earlier coordinator."""
+        if not coordinator.missing or not coordinator.is_new(now):
+            return
+        if now - coordinator.queried_at < QUERY_SECONDS:
+            return
+        coordinator.queried_at = now
+        for node in sorted(coordinator.missing):
+            self.send(node, QuotaProbe(0, coordinator.name))
+
     def _send_probes(self, now):
         for node, number in self.quorum.start_round(now):
             self.send(node, QuotaProbe(number))
@@ -392,7 +460,7 @@
                 continue
             client = self._clients.get(name)
             if client is not None:
-                client.handle_reply(reply, now)
+                self._run(client, partial(client.handle_reply, reply), now)
                 resumed.append(name)
         return tuple(resumed)
 
@@ -433,6 +501,7 @@
                 self._drop_client(name)
         for name, coordinator in list(self._coordinators.items()):
             coordinator.run_round(now)
+            self._query_leases(coordinator, now)
             if coordinator.is_idle(now):
                 del self._coordinators[name]
                 if name not in self._clients:
