Test a cut-off quota coordinator that is reached again

Its state is also dropped when the first answer after the time without a confirmation comes before any report.

--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -355,7 +355,9 @@
             is_accepted = sender in self.nodes
             self.send(sender, QuotaProbeReply(message.number, is_accepted))
         elif isinstance(message, QuotaProbeReply):
-            self.quorum.record_answer(message.number, sender, message.is_accepted)
+            self._detect_rejection(now)
+            is_accepted = message.is_accepted
+            self.quorum.record_answer(message.number, sender, is_accepted, now)
             return self._handle_deferred(now)
         return ()
 
@@ -367,11 +369,7 @@
         placement = self._get_placement(name)
         if placement.coordinator != self.own:
             return None
-        if self.quorum.is_rejected(now):
-            # Another node may have become the coordinator, and have allocated the rate.
-            self._coordinators.clear()
-            self._rejected_at = now
-        self.quorum.end_rejection(now)
+        self._detect_rejection(now)
         if not self.quorum.is_confirmed(now):
             if len(self._deferred) < MAX_DEFERRED:
                 self._deferred[name, sender] = (report, now)
@@ -462,6 +460,17 @@
                 resumed.append(name)
         return tuple(resumed)
 
+    def _detect_rejection(self, now):
+        """Begin anew as a coordinator if most nodes have not accepted this node.
+
+        Notes
+        -----
+        Another node may have become the coordinator, and have allocated the rate.
+        """
+        if self.quorum.is_rejected(now):
+            self._coordinators.clear()
+            self._rejected_at = now
+
     def _detect_suspension(self, now):
         """Begin anew as a coordinator after a suspension.
 
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -85,17 +85,14 @@
             if now - outcome[0] <= VALID_SECONDS
         }
 
-    def record_answer(self, number, sender, is_accepted):
+    def record_answer(self, number, sender, is_accepted, now):
         """Record a node's answer: whether its node list has this node."""
         node, at = self.pending.get(number, (None, 0.0))
         if node == sender:
             del self.pending[number]
             self.outcomes[node] = (at, is_accepted)
-
-    def end_rejection(self, now):
-        """Begin anew if this node is confirmed."""
-        if self.is_confirmed(now):
-            self.unconfirmed_since = None
+            if self.is_confirmed(now):
+                self.unconfirmed_since = None
 
     def is_rejected(self, now):
         """Return whether most nodes have not accepted this node for some time."""
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -56,7 +56,7 @@
         quorum.set_nodes(others)
         for node, number in quorum.start_round(0.0):
             if node in accepting:
-                quorum.record_answer(number, node, True)
+                quorum.record_answer(number, node, True, 0.005)
         return quorum
 
     def test_most_nodes_have_to_accept_the_node(self):
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -170,6 +170,16 @@
                 self.simulation.load(3 * rate, 5)
                 cut(self.simulation)
                 self.simulation.load(3 * rate, 20)
+                # It is reached again before all node lists have it.
+                self.simulation.can_reach = lambda a, b: True
+                for address in self.simulation.addresses:
+                    self.simulation.after(
+                        self.simulation.rng.uniform(0.0, 2.0),
+                        self.simulation.set_nodes,
+                        self.simulation.addresses,
+                        [address],
+                    )
+                self.simulation.load(3 * rate, 10)
                 self.assert_bound_holds(self.simulation)
                 self.assert_decided_in_time(self.simulation)
 
