A first version with organisations is not taken without them from earlier builds

If that was the first version with organisations, it let all callers in without a key, and passed it on as complete (format 2). - a node that knew organisations refused such a relay, but each contact with one counted as contact, so it never read the store: it kept the earlier keys.

Change: a declaration without a format is taken only if it is no later than the known one and that has no organisations. A node refused one reads the store, and returns to its relay at once if the version has no organisations.

Ruled out: dropping only the declaration from such streams, as the node would hold itself to be in sync without the version.

While the store is down such nodes wait with a later version.

--- a/packages/hingesill-core/hingesill_core/discovery/directory.py
+++ b/packages/hingesill-core/hingesill_core/discovery/directory.py
@@ -106,7 +106,9 @@
         Notes
         -----
         A node of an earlier build drops the organisations from declarations that it
-        passes on: its declaration would let all callers in without a key. Changes of
+        passes on: its declaration would let all callers in without a key. It is taken
+        only if it is no later than a known one without organisations, as a later one
+        may be the first with organisations. Changes of
         organisations that start from other ones than the known ones would mix two
         versions.
         """
@@ -114,7 +116,9 @@
             return True
         if content.format < FORMAT:
             known = self.declared
-            return known is not None and known.organisations is None
+            if known is None or known.organisations is not None:
+                return False
+            return content.declared.version <= known.version
         return self._complete_declaration(content) is not None
 
     def _complete_declaration(self, content):
--- a/packages/hingesill-core/hingesill_core/organisations/tests/test_changes.py
+++ b/packages/hingesill-core/hingesill_core/organisations/tests/test_changes.py
@@ -112,11 +112,18 @@
     def test_it_is_not_taken_as_the_first_declaration(self):
         self.assertFalse(self.directory.can_apply(self.stripped))
 
-    def test_it_is_taken_where_there_are_known_to_be_none(self):
-        declared = DeclaredConfiguration(1, (), ())
+    def test_the_known_one_is_taken_where_there_are_known_to_be_none(self):
+        declared = DeclaredConfiguration(2, (), ())
         self.directory.apply_snapshot(build_snapshot(declared), 0.0)
         self.assertTrue(self.directory.can_apply(self.stripped))
 
+    def test_a_later_one_is_not_taken_as_it_may_be_the_first_with_organisations(self):
+        declared = DeclaredConfiguration(1, (), ())
+        self.directory.apply_snapshot(build_snapshot(declared), 0.0)
+        self.assertFalse(self.directory.can_apply(self.stripped))
+        changes = Changes(Position(0, 2), self.stripped.declared, format=1)
+        self.assertFalse(self.directory.can_apply(changes))
+
     def test_changes_without_a_declaration_are_taken(self):
         self.directory.apply_snapshot(build_snapshot(declare(1, a=1.0)), 0.0)
         self.assertTrue(self.directory.can_apply(Changes(Position(0, 3), format=1)))
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -10,7 +10,12 @@
 
 import eventlet
 
-from hingesill_core.discovery.records import Changes, HistoryGone, StoreRestored
+from hingesill_core.discovery.records import (
+    FORMAT,
+    Changes,
+    HistoryGone,
+    StoreRestored,
+)
 from hingesill_core.store import StoreFailure
 from hingesill_node.discovery.frames import FrameKind
 from hingesill_node.discovery.publisheddirectory import PublishedDirectory
@@ -115,6 +120,9 @@
         self.store_backoff = StoreBackoff(None if choice is None else choice.rng)
         # Whether the relay that was lost last ended or refused the stream itself.
         self._are_relays_alive = False
+        # Whether a relay of an earlier build sent a declaration that may be incomplete.
+        # Contact with such relays must not keep this node from reading the store.
+        self._is_relay_incomplete = False
         self._last_read_at = float("-inf")
         self._relay_search_at = float("-inf")
 
@@ -243,6 +251,8 @@
             return True
         if self.is_synced:
             return now < self._relay_search_at
+        if self._is_relay_incomplete:
+            return True
         patience = MAX_SILENCE_SECONDS
         if self._are_relays_alive:
             patience = MAX_SILENCE_WITH_LIVE_RELAYS_SECONDS
@@ -293,6 +303,7 @@
         if frame.return_age is not None:
             self.directory.record_return(now - frame.return_age)
         if frame.content is not None and not self.directory.can_apply(frame.content):
+            self._is_relay_incomplete = frame.content.format < FORMAT
             raise RelayLost("its declaration does not match the known organisations")
         if frame.kind is FrameKind.WHOLE:
             self._start_stream(relay, frame.content)
@@ -421,6 +432,13 @@
             return
         self.store_backoff.record_answer()
         self.is_synced = True
+        declared = self.directory.declared
+        has_organisations = declared is not None and declared.organisations is not None
+        if self._is_relay_incomplete and not has_organisations:
+            # The relays' declaration turned out to be complete.
+            self.choice.reset_failures()
+            self._relay_search_at = float("-inf")
+        self._is_relay_incomplete = False
         self._last_read_at = self.clock()
         self.published_directory.publish_changes()
         if self._is_relay():
