--- a/packages/hingesill-node/hingesill_node/datapath/authentication.py
+++ b/packages/hingesill-node/hingesill_node/datapath/authentication.py
@@ -9,6 +9,7 @@
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal
 from hingesill_node.datapath.headers import filter_headers
+from hingesill_node.datapath.refusals import is_valid_request_id
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["ANONYMOUS", "Authenticator", "Identity", "read_bearer_key"]
@@ -151,7 +152,7 @@
         if self._log_lines <= MAX_LOG_LINES_PER_SECOND:
             log_event(
                 Event.REQUEST_UNAUTHENTICATED,
-                request=request_id,
+                request=request_id if is_valid_request_id(request_id) else "",
                 host=route.host,
                 path=route.path,
                 cause=cause,
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_authentication.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_authentication.py
@@ -105,6 +105,12 @@
         for record in logs.records:
             self.assertNotIn("secret", str(vars(record)))
 
+    def test_a_malformed_request_id_is_not_logged(self):
+        # The id is checked only after the key; it could be of any length.
+        with self.assertLogs("hingesill", "WARNING") as logs:
+            self.authenticator.identify((), CLOSED, "x" * 9000)
+        self.assertNotIn("xxx", str(vars(logs.records[0])))
+
     def test_the_rank_of_the_organisation_goes_before_that_of_the_route(self):
         self.assertEqual(Ticket(CLOSED, 0.0, 1.0).rank, 3)
         self.assertEqual(Ticket(CLOSED, 0.0, 1.0, organisation=self.acme).rank, 0)
