A refused HEAD request gets no body

Cause: refusals were sent with their body to HEAD requests too. On a connection that stays open a caller reads it as the next response. 401 makes this reachable without a valid key on each route; 404 and 503 had it before.

Change: the body is empty for HEAD.

Ruled out: closing the connection, which would cost callers a new one.

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -269,7 +269,9 @@
         else:
             self._close_if_stopping(environ)
         start_response(answer.status, answer.headers)
-        return [answer.body]
+        # The server sends the body of a HEAD response too; on a connection that stays
+        # open the caller would read it as the next response.
+        return [b"" if environ.get("REQUEST_METHOD") == "HEAD" else answer.body]
 
     def _answer_internal_error(self, environ, start_response, error):
         """Log an internal error and respond to the request with a refusal."""
