Answers to liveness probes are recorded with their time

Ruled out: the change of repeated reports; its counters stand for each report.

Result: adapter.tests.test_quotas and the unit tests of quotas pass.

--- a/packages/hingesill-node/hingesill_node/quotas/exchange.py
+++ b/packages/hingesill-node/hingesill_node/quotas/exchange.py
@@ -152,7 +152,7 @@
         self._refresh_old_nodes(now)
         if isinstance(message, QuotaProbeReply):
             self.liveness.quorum.record_answer(
-                message.number, sender, message.is_accepted
+                message.number, sender, message.is_accepted, now
             )
             if message == REPLACED:
                 self._begin_anew(now)
