--- a/packages/hingesill-cli/hingesill_cli/tenants.py
+++ b/packages/hingesill-cli/hingesill_cli/tenants.py
@@ -19,8 +19,8 @@
     ----------
     rate, burst : float
         Its quota; a rate of 0 is none.
-    used, refused : float or None
-        Sends and refusals per second; None if no node reported them.
+    used, refused : int or None
+        Used tokens and refusals since the nodes started; None if no node reported them.
     waiting : int or None
         Waiting requests; None if no node reported them.
     coordinators : set of str
@@ -30,8 +30,8 @@
     name: str
     rate: float
     burst: float
-    used: float | None = None
-    refused: float | None = None
+    used: int | None = None
+    refused: int | None = None
     waiting: int | None = None
     coordinators: set = None
 
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -18,6 +18,7 @@
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.lifecycle import Lifecycle
+from hingesill_node.organisations import build_figures
 from hingesill_node.reload import Reloader
 from hingesill_node.telemetry.counters import Counters
 from hingesill_node.telemetry.events import Event, log_event
@@ -99,7 +100,7 @@
         self.settings = settings
         self.load = load or (lambda: settings)
         self.counters = Counters()
-        self.read_figures = dict
+        self.read_figures = self._read_figures
         fleet = FleetView(settings.data_centre, 1, settings.fleet_limit)
         self.blackboard = Blackboard(fleet)
         self.control = build_control(settings, self.blackboard, self.counters)
@@ -123,6 +124,11 @@
             clock,
         )
 
+    def _read_figures(self):
+        """Return the OrganisationFigures of the organisations with a quota in use."""
+        usage = self.runners.quotas.quotas.usage
+        return {name: build_figures(item) for name, item in usage.items()}
+
     def read_gauges(self):
         """Return the current values of the gauges."""
         availabilities = self.runners.availabilities
--- a/packages/hingesill-node/hingesill_node/organisations.py
+++ b/packages/hingesill-node/hingesill_node/organisations.py
@@ -3,7 +3,7 @@
 from msgspec import Struct
 from msgspec.json import encode as encode_json
 
-__all__ = ["OrganisationFigures", "encode_organisations"]
+__all__ = ["OrganisationFigures", "build_figures", "encode_organisations"]
 
 
 class OrganisationFigures(Struct, frozen=True):
@@ -11,18 +11,18 @@
 
     Parameters
     ----------
-    used : float
-        Sends per second of its quota.
-    refused : float
-        Requests per second that were refused because its quota was used up.
+    used : int
+        Tokens of its quota that were used since the node started.
+    refused : int
+        Requests that were refused since then because its quota was used up.
     waiting : int
         Requests that wait for a token now.
     coordinator : str
         Name or address of the node that coordinates its quota; empty if there is none.
     """
 
-    used: float = 0.0
-    refused: float = 0.0
+    used: int = 0
+    refused: int = 0
     waiting: int = 0
     coordinator: str = ""
 
@@ -44,6 +44,12 @@
     organisations: list[OrganisationEntry] | None
 
 
+def build_figures(usage):
+    """Return the OrganisationFigures of a QuotaUsage."""
+    coordinator = "" if usage.coordinator is None else "%s:%d" % usage.coordinator
+    return OrganisationFigures(usage.used, usage.refused, usage.waiting, coordinator)
+
+
 def encode_organisations(configuration, figures):
     """Return the organisations of a configuration as JSON bytes.
 
