--- a/packages/hingesill-cli/hingesill_cli/trace.py
+++ b/packages/hingesill-cli/hingesill_cli/trace.py
@@ -22,7 +22,7 @@
 NODE_EVENTS = range(1000, 4000)
 # Number of the node's events before the end of the request that are printed.
 MAX_NODE_EVENTS = 5
-# Stands for all IDs.
+# The request argument that selects all IDs.
 ANY_REQUEST = "all"
 MAX_TRACES = 20
 
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -405,8 +405,8 @@
         organisation = self._limited[name]
         begin = max(self._started_at, self._rejected_at)
         since = placement.find_since(self._left, begin)
-        # Of several nodes that left together, some may use leases on the side of an
-        # earlier coordinator.
+        # Several nodes that left together may be cut off with an earlier coordinator,
+        # and use its leases.
         left = sum(now - at <= TAKEOVER_SECONDS for at in self._left.values())
         missing = self.nodes - {self.own} if left <= 1 else None
         coordinator = QuotaCoordinator(
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -107,7 +107,7 @@
             return True
         fresh = [yes for at, yes in self.outcomes.values() if now - at <= VALID_SECONDS]
         sample = min(MAX_SAMPLE, len(self.others))
-        # In a small fleet all others are probed, and this node counts as well.
+        # All others of a small fleet are probed, and this node counts as well.
         needed = (sample + 1) // 2
         if len(self.others) > MAX_SAMPLE:
             needed = MIN_CONFIRMATIONS
--- a/packages/hingesill-node/hingesill_node/datapath/authentication.py
+++ b/packages/hingesill-node/hingesill_node/datapath/authentication.py
@@ -15,7 +15,7 @@
 __all__ = ["ANONYMOUS", "Authenticator", "Identity", "read_bearer_key"]
 
 AUTHORIZATION = "authorization"
-# What separates the parts of an Authorization header, of which each may be a key.
+# Separators of the parts of an Authorization header; each part may be a key.
 PART_SEPARATORS = re.compile(r"[\s,]+")
 # Parts of an Authorization header that are compared with keys; a longer header counts
 # as one that holds a key, as each comparison costs a digest.
