The fake key check of the quota tests takes the request, as the real one does

The key now moves by the key check, which the data path asks after connecting. No expectation changed.

--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_quotas.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_quotas.py
@@ -50,8 +50,8 @@
 
     organisation = ACME
 
-    def check_again(self, ticket, request_id):
-        ticket.organisation = self.organisation
+    def check_again(self, request):
+        request.ticket.organisation = self.organisation
 
 
 class QuotaCase(unittest.TestCase):
@@ -229,7 +229,7 @@
     def test_the_key_moves_while_the_connection_opens(self):
         def connect(live):
             live.connection = live.pool.acquire()
-            self.ticket.organisation = ZENITH
+            self.keys.organisation = ZENITH
 
         self.quotas.tokens["zenith"] = 0
         with patch.object(sends_module, "connect", connect):
