Quotas: a fleet that restarts grants its rate once all nodes told their leases

Coordinators waited for 1 s after their start, for up to 2 s for probes that nodes had not answered before they started, and callers were sent back after 20 ms, so that their retries were used up.

Now a takeover ends when all nodes have told their leases and have the same list of nodes, nodes that have not accepted a coordinator are probed again first, nodes that left together and are back may tell as well, and Retry-After is the expected rest of the takeover.

Ruled out: a larger grant at once, as a coordinator that restarts repeatedly would give it each time.

--- a/packages/hingesill-core/hingesill_core/quotas/client.py
+++ b/packages/hingesill-core/hingesill_core/quotas/client.py
@@ -41,6 +41,9 @@
 # Decay time of the number of refused callers among which tokens are spread.
 BACKLOG_SECONDS = 1.0
 MIN_RETRY_AFTER_SECONDS = 0.02
+# Time after which callers return to a node that no coordinator answers, in seconds: the
+# next one is found after 0.6 s, one that starts is confirmed after 0.1 to 0.3 s.
+LOST_RETRY_SECONDS = 0.25
 MAX_RETRY_AFTER_SECONDS = 5.0
 
 ADMITTED = QuotaDecision(QuotaStatus.ADMITTED)
@@ -73,6 +76,8 @@
         self.send_report = send_report
         self.rate = 0.0
         self.nodes = 1
+        # Checksum of this node's list of nodes.
+        self.node_list = 0
         self.allowance = 0
         self.window_seconds = 5.0
         self.coordinator = None
@@ -209,6 +214,8 @@
             first = max(0.0, 1.0 - self._held) / self._share
         else:
             first = max(0.0, self._next_token_at - now)
+            if is_lost:
+                first = max(LOST_RETRY_SECONDS, first)
         # The first of the callers finds a token at that time, the last one after the
         # tokens of all others.
         wait = first + self.rng.random() * (self._backlog - 1.0) / pace
@@ -246,6 +253,7 @@
             max(0.0, self._lease_until - now) if self._share else 0.0,
             self._demand.get(now),
             wanted,
+            self.node_list,
         )
         self.send_report(report, now)
 
--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -16,10 +16,13 @@
 # Validity of the coordinator's own lease, in seconds. If it is cut off, no other node
 # knows this lease.
 OWN_LEASE_SECONDS = 1.2
-# Share of the rate that a new coordinator grants in addition to the leases that nodes
-# bring: leases that it doesn't know may use the whole rate. Over `TAKEOVER_SECONDS`
-# it comes to a third of the tolerance.
-TAKEOVER_SHARE = 0.04
+# Share of the tolerance that a new coordinator grants within `TAKEOVER_SECONDS`, in
+# addition to the leases that nodes bring: leases that it doesn't know may use the whole
+# rate. It accrues, so that a coordinator which restarts repeatedly grants no more.
+TAKEOVER_SHARE = 0.32
+# Shortest expected remainder of a takeover, in seconds. Nodes answer within a few ms,
+# or have to start first.
+MIN_TAKEOVER_WAIT_SECONDS = 0.1
 # Share of the tolerance by which the pool may exceed the burst.
 EXTRA_POOL_SHARE = 0.3
 # Factor by which leases exceed the demand, so that few requests wait for tokens.
@@ -93,8 +96,13 @@
     missing : iterable of tuple or None
         Nodes that have to tell their leases before the whole rate is allocated; None
         if leases may be valid that none of them knows.
-    counted_from : float
-        Time from which the whole rate is allocated once these nodes have told.
+    ended_from : float
+        Time from which no earlier coordinator grants anything.
+    listed_from : float
+        Time from which the node list is complete. Before it, the whole rate is
+        allocated only if the lists of all these nodes equal that of this node.
+    node_list : int
+        Checksum of this node's list of nodes.
 
     Notes
     -----
@@ -114,16 +122,23 @@
         now,
         own=None,
         missing=None,
-        counted_from=0.0,
+        ended_from=0.0,
+        listed_from=0.0,
+        node_list=0,
     ):
         self.name = name
         self.rate = rate
         self.burst = burst
         self.extra = extra
         self.own = own
-        self.counted_from = counted_from
+        self.ended_from = ended_from
+        self.listed_from = listed_from
+        self.node_list = node_list
+        self.created_at = now
         self.normal_from = since + TAKEOVER_SECONDS
         self.missing = None if missing is None else set(missing)
+        # Nodes whose list may differ from that of this node.
+        self.differing = set(missing or ())
         self.accounts = {}
         self.reserved = 0.0
         self.demand = 0.0
@@ -161,7 +176,8 @@
 
     def _fill(self, now):
         if self.is_new(now):
-            self.pool.fill(TAKEOVER_SHARE * self.rate, self.get_capacity(), now)
+            share = TAKEOVER_SHARE * self.extra / TAKEOVER_SECONDS
+            self.pool.fill(min(share, self.rate), self.get_capacity(), now)
         else:
             self.pool.fill(self.rate - self.reserved, self.get_capacity(), now)
 
@@ -174,7 +190,7 @@
             account = self._open_account(report, node, now)
         if report.number <= account.number:
             return None
-        self.record_known([node], now)
+        self._record_told(node, report.node_list, now)
         account.number = report.number
         self._settle(account, report, now)
         unconfirmed = take_unconfirmed(account)
@@ -194,23 +210,47 @@
             share,
             seconds if share else 0.0,
             tokens,
-            self._estimate_wait() if tokens < report.wanted else 0.0,
+            self._estimate_wait(now) if tokens < report.wanted else 0.0,
         )
 
-    def record_nodes(self, joined, left, now):
-        """Record a change of the node list."""
-        if self.missing is not None:
-            self.missing.update(joined)
-            self.record_known(left, now)
+    def record_nodes(self, joined, left, nodes, node_list, now):
+        """Record a change of the node list, of which the new one is given as well."""
+        if self.missing is None or not self.is_new(now):
+            return
+        self.missing.update(joined)
+        self.missing.difference_update(left)
+        self.differing = set(nodes) - {self.own}
+        self.node_list = node_list
+        self._end_takeover(now)
+
+    def list_unknown(self, now):
+        """Return the nodes that have to be asked for their leases."""
+        if self.missing is None or not self.is_new(now):
+            return []
+        is_listed = now >= self.listed_from
+        return sorted(self.missing if is_listed else self.missing | self.differing)
+
+    def _record_told(self, node, node_list, now):
+        """Record that the lease of a node is known, and its list of nodes."""
+        if self.missing is None or not self.is_new(now):
+            return
+        self.missing.discard(node)
+        if node_list and node_list == self.node_list:
+            self.differing.discard(node)
+        self._end_takeover(now)
 
-    def record_known(self, nodes, now):
-        """Record that the leases of some nodes are known, or that they left."""
-        if self.missing is None:
+    def _end_takeover(self, now):
+        """Allocate the whole rate if all leases are known.
+
+        Notes
+        -----
+        A node tells its lease only to the coordinator according to its own list. If all
+        lists are equal, no other node is accepted as the coordinator.
+        """
+        if self.missing is None or self.missing or now < self.ended_from:
             return
-        self.missing.difference_update(nodes)
-        if not self.missing:
-            self.missing = None
-            self.normal_from = min(self.normal_from, max(now, self.counted_from))
+        if now >= self.listed_from or not self.differing:
+            self.normal_from = min(self.normal_from, now)
 
     def _open_account(self, report, node, now):
         """Replace the account of a node and keep the lease that it brings.
@@ -273,13 +313,30 @@
         share = min(HEADROOM * account.demand, fair, limit)
         return share if share >= MIN_SHARE else 0.0
 
-    def _estimate_wait(self):
+    def _estimate_wait(self, now):
         """Return the seconds until the pool has a token."""
+        if self.is_new(now):
+            return self._estimate_takeover(now)
         free = max(self.rate - self.reserved, 0.1 * self.rate)
         return min(MAX_RETRY_AFTER_SECONDS, max(0.0, 1.0 - self.pool.level) / free)
 
+    def _estimate_takeover(self, now):
+        """Return the expected seconds until the whole rate is allocated.
+
+        Notes
+        -----
+        It ends when the last node has told its lease. That is expected to take as long
+        again as it has taken, as nothing is known of nodes that are starting.
+        """
+        left = self.normal_from - now
+        if self.missing is None:
+            return left
+        expected = max(MIN_TAKEOVER_WAIT_SECONDS, now - self.created_at)
+        return min(left, max(expected, self.ended_from - now))
+
     def run_round(self, now):
         """End leases that were not renewed and forget silent nodes."""
+        self._end_takeover(now)
         self._fill(now)
         for node, account in list(self.accounts.items()):
             if now - account.reported_at > DEMAND_SECONDS and account.demand:
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -1,6 +1,7 @@
 """The quotas of all organisations at one node, and their exchange with other nodes."""
 
 from functools import partial
+from zlib import crc32
 
 from msgspec import Struct
 
@@ -26,7 +27,7 @@
 # with leases report every second.
 PROBED_SECONDS = 1.5
 # Interval at which a new coordinator asks nodes for their leases, in seconds.
-QUERY_SECONDS = 0.25
+QUERY_SECONDS = 0.1
 # Time after which a coordinator that left the node list allocates nothing, in seconds.
 # Node lists differ for 1 to 2 s, and the confirmation of a coordinator that is cut off
 # and then its own lease end within 2.2 s.
@@ -126,6 +127,8 @@
         self.refresh_nodes = lambda: None
         self.own = None
         self.nodes = frozenset()
+        # Checksum of the list of nodes, by which nodes compare their lists.
+        self.node_list = 0
         self.quorum = Quorum(rng)
         self._limited = {}
         self._clients = {}
@@ -180,6 +183,7 @@
         allowance = compute_allowance(extra, placement.rank, len(self.nodes))
         window = self.tolerance.window_seconds
         client.configure(organisation.rate, allowance, window, len(self.nodes))
+        client.node_list = self.node_list
         client.set_coordinator(placement.coordinator)
 
     def _drop_client(self, name):
@@ -217,6 +221,8 @@
             return
         before, self.own = self.nodes, own
         self.nodes = frozenset({own, *nodes})
+        if self.nodes != before:
+            self.node_list = compute_checksum(self.nodes)
         joined, left = self.nodes - before, before - self.nodes
         if not joined and not left and self._placements:
             return
@@ -230,7 +236,9 @@
             if self._get_placement(name).coordinator != own:
                 del self._coordinators[name]
             else:
-                self._coordinators[name].record_nodes(joined, left, now)
+                self._coordinators[name].record_nodes(
+                    joined, left, self.nodes, self.node_list, now
+                )
 
     def _record_left(self, left, now):
         for node in left:
@@ -405,10 +413,12 @@
         organisation = self._limited[name]
         begin = max(self._started_at, self._rejected_at)
         since = placement.find_since(self._left, begin)
+        missing = self.nodes - {self.own}
         # Several nodes that left together may be cut off with an earlier coordinator,
-        # and use its leases.
-        left = sum(now - at <= TAKEOVER_SECONDS for at in self._left.values())
-        missing = self.nodes - {self.own} if left <= 1 else None
+        # and use its leases. Those that are back tell theirs.
+        left = [n for n, at in self._left.items() if now - at <= TAKEOVER_SECONDS]
+        if len(left) > 1:
+            missing = missing | (set(left) - {self.own})
         coordinator = QuotaCoordinator(
             name,
             organisation.rate,
@@ -418,10 +428,9 @@
             now,
             self.own,
             missing,
-            max(
-                begin + START_SECONDS,
-                placement.find_since(self._left, float("-inf")) + ENDED_SECONDS,
-            ),
+            placement.find_since(self._left, float("-inf")) + ENDED_SECONDS,
+            begin + START_SECONDS,
+            self.node_list,
         )
         self._coordinators[name] = coordinator
         self._query_leases(coordinator, now)
@@ -429,12 +438,12 @@
 
     def _query_leases(self, coordinator, now):
         """Ask the nodes for leases of an earlier coordinator."""
-        if not coordinator.missing or not coordinator.is_new(now):
-            return
         if now - coordinator.queried_at < QUERY_SECONDS:
             return
-        coordinator.queried_at = now
-        for node in sorted(coordinator.missing):
+        nodes = coordinator.list_unknown(now)
+        if nodes:
+            coordinator.queried_at = now
+        for node in nodes:
             self.send(node, QuotaProbe(0, coordinator.name))
 
     def _send_probes(self, now):
@@ -554,6 +563,12 @@
         }
 
 
+def compute_checksum(nodes):
+    """Return a checksum of a list of nodes that is not 0."""
+    text = ",".join(f"{host}:{port}" for host, port in sorted(nodes))
+    return crc32(text.encode()) or 1
+
+
 def has_other_quota(organisation, before):
     """Return whether the quotas of two versions of an organisation differ."""
     return (organisation.rate, organisation.burst) != (before.rate, before.burst)
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -31,6 +31,8 @@
         Requests per second that the node has received recently.
     wanted : int
         Tokens for which requests are waiting.
+    node_list : int
+        Checksum of the node's list of nodes; 0 if it is not known.
     """
 
     organisation: str
@@ -43,6 +45,7 @@
     seconds: float = 0.0
     demand: float = 0.0
     wanted: int = 0
+    node_list: int = 0
 
 
 class QuotaReply(Struct, frozen=True, array_like=True, tag=2):
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -63,8 +63,11 @@
             self.unconfirmed_since = None
         elif self.unconfirmed_since is None:
             self.unconfirmed_since = now
-        size = ROUND_SAMPLE if is_confirmed else MAX_SAMPLE
-        chosen = self.rng.sample(self.others, min(size, len(self.others)))
+        if is_confirmed:
+            size = min(ROUND_SAMPLE, len(self.others))
+            chosen = self.rng.sample(self.others, size)
+        else:
+            chosen = self._choose_unconfirmed()
         self.probed_at = now
         probes = []
         for node in chosen:
@@ -73,6 +76,22 @@
             probes.append((node, self.number))
         return probes
 
+    def _choose_unconfirmed(self):
+        """Return the nodes to probe: those that have not accepted this node first.
+
+        Notes
+        -----
+        When a fleet starts, the first probes reach few nodes. Their outcomes would
+        count for `VALID_SECONDS`, although these nodes have started in the meantime.
+        """
+        negative = [node for node, (_, yes) in self.outcomes.items() if not yes]
+        if len(negative) >= MAX_SAMPLE:
+            return self.rng.sample(negative, MAX_SAMPLE)
+        known = set(negative)
+        others = [node for node in self.others if node not in known]
+        count = min(MAX_SAMPLE - len(negative), len(others))
+        return negative + self.rng.sample(others, count)
+
     def _settle(self, now):
         """Count probes without an answer as negative, and drop old outcomes."""
         for number, (node, at) in list(self.pending.items()):
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -74,6 +74,15 @@
         self.assertGreaterEqual(max(confirmed), 0.5)
         self.assertLess(max(confirmed), 1.5)
 
+    def test_nodes_that_have_started_are_probed_again(self):
+        """Without it, a fleet that starts has no coordinator for up to 2 s."""
+        quorum = self.probe(NODES, ())
+        for round_ in (1, 2):
+            now = round_ * 0.11
+            for node, number in quorum.start_round(now):
+                quorum.record_answer(number, node, round_ == 2, now + 0.005)
+        self.assertTrue(quorum.is_confirmed(0.3))
+
     def test_number_of_probes_does_not_depend_on_the_fleet(self):
         self.assertEqual(len(self.probe(NODES, ()).pending), MAX_SAMPLE)
 
@@ -123,6 +132,58 @@
         self.assertEqual(self.coordinator.reserved, 0.0)
 
 
+class TakeoverTests(unittest.TestCase):
+    """Guards against the whole rate beside unknown leases, or too late."""
+
+    def setUp(self):
+        self.coordinator = QuotaCoordinator(
+            "acme",
+            100,
+            50,
+            75,
+            since=0.0,
+            now=0.0,
+            own=NODES[0],
+            missing=NODES[1:4],
+            listed_from=1.0,
+            node_list=7,
+        )
+
+    def tell(self, node, now, node_list=7):
+        report = QuotaReport("acme", 1, 1, node_list=node_list)
+        return self.coordinator.handle_report(report, node, now)
+
+    def test_all_nodes_with_equal_lists_have_told(self):
+        for node in NODES[1:3]:
+            self.tell(node, 0.1)
+            self.assertTrue(self.coordinator.is_new(0.1))
+        self.tell(NODES[3], 0.2)
+        self.assertFalse(self.coordinator.is_new(0.2))
+
+    def test_a_list_that_differs_may_have_other_nodes(self):
+        """A node that starts as well may be known to only one of both."""
+        for node, node_list in zip(NODES[1:4], (7, 7, 8)):
+            self.tell(node, 0.1, node_list)
+        self.assertEqual(self.coordinator.list_unknown(0.2), [NODES[3]])
+        self.coordinator.run_round(0.9)
+        self.assertTrue(self.coordinator.is_new(0.9))
+        self.coordinator.run_round(1.0)
+        self.assertFalse(self.coordinator.is_new(1.0))
+
+    def test_a_changed_list_is_compared_again(self):
+        for node in NODES[1:3]:
+            self.tell(node, 0.1)
+        nodes = NODES[:5]
+        self.coordinator.record_nodes({NODES[4]}, (), nodes, 9, 0.1)
+        self.assertEqual(self.coordinator.list_unknown(0.2), NODES[1:5])
+
+    def test_callers_return_when_the_takeover_is_expected_to_end(self):
+        """They returned after 20 ms, and were refused until they gave up."""
+        report = QuotaReport("acme", 1, 1, wanted=5)
+        reply = self.coordinator.handle_report(report, NODES[1], 0.4)
+        self.assertAlmostEqual(reply.retry_after, 0.4)
+
+
 class FleetTests(unittest.TestCase):
     def start(self, organisations, nodes=NODES):
         quotas = FleetQuotas(random.Random(1))
@@ -208,7 +269,9 @@
 class MessageTests(unittest.TestCase):
     def test_messages_fit_into_a_datagram(self):
         name = "o" * 256
-        largest = QuotaReport(name, 2**31, 10**9, 10**9, 1e9, 1e9, 1e9, 3.1, 1e9, 9999)
+        largest = QuotaReport(
+            name, 2**31, 10**9, 10**9, 1e9, 1e9, 1e9, 3.1, 1e9, 9999, 2**32
+        )
         reply = QuotaReply(name, 2**31, 10**9, 1e9, 3.0, 9999, 0.1)
         for message in (largest, reply):
             self.assertLess(len(msgspec.json.encode(message)), 1400)
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -145,6 +145,58 @@
 
         self.assert_recovered(self.run_fault(restart))
 
+    def test_all_nodes_restart(self):
+        """Requests inside the quota were refused for 1.3 s after a loss of power."""
+
+        def restart(simulation, seconds):
+            for node in simulation.nodes.values():
+                node.is_alive = False
+            for address in simulation.addresses:
+                pause = simulation.rng.uniform(0.6, seconds)
+                simulation.after(pause, simulation.start_node, address)
+
+        for rate in (16, 164, 323):
+            with self.subTest(rate=rate):
+                simulation = start(107, rate, rate)
+                simulation.load(0.6 * rate, 5)
+                restart(simulation, 1.0)
+                simulation.load(0, 1.0)
+                since = simulation.now + 0.3
+                simulation.load(0.6 * rate, 3)
+                self.assertGreaterEqual(simulation.measure_admitted(since), 0.99)
+                self.assert_bound_holds(simulation)
+
+        def restart_repeatedly(simulation):
+            for number in range(4):
+                simulation.after(1.5 * number, restart, simulation, 0.8)
+
+        for rate in (5, 164, 323):
+            with self.subTest(rate=rate, restarts=4):
+                self.assert_recovered(self.run_fault(restart_repeatedly, rate))
+
+    def test_part_of_the_nodes_restarts(self):
+        """The others leave them out of their node lists until they are back."""
+
+        def restart(simulation):
+            killed = simulation.addresses[::2]
+            others = simulation.addresses[1::2]
+            for address in killed:
+                simulation.nodes[address].is_alive = False
+                simulation.after(1.0, simulation.start_node, address)
+            simulation.after(0.6, simulation.set_nodes, others, others)
+            simulation.after(1.1, simulation.set_nodes, simulation.addresses)
+
+        for rate in (5, 164, 323):
+            with self.subTest(rate=rate):
+                self.assert_recovered(self.run_fault(restart, rate))
+                simulation = start(107, rate, rate)
+                simulation.load(0.6 * rate, 5)
+                restart(simulation)
+                simulation.load(0, 1.1)
+                since = simulation.now + 0.3
+                simulation.load(0.6 * rate, 3)
+                self.assertGreaterEqual(simulation.measure_admitted(since), 0.99)
+
     def test_node_lists_differ(self):
         """Half of the nodes have another coordinator for 2 s."""
 
