401 responses name the scheme by which callers authenticate

Cause: RFC 9110 (section 15.5.2) requires WWW-Authenticate in each 401, and without it some HTTP clients don't send a key again. Ruled out: the users' platform, whose wire defines no such header.

--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -41,6 +41,8 @@
 # is sent in their place.
 NOT_RUN_STATUSES = frozenset({401, 429})
 UNKNOWN_STATUS = 502
+# Required in each response with status 401 (RFC 9110, section 15.5.2).
+CHALLENGE = ("WWW-Authenticate", "Bearer")
 CLOSING_REASONS = frozenset(
     {
         RefusalReason.BAD_FRAMING,
@@ -82,6 +84,8 @@
         (HeaderNames.OUTCOME, refusal.outcome.value),
         (HeaderNames.REASON, reason.value),
     ]
+    if status == 401:
+        headers.append(CHALLENGE)
     if is_valid_request_id(request_id):
         headers.append((HeaderNames.REQUEST_ID, request_id))
     if refusal.retry_after is not None:
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_authentication.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_authentication.py
@@ -84,9 +84,10 @@
         for pairs in ((), (("Authorization", "Bearer K1"),), (BEARER, BEARER)):
             refusal = self.identify(*pairs)
             self.assertIs(refusal.reason, RefusalReason.UNAUTHENTICATED)
-            self.assertTrue(
-                build_refusal_answer(refusal, "r1").status.startswith("401")
-            )
+            answer = build_refusal_answer(refusal, "r1")
+            self.assertTrue(answer.status.startswith("401"))
+            # HTTP clients need the scheme by which they can authenticate.
+            self.assertIn(("WWW-Authenticate", "Bearer"), answer.headers)
 
     def test_an_empty_table_lets_nobody_through(self):
         self.blackboard.configuration = build_configuration()
