Quotas: nodes that left during or before a takeover still hold their leases

Cause: the count of told leases dropped a node that left the node list, knew nothing of nodes that had left before the coordinator restarted, and counted ordinary reports while an earlier coordinator may have been granting; only answers to questions were held back. A node that was cut off with its callers used its lease beside the whole rate.

Now nodes that left have to tell as well, and reports have no checksum of the list, and do not count as told, for 4 s after a node left and stays away, and for 2.2 s after an earlier coordinator left.

Ruled out: waiting 4 s for an earlier coordinator that left alone; its own lease is for 1.2 s.

Conclusion: a takeover during which, or up to 4 s before which, a node leaves and stays away lasts 4 s again.

--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -190,7 +190,8 @@
             account = self._open_account(report, node, now)
         if report.number <= account.number:
             return None
-        self._record_told(node, report.node_list, now)
+        if report.node_list:
+            self._record_told(node, report.node_list, now)
         account.number = report.number
         self._settle(account, report, now)
         unconfirmed = take_unconfirmed(account)
@@ -213,12 +214,17 @@
             self._estimate_wait(now) if tokens < report.wanted else 0.0,
         )
 
-    def record_nodes(self, joined, left, nodes, node_list, now):
-        """Record a change of the node list, of which the new one is given as well."""
+    def record_nodes(self, joined, nodes, node_list, now):
+        """Record a change of the node list, of which the new one is given as well.
+
+        Notes
+        -----
+        Nodes that left have to tell their leases further: one that was cut off uses its
+        lease until it ends.
+        """
         if self.missing is None or not self.is_new(now):
             return
         self.missing.update(joined)
-        self.missing.difference_update(left)
         self.differing = set(nodes) - {self.own}
         self.node_list = node_list
         self._end_takeover(now)
@@ -235,7 +241,7 @@
         if self.missing is None or not self.is_new(now):
             return
         self.missing.discard(node)
-        if node_list and node_list == self.node_list:
+        if node_list == self.node_list:
             self.differing.discard(node)
         self._end_takeover(now)
 
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -4,6 +4,7 @@
 from zlib import crc32
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from hingesill_core.quotas.allowance import compute_allowance, compute_extra
 from hingesill_core.quotas.client import MAX_WAIT_SECONDS, QuotaClient
@@ -140,6 +141,7 @@
         self._released = {}
         self._deferred = {}
         self._left = {}
+        self._left_at = float("-inf")
         self._started_at = None
         self._round_at = None
         self._rejected_at = float("-inf")
@@ -237,13 +239,13 @@
                 del self._coordinators[name]
             else:
                 self._coordinators[name].record_nodes(
-                    joined, left, self.nodes, self.node_list, now
+                    joined, self.nodes, self.node_list, now
                 )
 
     def _record_left(self, left, now):
         for node in left:
             self._left.pop(node, None)
-            self._left[node] = now
+            self._left[node] = self._left_at = now
         while self._left:
             node, at = next(iter(self._left.items()))
             if now - at <= LEFT_SECONDS:
@@ -323,6 +325,8 @@
         """Send a report to the coordinator, which may be this node."""
         coordinator = self._placements[report.organisation].coordinator
         if coordinator != self.own:
+            if not self._may_tell(report.organisation, coordinator, now):
+                report = replace(report, node_list=0)
             self.send(coordinator, report)
             return
         reply = self._handle_report(report, self.own, now)
@@ -391,34 +395,70 @@
         return coordinator.handle_report(report, sender, now)
 
     def _tell_lease(self, name, sender, now):
-        """Tell a new coordinator this node's lease, if it is the coordinator here.
-
-        Notes
-        -----
-        It isn't told while an earlier coordinator that left may be allocating: the new
-        one may have started too late to know that one.
-        """
+        """Tell a new coordinator this node's lease, if it is the coordinator here."""
         if name not in self._limited:
             return
         if self._get_placement(name).coordinator != sender:
             return
-        weight = compute_weight(name, sender)
-        if not any(
-            now - at < ENDED_SECONDS and compute_weight(name, node) < weight
-            for node, at in self._left.items()
-        ):
+        if self._may_tell(name, sender, now):
             self._get_client(name).report_lease(now)
 
+    def _may_tell(self, name, coordinator, now):
+        """Return whether a report may end the takeover of a coordinator early.
+
+        Notes
+        -----
+        Nodes that left may be cut off and use their leases, and an earlier coordinator
+        may be allocating. The coordinator may have started too late to know them.
+        """
+        weight = compute_weight(name, coordinator)
+        return not any(
+            now - at < ENDED_SECONDS
+            for node, at in self._list_recently_left(now)
+            if compute_weight(name, node) < weight
+        ) and not self._find_leaseholders(name, weight, now)
+
+    def _list_recently_left(self, now):
+        """Return (node, time) of nodes of which leases may be valid."""
+        if now - self._left_at > TAKEOVER_SECONDS:
+            return []
+        return [
+            (node, at)
+            for node, at in self._left.items()
+            if now - at <= TAKEOVER_SECONDS
+        ]
+
+    def _find_leaseholders(self, name, weight, now):
+        """Return the nodes that left and may use leases of which nobody tells.
+
+        Parameters
+        ----------
+        name : str
+            Name of the organisation.
+        weight : int
+            Weight of the present coordinator.
+        now : float
+            Seconds of the node's clock.
+
+        Notes
+        -----
+        An earlier coordinator that left alone gave leases to itself only, which end
+        within `ENDED_SECONDS`. Others may be cut off together with it, and then their
+        leases are renewed until it is no longer confirmed.
+        """
+        left = {
+            node for node, _ in self._list_recently_left(now) if node not in self.nodes
+        }
+        if len(left) == 1 and compute_weight(name, next(iter(left))) < weight:
+            return set()
+        return left
+
     def _create_coordinator(self, name, placement, now):
         organisation = self._limited[name]
         begin = max(self._started_at, self._rejected_at)
         since = placement.find_since(self._left, begin)
         missing = self.nodes - {self.own}
-        # Several nodes that left together may be cut off with an earlier coordinator,
-        # and use its leases. Those that are back tell theirs.
-        left = [n for n, at in self._left.items() if now - at <= TAKEOVER_SECONDS]
-        if len(left) > 1:
-            missing = missing | (set(left) - {self.own})
+        missing |= self._find_leaseholders(name, placement.weight, now)
         coordinator = QuotaCoordinator(
             name,
             organisation.rate,
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -32,7 +32,8 @@
     wanted : int
         Tokens for which requests are waiting.
     node_list : int
-        Checksum of the node's list of nodes; 0 if it is not known.
+        Checksum of the node's list of nodes; 0 if leases of nodes that left this list
+        may be valid, which the coordinator may not know of.
     """
 
     organisation: str
--- a/packages/hingesill-core/hingesill_core/quotas/tests/quotasimulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/quotasimulation.py
@@ -113,12 +113,20 @@
         for address in self.addresses:
             self.start_node(address)
 
-    def start_node(self, address):
-        """Start a node at an address, in place of an earlier one."""
+    def start_node(self, address, nodes=None):
+        """Start a node at an address, in place of an earlier one.
+
+        Parameters
+        ----------
+        address : tuple
+            IP number and port.
+        nodes : list of tuple, optional
+            The node's list of nodes; all nodes by default.
+        """
         if address in self.nodes:
             self.nodes[address].is_alive = False
         node = self.nodes[address] = SimulatedNode(self, address)
-        node.quotas.set_nodes(address, self.addresses, self.now)
+        node.quotas.set_nodes(address, nodes or self.addresses, self.now)
         self.configure([node])
         return node
 
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -174,9 +174,26 @@
         for node in NODES[1:3]:
             self.tell(node, 0.1)
         nodes = NODES[:5]
-        self.coordinator.record_nodes({NODES[4]}, (), nodes, 9, 0.1)
+        self.coordinator.record_nodes({NODES[4]}, nodes, 9, 0.1)
         self.assertEqual(self.coordinator.list_unknown(0.2), NODES[1:5])
 
+    def test_a_node_that_leaves_before_it_told_is_waited_for(self):
+        """It may be cut off, and use its lease until that ends."""
+        self.coordinator.record_nodes((), NODES[:3], 9, 0.1)
+        for node in NODES[1:3]:
+            self.tell(node, 0.2, 9)
+        self.coordinator.run_round(3.9)
+        self.assertTrue(self.coordinator.is_new(3.9))
+        self.tell(NODES[3], 3.9, 9)
+        self.assertFalse(self.coordinator.is_new(3.9))
+
+    def test_a_report_during_a_change_of_the_fleet_is_no_telling(self):
+        """Ordinary reports counted, while an earlier coordinator granted further."""
+        for node in NODES[1:4]:
+            self.tell(node, 0.1, 0)
+        self.coordinator.run_round(2.0)
+        self.assertTrue(self.coordinator.is_new(2.0))
+
     def test_callers_return_when_the_takeover_is_expected_to_end(self):
         """They returned after 20 ms, and were refused until they gave up."""
         report = QuotaReport("acme", 1, 1, wanted=5)
@@ -251,6 +268,29 @@
             quotas.run_round(now)
             self.assertEqual(sent, [second] if now > 12.2 else [])
 
+    def test_reports_say_that_leases_of_nodes_that_left_may_be_valid(self):
+        """A coordinator that restarts doesn't know nodes that left before."""
+        quotas = self.start({"acme": Organisation("acme", rate=5.0)})
+        sent = []
+        quotas.send = lambda node, message: sent.append(message)
+        other = rank_coordinators("acme", NODES[1:])[-1]
+        nodes = [node for node in NODES if node != other]
+        for now, listed, is_known in (
+            (10.0, nodes, False),
+            (10.1, NODES, True),
+            (10.2, nodes, False),
+            (13.9, nodes, False),
+            (14.3, nodes, True),
+        ):
+            with self.subTest(now=now):
+                quotas.run_round(now)
+                quotas.set_nodes(NODES[0], listed, now)
+                client = quotas._get_client("acme")
+                sent.clear()
+                client.report_lease(now)
+                expected = quotas.node_list if is_known else 0
+                self.assertEqual(sent[-1].node_list, expected)
+
     def test_callers_are_sent_back_at_different_times(self):
         """All of them would return for the same token."""
         quotas = self.start({"acme": Organisation("acme", rate=5.0)}, ())
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -6,7 +6,12 @@
 
 import unittest
 
-from hingesill_core.quotas.tests.quotasimulation import QuotaSimulation, compute_bound
+from hingesill_core.quotas.tests.quotasimulation import (
+    NAME,
+    QuotaSimulation,
+    compute_bound,
+)
+from hingesill_core.ratelimits.coordinators import rank_coordinators
 
 # Nodes, rate and burst; in some, the rate of a node is far below one request a second.
 QUOTAS = [(1, 50, 50), (6, 50, 20), (107, 5, 5), (107, 164, 164), (107, 1000, 500)]
@@ -244,6 +249,63 @@
                 self.assert_bound_holds(self.simulation)
                 self.assert_decided_in_time(self.simulation)
 
+    def cut_off_with_callers(self, simulation, own, rate):
+        """Cut a node off, to which requests arrive further."""
+        simulation.can_reach = lambda a, b: (a == own) == (b == own)
+
+        def send():
+            simulation.nodes[own].submit()
+            simulation.after(1 / rate, send)
+
+        send()
+
+    def test_node_with_a_lease_is_cut_off_while_the_coordinator_restarts(self):
+        """The new coordinator took it for told, or never knew that it had been there.
+
+        The node's lease is on most of the rate, and the coordinator granted the whole
+        rate to the others.
+        """
+        for name, left_at, restarted_at in (
+            ("leaves the list of the new coordinator", 0.6, 0.1),
+            ("left before the coordinator started", 0.6, 0.7),
+        ):
+            for rate in (164, 600):
+                with self.subTest(name, rate=rate):
+                    simulation = start(107, rate, 5)
+                    coordinator = simulation.find_coordinator().address
+                    own = next(a for a in simulation.addresses if a != coordinator)
+                    others = [a for a in simulation.addresses if a != own]
+                    simulation.load(0.9 * rate, 5, lambda: own)
+                    self.cut_off_with_callers(simulation, own, rate)
+                    nodes = others if left_at < restarted_at else simulation.addresses
+                    simulation.after(
+                        restarted_at, simulation.start_node, coordinator, nodes
+                    )
+                    simulation.after(left_at, simulation.set_nodes, others, others)
+                    rng = simulation.rng
+                    simulation.load(3 * rate, 10, lambda: rng.choice(others))
+                    self.assert_bound_holds(simulation)
+
+    def test_next_coordinator_restarts_after_the_first_was_cut_off(self):
+        """It didn't know the first one, and ordinary reports counted as told leases."""
+        for rate in (164, 600):
+            with self.subTest(rate=rate):
+                simulation = start(107, rate, 5)
+                own = simulation.find_coordinator().address
+                others = [a for a in simulation.addresses if a != own]
+                simulation.load(0.9 * rate, 5, lambda: own)
+                self.cut_off_with_callers(simulation, own, 2 * rate)
+
+                def change():
+                    simulation.set_nodes(others, others)
+                    following = rank_coordinators(NAME, others)[0]
+                    simulation.start_node(following, others)
+
+                simulation.after(0.6, change)
+                rng = simulation.rng
+                simulation.load(3 * rate, 10, lambda: rng.choice(others))
+                self.assert_bound_holds(simulation)
+
     def test_fleet_is_divided(self):
         """Nodes on the side without the coordinator use their leases only."""
 
