Quotas: a coordinator that was out of the node lists begins anew

Cause: a coordinator that is cut off while nobody uses it sends no probes, so it does not notice it, and has a full pool when node lists have it again. A burst arrived at its substitute and then at it.

Answers to probes now say since when the answering node's list has the coordinator, and a substitute says so when it ends. A coordinator that joined a list more than 3 s after it started takes that time for its start.

Ruled out: probes of idle coordinators, as idle organisations should cost nothing; a count of the time since it left, as a cut may last longer than that is remembered. 3 s: lists have a node that starts up to 2 s later, and a substitute grants little within 2.2 s.

If the notice is lost and no probed node had changed its list, the case remains.

--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -40,6 +40,10 @@
 # Time for which nodes that left are remembered, in seconds: any pool is full after it,
 # or is filled more slowly than it could be.
 LEFT_SECONDS = 120.0
+# Time after its start for which a node may join the lists of others, in seconds. A node
+# that joins a list later was out of it, and another coordinator may have granted. That
+# one grants little within `ENDED_SECONDS` of its own start.
+JOIN_SECONDS = 3.0
 # Reports that wait for the answers to probes, and the time for which they do, in
 # seconds; their requests are decided after `MAX_WAIT_SECONDS` anyway.
 MAX_DEFERRED = 2000
@@ -142,6 +146,8 @@
         self._deferred = {}
         self._left = {}
         self._left_at = float("-inf")
+        # Times at which nodes joined the list, since this node started.
+        self._joined = {}
         self._started_at = None
         self._round_at = None
         self._rejected_at = float("-inf")
@@ -230,13 +236,16 @@
             return
         self.quorum.set_nodes(sorted(self.nodes - {own}))
         self._record_left(left, now)
+        self._record_joined(joined, now)
         for placement in self._placements.values():
             placement.update(joined, left, self.nodes)
         for client in self._clients.values():
             self._configure_client(client)
         for name in list(self._coordinators):
-            if self._get_placement(name).coordinator != own:
+            coordinator = self._get_placement(name).coordinator
+            if coordinator != own:
                 del self._coordinators[name]
+                self._send_acceptance(coordinator, 0, now)
             else:
                 self._coordinators[name].record_nodes(
                     joined, self.nodes, self.node_list, now
@@ -253,6 +262,26 @@
             del self._left[node]
             self._started_at = max(self._started_at, at)
 
+    def _record_joined(self, joined, now):
+        """Record the nodes that joined; the list of a starting node is incomplete."""
+        self._joined = {
+            node: at
+            for node, at in self._joined.items()
+            if node in self.nodes and now - at <= LEFT_SECONDS
+        }
+        if now - self._started_at > START_SECONDS:
+            self._joined.update(dict.fromkeys(joined, now))
+
+    def _send_acceptance(self, node, number, now):
+        """Tell a coordinator whether and since when the node list has it."""
+        at = self._joined.get(node)
+        # 0 stands for a node that did not join.
+        seconds = 0.0 if at is None else max(1e-6, now - at)
+        if seconds > LEFT_SECONDS:
+            seconds = 0.0
+        reply = QuotaProbeReply(number, node in self.nodes, seconds)
+        self.send(node, reply)
+
     def acquire(self, name, now):
         """Return the QuotaDecision on one arrival at an endpoint.
 
@@ -366,10 +395,11 @@
         elif isinstance(message, QuotaProbe) and message.organisation:
             self._tell_lease(message.organisation, sender, now)
         elif isinstance(message, QuotaProbe):
-            is_accepted = sender in self.nodes
-            self.send(sender, QuotaProbeReply(message.number, is_accepted))
+            self._send_acceptance(sender, message.number, now)
         elif isinstance(message, QuotaProbeReply):
             self._detect_rejection(now)
+            if message.listed_seconds:
+                self._detect_absence(now - message.listed_seconds)
             is_accepted = message.is_accepted
             self.quorum.record_answer(message.number, sender, is_accepted, now)
             return self._handle_deferred(now)
@@ -522,6 +552,18 @@
             self._coordinators.clear()
             self._rejected_at = now
 
+    def _detect_absence(self, listed_at):
+        """Begin anew as a coordinator if this node was out of another node's list.
+
+        Notes
+        -----
+        A coordinator that nobody uses sends no probes, and doesn't notice that it is
+        cut off and another one grants in its place. Its pool would be full.
+        """
+        if listed_at > max(self._started_at, self._rejected_at) + JOIN_SECONDS:
+            self._coordinators.clear()
+            self._rejected_at = listed_at
+
     def _detect_suspension(self, now):
         """Begin anew as a coordinator after a suspension.
 
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -95,15 +95,19 @@
 
 
 class QuotaProbeReply(Struct, frozen=True, array_like=True, tag=4):
-    """The answer to a probe.
+    """The answer to a probe, or the notice of an earlier coordinator.
 
     Parameters
     ----------
     number : int
-        Sequence number of the probe.
+        Sequence number of the probe; 0 for a notice.
     is_accepted : bool
         Whether the node list of the answering node has the coordinator.
+    listed_seconds : float
+        Seconds since the coordinator joined that list; 0 if it was in it when the node
+        started, or joined long ago.
     """
 
     number: int
     is_accepted: bool
+    listed_seconds: float = 0.0
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -10,7 +10,12 @@
 from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS, QuotaCoordinator
 from hingesill_core.quotas.decision import QuotaStatus
 from hingesill_core.quotas.fleet import FleetQuotas
-from hingesill_core.quotas.messages import QuotaProbe, QuotaReply, QuotaReport
+from hingesill_core.quotas.messages import (
+    QuotaProbe,
+    QuotaProbeReply,
+    QuotaReply,
+    QuotaReport,
+)
 from hingesill_core.quotas.placement import Placement
 from hingesill_core.quotas.quorum import MAX_SAMPLE, Quorum
 from hingesill_core.ratelimits.coordinators import rank_coordinators
@@ -291,6 +296,51 @@
                 expected = quotas.node_list if is_known else 0
                 self.assertEqual(sent[-1].node_list, expected)
 
+    def test_answers_say_since_when_a_node_is_listed(self):
+        """A starting node, whose list is incomplete, must not empty any pool."""
+        quotas = self.start({"acme": Organisation("acme", rate=5.0)})
+        sent = []
+        quotas.send = lambda node, message: sent.append(message)
+        other = NODES[1]
+        nodes = [node for node in NODES if node != other]
+        before = 0
+        for now, listed, seconds in (
+            (0.1, nodes, 0.0),
+            (0.5, NODES, 0.0),
+            (10.0, nodes, 0.0),
+            (20.0, NODES, 0.0),
+            (23.5, NODES, 3.5),
+            (150.0, NODES, 0.0),
+        ):
+            with self.subTest(now=now):
+                # A longer gap between rounds would be taken for a suspension.
+                for second in range(before, int(now) + 1):
+                    quotas.run_round(float(second))
+                before = int(now) + 1
+                quotas.set_nodes(NODES[0], listed, now)
+                quotas.handle_message(QuotaProbe(7), other, now)
+                reply = sent[-1]
+                self.assertEqual(reply.is_accepted, other in listed)
+                self.assertAlmostEqual(reply.listed_seconds, seconds, places=5)
+
+    def test_pool_is_empty_after_an_absence_but_not_after_a_start(self):
+        """A list has a node that started up to 2 s later."""
+        for at, is_new in ((2.0, False), (50.0, True)):
+            with self.subTest(listed_at=at):
+                name = next(
+                    name
+                    for name in map(str, range(1000))
+                    if rank_coordinators(name, NODES)[0] == NODES[0]
+                )
+                quotas = self.start({name: Organisation(name, rate=5.0)})
+                for now in range(1, 51):
+                    quotas.run_round(float(now))
+                reply = QuotaProbeReply(0, True, 50.0 - at or 1e-6)
+                quotas.handle_message(reply, NODES[1], 50.0)
+                placement = quotas._get_placement(name)
+                coordinator = quotas._create_coordinator(name, placement, 50.0)
+                self.assertEqual(coordinator.is_new(50.0), is_new)
+
     def test_callers_are_sent_back_at_different_times(self):
         """All of them would return for the same token."""
         quotas = self.start({"acme": Organisation("acme", rate=5.0)}, ())
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -306,6 +306,39 @@
                 simulation.load(3 * rate, 10, lambda: rng.choice(others))
                 self.assert_bound_holds(simulation)
 
+    def test_idle_coordinator_is_cut_off_and_used_after_it_is_back(self):
+        """Its pool was full beside that of its substitute: a burst arrived twice.
+
+        Nodes that do not use an organisation may keep their lists meanwhile.
+        """
+        for nodes, rate, burst, changed in (
+            (6, 50, 300, 5),
+            (107, 164, 500, 106),
+            (107, 164, 500, 2),
+        ):
+            with self.subTest(nodes=nodes, rate=rate, changed=changed):
+                simulation = start(nodes, rate, burst)
+                own = simulation.find_coordinator().address
+                others = [a for a in simulation.addresses if a != own]
+                users = rank_coordinators(NAME, others)[:changed]
+                rng = simulation.rng
+                simulation.can_reach = lambda a, b: (a == own) == (b == own)
+                simulation.after(0.6, simulation.set_nodes, others, users)
+                simulation.load(0, 30)
+                since = simulation.now
+                simulation.submit_burst(burst, lambda: rng.choice(users))
+                simulation.load(0, 0.5)
+                admitted = len([at for at in simulation.arrivals if at >= since])
+                self.assertGreaterEqual(admitted, 0.9 * burst)
+                simulation.can_reach = lambda a, b: True
+                simulation.set_nodes(simulation.addresses, users)
+                simulation.run_until(simulation.now + 0.1)
+                simulation.submit_burst(burst)
+                simulation.load(3 * rate, 10)
+                self.assert_bound_holds(simulation)
+                self.assert_decided_in_time(simulation)
+                self.assert_recovered(simulation)
+
     def test_fleet_is_divided(self):
         """Nodes on the side without the coordinator use their leases only."""
 
--- a/packages/hingesill-node/hingesill_node/quotas/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/datagrams.py
@@ -23,7 +23,7 @@
 NAME = "organisation"
 NUMBERS = ("link", "number", "seen", "node_list")
 AMOUNTS = ("taken", "held", "share", "demand", "wanted", "tokens")
-TIMES = ("seconds", "retry_after")
+TIMES = ("seconds", "retry_after", "listed_seconds")
 FLAGS = ("is_accepted",)
 # First byte of each message on quotas; other datagrams between nodes have another one.
 QUOTA_PREFIX = b"Q"
--- a/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
@@ -32,6 +32,7 @@
     QuotaProbe(4),
     QuotaProbe(0, "acme"),
     QuotaProbeReply(4, True),
+    QuotaProbeReply(0, True, 3.5),
 )
 MAX_DATAGRAM_BYTES = 1400
 
