Quotas: a starting node that knows no other one waits before it grants

Cause: with an empty list of others no lease was missing and no list differed, so that a takeover ended at once, and each of several nodes that started without their lists granted the whole rate to itself. The list of a starting node may be incomplete for 1 s.

Ruled out: 1 s for all starts; a fleet that restarts would refuse requests in it again.

What remains is the allowance of a node that takes itself for the whole fleet, for which lists have to be known first.

Conclusion: the unit tests guard the takeover.

--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -139,6 +139,7 @@
         self.missing = None if missing is None else set(missing)
         # Nodes whose list may differ from that of this node.
         self.differing = set(missing or ())
+        self.has_others = bool(missing)
         self.accounts = {}
         self.reserved = 0.0
         self.demand = 0.0
@@ -226,6 +227,7 @@
             return
         self.missing.update(joined)
         self.differing = set(nodes) - {self.own}
+        self.has_others = bool(self.differing)
         self.node_list = node_list
         self._end_takeover(now)
 
@@ -251,11 +253,13 @@
         Notes
         -----
         A node tells its lease only to the coordinator according to its own list. If all
-        lists are equal, no other node is accepted as the coordinator.
+        lists are equal, no other node is accepted as the coordinator. The list of a
+        node that knows no other one may not be complete yet, and equals none.
         """
         if self.missing is None or self.missing or now < self.ended_from:
             return
-        if now >= self.listed_from or not self.differing:
+        are_equal = self.has_others and not self.differing
+        if now >= self.listed_from or are_equal:
             self.normal_from = min(self.normal_from, now)
 
     def _open_account(self, report, node, now):
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -192,6 +192,36 @@
         self.tell(NODES[3], 3.9, 9)
         self.assertFalse(self.coordinator.is_new(3.9))
 
+    def test_a_list_without_other_nodes_may_be_incomplete(self):
+        """Each of several starting nodes granted the whole rate to itself."""
+        self.coordinator = QuotaCoordinator(
+            "acme",
+            100,
+            50,
+            75,
+            since=0.0,
+            now=0.0,
+            own=NODES[0],
+            missing=(),
+            listed_from=1.0,
+            node_list=7,
+        )
+        self.coordinator.run_round(0.1)
+        self.assertTrue(self.coordinator.is_new(0.1))
+        self.coordinator.record_nodes(NODES[1:2], NODES[:2], 8, 0.2)
+        self.coordinator.run_round(0.3)
+        self.assertTrue(self.coordinator.is_new(0.3))
+        self.tell(NODES[1], 0.4, 8)
+        self.assertFalse(self.coordinator.is_new(0.4))
+
+    def test_a_lone_node_grants_its_rate_a_second_after_its_start(self):
+        self.coordinator.record_nodes((), NODES[:1], 8, 0.2)
+        self.coordinator.missing.clear()
+        self.coordinator.run_round(0.9)
+        self.assertTrue(self.coordinator.is_new(0.9))
+        self.coordinator.run_round(1.0)
+        self.assertFalse(self.coordinator.is_new(1.0))
+
     def test_a_report_during_a_change_of_the_fleet_is_no_telling(self):
         """Ordinary reports counted, while an earlier coordinator granted further."""
         for node in NODES[1:4]:
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -350,6 +350,34 @@
             with self.subTest(rate=rate):
                 self.run_fault(divide, rate, burst=5)
 
+    def test_parts_that_reach_the_same_majority(self):
+        """Two small parts are cut off from each other, but not from all others.
+
+        Those accept the coordinator, and also the node that replaces it in the part
+        which does not reach it.
+        """
+        for rate in (164, 600):
+            with self.subTest(rate=rate):
+                simulation = start(107, rate, rate)
+                own = simulation.find_coordinator().address
+                others = [a for a in simulation.addresses if a != own]
+                following = rank_coordinators(NAME, others)[0]
+                rest = [a for a in others if a != following]
+                parts = {a: "first" for a in (own, *rest[::8])}
+                parts |= {a: "second" for a in (following, *rest[1::8])}
+                second = [a for a, part in parts.items() if part == "second"]
+
+                def can_reach(sender, receiver):
+                    pair = {parts.get(sender), parts.get(receiver)}
+                    return pair != {"first", "second"}
+
+                simulation.load(3 * rate, 5)
+                simulation.can_reach = can_reach
+                left_out = [a for a in simulation.addresses if a != own]
+                simulation.after(0.7, simulation.set_nodes, left_out, second)
+                simulation.load(3 * rate, 20)
+                self.assert_bound_holds(simulation)
+
     def test_idle_coordinator_is_suspended_and_comes_back(self):
         """Its pool would be full just after the other node's pool was used up."""
         simulation = start(107, 164, 164)
