--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -139,6 +139,7 @@
         self.missing = None if missing is None else set(missing)
         # Nodes whose list may differ from that of this node.
         self.differing = set(missing or ())
+        self.has_others = bool(missing)
         self.accounts = {}
         self.reserved = 0.0
         self.demand = 0.0
@@ -190,7 +191,8 @@
             account = self._open_account(report, node, now)
         if report.number <= account.number:
             return None
-        self._record_told(node, report.node_list, now)
+        if report.node_list:
+            self._record_told(node, report.node_list, now)
         account.number = report.number
         self._settle(account, report, now)
         unconfirmed = take_unconfirmed(account)
@@ -213,13 +215,19 @@
             self._estimate_wait(now) if tokens < report.wanted else 0.0,
         )
 
-    def record_nodes(self, joined, left, nodes, node_list, now):
-        """Record a change of the node list, of which the new one is given as well."""
+    def record_nodes(self, joined, nodes, node_list, now):
+        """Record a change of the node list, of which the new one is given as well.
+
+        Notes
+        -----
+        Nodes that left have to tell their leases further: one that was cut off uses its
+        lease until it ends.
+        """
         if self.missing is None or not self.is_new(now):
             return
         self.missing.update(joined)
-        self.missing.difference_update(left)
         self.differing = set(nodes) - {self.own}
+        self.has_others = bool(self.differing)
         self.node_list = node_list
         self._end_takeover(now)
 
@@ -235,7 +243,7 @@
         if self.missing is None or not self.is_new(now):
             return
         self.missing.discard(node)
-        if node_list and node_list == self.node_list:
+        if node_list == self.node_list:
             self.differing.discard(node)
         self._end_takeover(now)
 
@@ -245,11 +253,13 @@
         Notes
         -----
         A node tells its lease only to the coordinator according to its own list. If all
-        lists are equal, no other node is accepted as the coordinator.
+        lists are equal, no other node is accepted as the coordinator. The list of a
+        node that knows no other one may not be complete yet, and equals none.
         """
         if self.missing is None or self.missing or now < self.ended_from:
             return
-        if now >= self.listed_from or not self.differing:
+        are_equal = self.has_others and not self.differing
+        if now >= self.listed_from or are_equal:
             self.normal_from = min(self.normal_from, now)
 
     def _open_account(self, report, node, now):
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -4,6 +4,7 @@
 from zlib import crc32
 
 from msgspec import Struct
+from msgspec.structs import replace
 
 from hingesill_core.quotas.allowance import compute_allowance, compute_extra
 from hingesill_core.quotas.client import MAX_WAIT_SECONDS, QuotaClient
@@ -39,6 +40,10 @@
 # Time for which nodes that left are remembered, in seconds: any pool is full after it,
 # or is filled more slowly than it could be.
 LEFT_SECONDS = 120.0
+# Time after its start for which a node may join the lists of others, in seconds. A node
+# that joins a list later was out of it, and another coordinator may have granted. That
+# one grants little within `ENDED_SECONDS` of its own start.
+JOIN_SECONDS = 3.0
 # Reports that wait for the answers to probes, and the time for which they do, in
 # seconds; their requests are decided after `MAX_WAIT_SECONDS` anyway.
 MAX_DEFERRED = 2000
@@ -140,6 +145,9 @@
         self._released = {}
         self._deferred = {}
         self._left = {}
+        self._left_at = float("-inf")
+        # Times at which nodes joined the list, since this node started.
+        self._joined = {}
         self._started_at = None
         self._round_at = None
         self._rejected_at = float("-inf")
@@ -228,22 +236,25 @@
             return
         self.quorum.set_nodes(sorted(self.nodes - {own}))
         self._record_left(left, now)
+        self._record_joined(joined, now)
         for placement in self._placements.values():
             placement.update(joined, left, self.nodes)
         for client in self._clients.values():
             self._configure_client(client)
         for name in list(self._coordinators):
-            if self._get_placement(name).coordinator != own:
+            coordinator = self._get_placement(name).coordinator
+            if coordinator != own:
                 del self._coordinators[name]
+                self._send_acceptance(coordinator, 0, now)
             else:
                 self._coordinators[name].record_nodes(
-                    joined, left, self.nodes, self.node_list, now
+                    joined, self.nodes, self.node_list, now
                 )
 
     def _record_left(self, left, now):
         for node in left:
             self._left.pop(node, None)
-            self._left[node] = now
+            self._left[node] = self._left_at = now
         while self._left:
             node, at = next(iter(self._left.items()))
             if now - at <= LEFT_SECONDS:
@@ -251,6 +262,26 @@
             del self._left[node]
             self._started_at = max(self._started_at, at)
 
+    def _record_joined(self, joined, now):
+        """Record the nodes that joined; the list of a starting node is incomplete."""
+        self._joined = {
+            node: at
+            for node, at in self._joined.items()
+            if node in self.nodes and now - at <= LEFT_SECONDS
+        }
+        if now - self._started_at > START_SECONDS:
+            self._joined.update(dict.fromkeys(joined, now))
+
+    def _send_acceptance(self, node, number, now):
+        """Tell a coordinator whether and since when the node list has it."""
+        at = self._joined.get(node)
+        # 0 stands for a node that did not join.
+        seconds = 0.0 if at is None else max(1e-6, now - at)
+        if seconds > LEFT_SECONDS:
+            seconds = 0.0
+        reply = QuotaProbeReply(number, node in self.nodes, seconds)
+        self.send(node, reply)
+
     def acquire(self, name, now):
         """Return the QuotaDecision on one arrival at an endpoint.
 
@@ -323,6 +354,8 @@
         """Send a report to the coordinator, which may be this node."""
         coordinator = self._placements[report.organisation].coordinator
         if coordinator != self.own:
+            if not self._may_tell(report.organisation, coordinator, now):
+                report = replace(report, node_list=0)
             self.send(coordinator, report)
             return
         reply = self._handle_report(report, self.own, now)
@@ -362,10 +395,11 @@
         elif isinstance(message, QuotaProbe) and message.organisation:
             self._tell_lease(message.organisation, sender, now)
         elif isinstance(message, QuotaProbe):
-            is_accepted = sender in self.nodes
-            self.send(sender, QuotaProbeReply(message.number, is_accepted))
+            self._send_acceptance(sender, message.number, now)
         elif isinstance(message, QuotaProbeReply):
             self._detect_rejection(now)
+            if message.listed_seconds:
+                self._detect_absence(now - message.listed_seconds)
             is_accepted = message.is_accepted
             self.quorum.record_answer(message.number, sender, is_accepted, now)
             return self._handle_deferred(now)
@@ -391,34 +425,70 @@
         return coordinator.handle_report(report, sender, now)
 
     def _tell_lease(self, name, sender, now):
-        """Tell a new coordinator this node's lease, if it is the coordinator here.
-
-        Notes
-        -----
-        It isn't told while an earlier coordinator that left may be allocating: the new
-        one may have started too late to know that one.
-        """
+        """Tell a new coordinator this node's lease, if it is the coordinator here."""
         if name not in self._limited:
             return
         if self._get_placement(name).coordinator != sender:
             return
-        weight = compute_weight(name, sender)
-        if not any(
-            now - at < ENDED_SECONDS and compute_weight(name, node) < weight
-            for node, at in self._left.items()
-        ):
+        if self._may_tell(name, sender, now):
             self._get_client(name).report_lease(now)
 
+    def _may_tell(self, name, coordinator, now):
+        """Return whether a report may end the takeover of a coordinator early.
+
+        Notes
+        -----
+        Nodes that left may be cut off and use their leases, and an earlier coordinator
+        may be allocating. The coordinator may have started too late to know them.
+        """
+        weight = compute_weight(name, coordinator)
+        return not any(
+            now - at < ENDED_SECONDS
+            for node, at in self._list_recently_left(now)
+            if compute_weight(name, node) < weight
+        ) and not self._find_leaseholders(name, weight, now)
+
+    def _list_recently_left(self, now):
+        """Return (node, time) of nodes of which leases may be valid."""
+        if now - self._left_at > TAKEOVER_SECONDS:
+            return []
+        return [
+            (node, at)
+            for node, at in self._left.items()
+            if now - at <= TAKEOVER_SECONDS
+        ]
+
+    def _find_leaseholders(self, name, weight, now):
+        """Return the nodes that left and may use leases of which nobody tells.
+
+        Parameters
+        ----------
+        name : str
+            Name of the organisation.
+        weight : int
+            Weight of the present coordinator.
+        now : float
+            Seconds of the node's clock.
+
+        Notes
+        -----
+        An earlier coordinator that left alone gave leases to itself only, which end
+        within `ENDED_SECONDS`. Others may be cut off together with it, and then their
+        leases are renewed until it is no longer confirmed.
+        """
+        left = {
+            node for node, _ in self._list_recently_left(now) if node not in self.nodes
+        }
+        if len(left) == 1 and compute_weight(name, next(iter(left))) < weight:
+            return set()
+        return left
+
     def _create_coordinator(self, name, placement, now):
         organisation = self._limited[name]
         begin = max(self._started_at, self._rejected_at)
         since = placement.find_since(self._left, begin)
         missing = self.nodes - {self.own}
-        # Several nodes that left together may be cut off with an earlier coordinator,
-        # and use its leases. Those that are back tell theirs.
-        left = [n for n, at in self._left.items() if now - at <= TAKEOVER_SECONDS]
-        if len(left) > 1:
-            missing = missing | (set(left) - {self.own})
+        missing |= self._find_leaseholders(name, placement.weight, now)
         coordinator = QuotaCoordinator(
             name,
             organisation.rate,
@@ -482,6 +552,18 @@
             self._coordinators.clear()
             self._rejected_at = now
 
+    def _detect_absence(self, listed_at):
+        """Begin anew as a coordinator if this node was out of another node's list.
+
+        Notes
+        -----
+        A coordinator that nobody uses sends no probes, and doesn't notice that it is
+        cut off and another one grants in its place. Its pool would be full.
+        """
+        if listed_at > max(self._started_at, self._rejected_at) + JOIN_SECONDS:
+            self._coordinators.clear()
+            self._rejected_at = listed_at
+
     def _detect_suspension(self, now):
         """Begin anew as a coordinator after a suspension.
 
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -32,7 +32,8 @@
     wanted : int
         Tokens for which requests are waiting.
     node_list : int
-        Checksum of the node's list of nodes; 0 if it is not known.
+        Checksum of the node's list of nodes; 0 if leases of nodes that left this list
+        may be valid, which the coordinator may not know of.
     """
 
     organisation: str
@@ -94,15 +95,19 @@
 
 
 class QuotaProbeReply(Struct, frozen=True, array_like=True, tag=4):
-    """The answer to a probe.
+    """The answer to a probe, or the notice of an earlier coordinator.
 
     Parameters
     ----------
     number : int
-        Sequence number of the probe.
+        Sequence number of the probe; 0 for a notice.
     is_accepted : bool
         Whether the node list of the answering node has the coordinator.
+    listed_seconds : float
+        Seconds since the coordinator joined that list; 0 if it was in it when the node
+        started, or joined long ago.
     """
 
     number: int
     is_accepted: bool
+    listed_seconds: float = 0.0
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -10,7 +10,12 @@
 from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS, QuotaCoordinator
 from hingesill_core.quotas.decision import QuotaStatus
 from hingesill_core.quotas.fleet import FleetQuotas
-from hingesill_core.quotas.messages import QuotaProbe, QuotaReply, QuotaReport
+from hingesill_core.quotas.messages import (
+    QuotaProbe,
+    QuotaProbeReply,
+    QuotaReply,
+    QuotaReport,
+)
 from hingesill_core.quotas.placement import Placement
 from hingesill_core.quotas.quorum import MAX_SAMPLE, Quorum
 from hingesill_core.ratelimits.coordinators import rank_coordinators
@@ -174,9 +179,56 @@
         for node in NODES[1:3]:
             self.tell(node, 0.1)
         nodes = NODES[:5]
-        self.coordinator.record_nodes({NODES[4]}, (), nodes, 9, 0.1)
+        self.coordinator.record_nodes({NODES[4]}, nodes, 9, 0.1)
         self.assertEqual(self.coordinator.list_unknown(0.2), NODES[1:5])
 
+    def test_a_node_that_leaves_before_it_told_is_waited_for(self):
+        """It may be cut off, and use its lease until that ends."""
+        self.coordinator.record_nodes((), NODES[:3], 9, 0.1)
+        for node in NODES[1:3]:
+            self.tell(node, 0.2, 9)
+        self.coordinator.run_round(3.9)
+        self.assertTrue(self.coordinator.is_new(3.9))
+        self.tell(NODES[3], 3.9, 9)
+        self.assertFalse(self.coordinator.is_new(3.9))
+
+    def test_a_list_without_other_nodes_may_be_incomplete(self):
+        """Each of several starting nodes granted the whole rate to itself."""
+        self.coordinator = QuotaCoordinator(
+            "acme",
+            100,
+            50,
+            75,
+            since=0.0,
+            now=0.0,
+            own=NODES[0],
+            missing=(),
+            listed_from=1.0,
+            node_list=7,
+        )
+        self.coordinator.run_round(0.1)
+        self.assertTrue(self.coordinator.is_new(0.1))
+        self.coordinator.record_nodes(NODES[1:2], NODES[:2], 8, 0.2)
+        self.coordinator.run_round(0.3)
+        self.assertTrue(self.coordinator.is_new(0.3))
+        self.tell(NODES[1], 0.4, 8)
+        self.assertFalse(self.coordinator.is_new(0.4))
+
+    def test_a_lone_node_grants_its_rate_a_second_after_its_start(self):
+        self.coordinator.record_nodes((), NODES[:1], 8, 0.2)
+        self.coordinator.missing.clear()
+        self.coordinator.run_round(0.9)
+        self.assertTrue(self.coordinator.is_new(0.9))
+        self.coordinator.run_round(1.0)
+        self.assertFalse(self.coordinator.is_new(1.0))
+
+    def test_a_report_during_a_change_of_the_fleet_is_no_telling(self):
+        """Ordinary reports counted, while an earlier coordinator granted further."""
+        for node in NODES[1:4]:
+            self.tell(node, 0.1, 0)
+        self.coordinator.run_round(2.0)
+        self.assertTrue(self.coordinator.is_new(2.0))
+
     def test_callers_return_when_the_takeover_is_expected_to_end(self):
         """They returned after 20 ms, and were refused until they gave up."""
         report = QuotaReport("acme", 1, 1, wanted=5)
@@ -251,6 +303,74 @@
             quotas.run_round(now)
             self.assertEqual(sent, [second] if now > 12.2 else [])
 
+    def test_reports_say_that_leases_of_nodes_that_left_may_be_valid(self):
+        """A coordinator that restarts doesn't know nodes that left before."""
+        quotas = self.start({"acme": Organisation("acme", rate=5.0)})
+        sent = []
+        quotas.send = lambda node, message: sent.append(message)
+        other = rank_coordinators("acme", NODES[1:])[-1]
+        nodes = [node for node in NODES if node != other]
+        for now, listed, is_known in (
+            (10.0, nodes, False),
+            (10.1, NODES, True),
+            (10.2, nodes, False),
+            (13.9, nodes, False),
+            (14.3, nodes, True),
+        ):
+            with self.subTest(now=now):
+                quotas.run_round(now)
+                quotas.set_nodes(NODES[0], listed, now)
+                client = quotas._get_client("acme")
+                sent.clear()
+                client.report_lease(now)
+                expected = quotas.node_list if is_known else 0
+                self.assertEqual(sent[-1].node_list, expected)
+
+    def test_answers_say_since_when_a_node_is_listed(self):
+        """A starting node, whose list is incomplete, must not empty any pool."""
+        quotas = self.start({"acme": Organisation("acme", rate=5.0)})
+        sent = []
+        quotas.send = lambda node, message: sent.append(message)
+        other = NODES[1]
+        nodes = [node for node in NODES if node != other]
+        before = 0
+        for now, listed, seconds in (
+            (0.1, nodes, 0.0),
+            (0.5, NODES, 0.0),
+            (10.0, nodes, 0.0),
+            (20.0, NODES, 0.0),
+            (23.5, NODES, 3.5),
+            (150.0, NODES, 0.0),
+        ):
+            with self.subTest(now=now):
+                # A longer gap between rounds would be taken for a suspension.
+                for second in range(before, int(now) + 1):
+                    quotas.run_round(float(second))
+                before = int(now) + 1
+                quotas.set_nodes(NODES[0], listed, now)
+                quotas.handle_message(QuotaProbe(7), other, now)
+                reply = sent[-1]
+                self.assertEqual(reply.is_accepted, other in listed)
+                self.assertAlmostEqual(reply.listed_seconds, seconds, places=5)
+
+    def test_pool_is_empty_after_an_absence_but_not_after_a_start(self):
+        """A list has a node that started up to 2 s later."""
+        for at, is_new in ((2.0, False), (50.0, True)):
+            with self.subTest(listed_at=at):
+                name = next(
+                    name
+                    for name in map(str, range(1000))
+                    if rank_coordinators(name, NODES)[0] == NODES[0]
+                )
+                quotas = self.start({name: Organisation(name, rate=5.0)})
+                for now in range(1, 51):
+                    quotas.run_round(float(now))
+                reply = QuotaProbeReply(0, True, 50.0 - at or 1e-6)
+                quotas.handle_message(reply, NODES[1], 50.0)
+                placement = quotas._get_placement(name)
+                coordinator = quotas._create_coordinator(name, placement, 50.0)
+                self.assertEqual(coordinator.is_new(50.0), is_new)
+
     def test_callers_are_sent_back_at_different_times(self):
         """All of them would return for the same token."""
         quotas = self.start({"acme": Organisation("acme", rate=5.0)}, ())
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -6,7 +6,12 @@
 
 import unittest
 
-from hingesill_core.quotas.tests.quotasimulation import QuotaSimulation, compute_bound
+from hingesill_core.quotas.tests.quotasimulation import (
+    NAME,
+    QuotaSimulation,
+    compute_bound,
+)
+from hingesill_core.ratelimits.coordinators import rank_coordinators
 
 # Nodes, rate and burst; in some, the rate of a node is far below one request a second.
 QUOTAS = [(1, 50, 50), (6, 50, 20), (107, 5, 5), (107, 164, 164), (107, 1000, 500)]
@@ -244,6 +249,96 @@
                 self.assert_bound_holds(self.simulation)
                 self.assert_decided_in_time(self.simulation)
 
+    def cut_off_with_callers(self, simulation, own, rate):
+        """Cut a node off, to which requests arrive further."""
+        simulation.can_reach = lambda a, b: (a == own) == (b == own)
+
+        def send():
+            simulation.nodes[own].submit()
+            simulation.after(1 / rate, send)
+
+        send()
+
+    def test_node_with_a_lease_is_cut_off_while_the_coordinator_restarts(self):
+        """The new coordinator took it for told, or never knew that it had been there.
+
+        The node's lease is on most of the rate, and the coordinator granted the whole
+        rate to the others.
+        """
+        for name, left_at, restarted_at in (
+            ("leaves the list of the new coordinator", 0.6, 0.1),
+            ("left before the coordinator started", 0.6, 0.7),
+        ):
+            for rate in (164, 600):
+                with self.subTest(name, rate=rate):
+                    simulation = start(107, rate, 5)
+                    coordinator = simulation.find_coordinator().address
+                    own = next(a for a in simulation.addresses if a != coordinator)
+                    others = [a for a in simulation.addresses if a != own]
+                    simulation.load(0.9 * rate, 5, lambda: own)
+                    self.cut_off_with_callers(simulation, own, rate)
+                    nodes = others if left_at < restarted_at else simulation.addresses
+                    simulation.after(
+                        restarted_at, simulation.start_node, coordinator, nodes
+                    )
+                    simulation.after(left_at, simulation.set_nodes, others, others)
+                    rng = simulation.rng
+                    simulation.load(3 * rate, 10, lambda: rng.choice(others))
+                    self.assert_bound_holds(simulation)
+
+    def test_next_coordinator_restarts_after_the_first_was_cut_off(self):
+        """It didn't know the first one, and ordinary reports counted as told leases."""
+        for rate in (164, 600):
+            with self.subTest(rate=rate):
+                simulation = start(107, rate, 5)
+                own = simulation.find_coordinator().address
+                others = [a for a in simulation.addresses if a != own]
+                simulation.load(0.9 * rate, 5, lambda: own)
+                self.cut_off_with_callers(simulation, own, 2 * rate)
+
+                def change():
+                    simulation.set_nodes(others, others)
+                    following = rank_coordinators(NAME, others)[0]
+                    simulation.start_node(following, others)
+
+                simulation.after(0.6, change)
+                rng = simulation.rng
+                simulation.load(3 * rate, 10, lambda: rng.choice(others))
+                self.assert_bound_holds(simulation)
+
+    def test_idle_coordinator_is_cut_off_and_used_after_it_is_back(self):
+        """Its pool was full beside that of its substitute: a burst arrived twice.
+
+        Nodes that do not use an organisation may keep their lists meanwhile.
+        """
+        for nodes, rate, burst, changed in (
+            (6, 50, 300, 5),
+            (107, 164, 500, 106),
+            (107, 164, 500, 2),
+        ):
+            with self.subTest(nodes=nodes, rate=rate, changed=changed):
+                simulation = start(nodes, rate, burst)
+                own = simulation.find_coordinator().address
+                others = [a for a in simulation.addresses if a != own]
+                users = rank_coordinators(NAME, others)[:changed]
+                rng = simulation.rng
+                simulation.can_reach = lambda a, b: (a == own) == (b == own)
+                simulation.after(0.6, simulation.set_nodes, others, users)
+                simulation.load(0, 30)
+                since = simulation.now
+                simulation.submit_burst(burst, lambda: rng.choice(users))
+                simulation.load(0, 0.5)
+                admitted = len([at for at in simulation.arrivals if at >= since])
+                self.assertGreaterEqual(admitted, 0.9 * burst)
+                simulation.can_reach = lambda a, b: True
+                simulation.set_nodes(simulation.addresses, users)
+                simulation.run_until(simulation.now + 0.1)
+                simulation.submit_burst(burst)
+                simulation.load(3 * rate, 10)
+                self.assert_bound_holds(simulation)
+                self.assert_decided_in_time(simulation)
+                self.assert_recovered(simulation)
+
     def test_fleet_is_divided(self):
         """Nodes on the side without the coordinator use their leases only."""
 
@@ -255,6 +350,34 @@
             with self.subTest(rate=rate):
                 self.run_fault(divide, rate, burst=5)
 
+    def test_parts_that_reach_the_same_majority(self):
+        """Two small parts are cut off from each other, but not from all others.
+
+        Those accept the coordinator, and also the node that replaces it in the part
+        which does not reach it.
+        """
+        for rate in (164, 600):
+            with self.subTest(rate=rate):
+                simulation = start(107, rate, rate)
+                own = simulation.find_coordinator().address
+                others = [a for a in simulation.addresses if a != own]
+                following = rank_coordinators(NAME, others)[0]
+                rest = [a for a in others if a != following]
+                parts = {a: "first" for a in (own, *rest[::8])}
+                parts |= {a: "second" for a in (following, *rest[1::8])}
+                second = [a for a, part in parts.items() if part == "second"]
+
+                def can_reach(sender, receiver):
+                    pair = {parts.get(sender), parts.get(receiver)}
+                    return pair != {"first", "second"}
+
+                simulation.load(3 * rate, 5)
+                simulation.can_reach = can_reach
+                left_out = [a for a in simulation.addresses if a != own]
+                simulation.after(0.7, simulation.set_nodes, left_out, second)
+                simulation.load(3 * rate, 20)
+                self.assert_bound_holds(simulation)
+
     def test_idle_coordinator_is_suspended_and_comes_back(self):
         """Its pool would be full just after the other node's pool was used up."""
         simulation = start(107, 164, 164)
