Quotas: tokens given back by requests of the allowance are not reported

Cause: a request that a node admits without a token (its allowance) and that no endpoint runs gives a token back. When that token expired unused, it was subtracted from the sum of tokens taken from the coordinator, which became negative. The coordinator drops such a report as invalid (event 4013, "taken of -1.0 is out of range"), the node takes the coordinator for lost (7003), and has only its allowance until it takes enough tokens, which it cannot.

Endpoints that refuse with a back-off make requests give their tokens back.

Ruled out: a coordinator that does not answer (it answered the five other nodes) and a lost datagram (the log of the coordinator names the report). Accepting negative sums in the message would need all nodes to be updated.

Now the sum does not fall below 0. A token of the allowance that comes back while the sum is positive still goes to the pool: it replaces the request of the allowance that did not arrive, so the bound is unchanged.

Figures: the new unit test failed before (-1.0 reported, 0.0 expected) and passes now; the 78 tests of the quotas' core, datagrams and tokens pass.

--- a/packages/hingesill-core/hingesill_core/quotas/client.py
+++ b/packages/hingesill-core/hingesill_core/quotas/client.py
@@ -157,10 +157,16 @@
                 self._return_tokens(0.0)
 
     def _return_tokens(self, kept):
-        """Return held tokens beyond a number; the next report says so."""
+        """Return held tokens beyond a number; the next report says so.
+
+        Notes
+        -----
+        Requests of the allowance that no endpoint ran give back a token that was not
+        taken from the coordinator, which drops reports with a negative sum.
+        """
         excess = max(0.0, self._held - kept)
         self._held -= excess
-        self._taken -= excess
+        self._taken = max(0.0, self._taken - excess)
 
     def acquire(self, now):
         """Return the QuotaDecision on one arrival."""
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -7,6 +7,7 @@
 
 from hingesill_core.organisations.organisation import Organisation
 from hingesill_core.quotas.allowance import Allowance, compute_allowance
+from hingesill_core.quotas.client import KEEP_SECONDS, QuotaClient
 from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS, QuotaCoordinator
 from hingesill_core.quotas.decision import QuotaStatus
 from hingesill_core.quotas.fleet import FleetQuotas
@@ -87,6 +88,37 @@
         self.assertEqual(len(self.probe(NODES, ()).pending), MAX_SAMPLE)
 
 
+class ClientTests(unittest.TestCase):
+    """Guards against reports that the coordinator drops as invalid."""
+
+    def setUp(self):
+        self.reports = []
+        self.client = QuotaClient(
+            "acme", random.Random(1), lambda report, now: self.reports.append(report)
+        )
+        self.client.configure(80.0, 5, 5.0, 6)
+        self.client.set_coordinator(NODES[1])
+
+    def test_request_without_a_token_that_no_endpoint_ran(self):
+        """What it gives back was never taken from the coordinator."""
+        for now in (0.0, 0.1):
+            self.assertEqual(self.client.acquire(now).status, QuotaStatus.ADMITTED)
+            self.client.give_back(now)
+        self.client.run_round(0.1 + 2 * KEEP_SECONDS)
+        self.client.report_lease(0.2 + 2 * KEEP_SECONDS)
+        self.assertEqual(self.reports[-1].taken, 0.0)
+        self.assertEqual(self.reports[-1].held, 0.0)
+
+    def test_tokens_of_the_coordinator_return(self):
+        self.assertEqual(self.client.acquire(0.0).status, QuotaStatus.ADMITTED)
+        self.client.report_lease(0.0)
+        reply = QuotaReply("acme", self.reports[-1].link, 1, tokens=3)
+        self.assertTrue(self.client.handle_reply(reply, 0.01))
+        self.client.run_round(0.01 + 2 * KEEP_SECONDS)
+        self.client.report_lease(0.02 + 2 * KEEP_SECONDS)
+        self.assertEqual(self.reports[-1].taken, 0.0)
+
+
 class CoordinatorTests(unittest.TestCase):
     def setUp(self):
         self.coordinator = QuotaCoordinator("acme", 100, 50, 75, -TAKEOVER_SECONDS, 0.0)
