Specification of the early end of a takeover

Cause: the count of told leases, the comparison of node lists, exclusions, and coordinators that were not accepted were in no specification.

Ruled out: the same in model/quotas.py, whose leases have no holders; one list for each node and reports one by one, over 1,000,000 states.

Conclusion: lists that differ for longer, parts that reach the same majority, and groups of starting nodes that know only each other break the bound, and are left out of it; see docs/design/quotas.md.

--- a/model/main.py
+++ b/model/main.py
@@ -6,7 +6,16 @@
 
 from minicheck import check_liveness, check_safety
 
-from model import granting, lives, probing, quotas, restoring, spreading, watching
+from model import (
+    granting,
+    lives,
+    probing,
+    quotas,
+    restoring,
+    spreading,
+    takeover,
+    watching,
+)
 
 __all__ = ["Report", "check_all", "main"]
 
@@ -50,7 +59,8 @@
 def check_all():
     """Check all specifications and broken variants and return the report."""
     report = Report()
-    for module in (spreading, probing, restoring, granting, quotas, watching, lives):
+    modules = (spreading, probing, restoring, granting, quotas, takeover)
+    for module in (*modules, watching, lives):
         protocol = module.build_protocol()
         states, found = check_protocol(protocol)
         report.states += states
