Quotas in own mode: all nodes use the platform's list of nodes

Cause: in hingesill's own mode a node left out of its list for quotas those nodes that had not answered it by TCP in the last 10 s. A node that replaces a killed one is listed before it listens; node n2 called it in that time, left it out, and took itself for the coordinator, while the others took the new node. Each of both was in the list of a third node, which is what a confirmation asks for, so both granted the whole rate.

Now quotas use all nodes of the list of VMs, as they use all registered nodes in the other mode. Nodes that do not answer are left out by the quotas' own pings, which need a majority. A list of VMs that nodes read at different times still differs for up to 2 s, which a takeover of 4 s outlasts.

--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -68,6 +68,9 @@
         Expiry of each endpoint's drain notice, in the node's clock seconds.
     peers : tuple
         Host and port of other nodes' control addresses, nearest first.
+    listed : tuple
+        Addresses of the control ports of all other nodes in the platform's list, also
+        of those that did not answer this node recently.
     probe_share : ProbeShare or None
         Written by the component that holds the lease.
     profile : Profile
@@ -82,6 +85,7 @@
     configuration: Configuration = field(default_factory=Configuration)
     signs: dict = field(default_factory=dict)
     peers: tuple = ()
+    listed: tuple = ()
     probe_share: ProbeShare | None = None
     profile: Profile = field(default_factory=Profile)
     phase: Phase = Phase.STARTING
--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -76,7 +76,7 @@
         LimitExchange(
             runners.limits, port, self._list_peers, runners, self.counters
         ).start(split_address(self.address))
-        QuotaExchange(runners.quotas, port, self._list_peers, self.counters).start(
+        QuotaExchange(runners.quotas, port, self._list_others, self.counters).start(
             split_address(self.address)
         )
         eventlet.spawn(Prober(self.blackboard, runners, self.counters).run)
@@ -85,6 +85,9 @@
     def _list_peers(self):
         return self.blackboard.peers
 
+    def _list_others(self):
+        return self.blackboard.listed
+
     def is_initialized(self):
         """See `node.Control`."""
         return self.thread.state.initialized
--- a/packages/hingesill-node/hingesill_node/control/publisher.py
+++ b/packages/hingesill-node/hingesill_node/control/publisher.py
@@ -39,6 +39,7 @@
         self.revision = 0
         self.fleet = None
         self.peers = ()
+        self.listed = ()
         self.generation = 0
         self._built = {}
         self._organisations = None
@@ -59,6 +60,10 @@
         if peers != self.peers:
             self.peers = peers
             self.bridge.post(self.blackboard.write, "peers", peers)
+        listed = list_others(state)
+        if listed != self.listed:
+            self.listed = listed
+            self.bridge.post(self.blackboard.write, "listed", listed)
         if state.drain_notices.generation != self.generation:
             self.generation = state.drain_notices.generation
             notices = state.drain_notices.list_until(0.0)
@@ -152,3 +157,17 @@
     ]
     others.sort(key=lambda vm: (vm.data_centre != own.data_centre, vm.name))
     return tuple(split_address(vm.control) for vm in others)
+
+
+def list_others(state):
+    """Return the addresses of all other nodes in the list of VMs.
+
+    Notes
+    -----
+    Nodes that do not answer this node are included. Quotas need the same list at all
+    nodes: otherwise two nodes each take themselves for the coordinator, and each is in
+    the list of a third one.
+    """
+    others = [vm for vm in state.membership.list_all() if vm.name != state.own.name]
+    others.sort(key=lambda vm: vm.name)
+    return tuple(split_address(vm.control) for vm in others)
--- a/packages/hingesill-node/hingesill_node/control/tests/test_publisher.py
+++ b/packages/hingesill-node/hingesill_node/control/tests/test_publisher.py
@@ -7,9 +7,11 @@
 from hingesill_api.generated import hingesill_pb2 as pb
 from hingesill_core.configuration.log import Entry, ServiceChange
 from hingesill_core.configuration.state import Replica
+from hingesill_core.membership.vms import Membership, Vm
 from hingesill_core.organisations.organisation import digest_key
-from hingesill_node.control.publisher import Publisher
+from hingesill_node.control.publisher import Publisher, list_others, list_peers
 from hingesill_node.control.replicator import UPDATE_FORMAT, Replicator
+from hingesill_node.listeners import split_address
 
 
 def build_document(name, *keys):
@@ -61,6 +63,33 @@
         self.assertEqual(configuration.keys.find(digest_key("k1")).name, "a")
 
 
+class OthersTests(unittest.TestCase):
+    """Guards against two coordinators of a quota, which each grant the whole rate."""
+
+    def test_a_node_that_does_not_answer_is_listed(self):
+        vms = [Vm(f"n{n}", f"10.0.0.{n}:80", "a") for n in (1, 2, 3)]
+        membership = Membership(vms[0])
+        membership.replace_vms(vms)
+        membership.mark_unreachable("n2", 5.0)
+        state = SimpleNamespace(own=vms[0], membership=membership, clock=lambda: 5.0)
+        self.assertEqual(len(list_peers(state)), 1)
+        others = list_others(state)
+        self.assertEqual([port for _, port in others], [80, 80])
+        self.assertEqual(len(set(others)), 2)
+
+    def test_nodes_that_see_different_nodes_answer_have_the_same_list(self):
+        vms = [Vm(f"n{n}", f"10.0.0.{n}:80", "a") for n in (1, 2, 3)]
+        lists = []
+        for own, silent in ((vms[0], "n2"), (vms[1], "n3"), (vms[2], "n1")):
+            membership = Membership(own)
+            membership.replace_vms(vms)
+            membership.mark_unreachable(silent, 5.0)
+            state = SimpleNamespace(own=own, membership=membership, clock=lambda: 5.0)
+            lists.append({split_address(own.control), *list_others(state)})
+        self.assertEqual(lists[0], lists[1])
+        self.assertEqual(lists[0], lists[2])
+
+
 class EarlierBuildTests(unittest.TestCase):
     """A node that holds some services would get no organisations from such a parent."""
 
