Soak: organisations with keys and quotas, judged by endpoints and callers

Four organisations are declared in files: one without a quota, one that sends several times its quota, one below a tenth of its own, and one that is removed at the end. Other callers have an unknown key or none. Stand-in endpoints record organisation, Authorization and arrival time of each request that runs.

Shares are judged in seeds with an odd number, whose services refuse early; the others queue, which promises no fair shares. Logs and arrivals of a seed that failed are kept in target/.

The judges detect nodes that ignore quotas, refuse inside them, ignore keys, refuse valid ones and pass keys on (five mutations of real nodes), and wrong records in unit tests.

Left: organisations in the fault matrix, a key that moves and rates that change in the own soak.

--- a/demo/load.py
+++ b/demo/load.py
@@ -36,6 +36,10 @@
         Time limit of the request, in seconds.
     retry_after : str
         Value of the response's Retry-After header.
+    key : str
+        Key that was sent; empty for none.
+    started : float
+        Monotonic time in seconds at which it was sent.
     """
 
     request_id: str
@@ -47,6 +51,8 @@
     status: int = 0
     limit: float = 10.0
     retry_after: str = ""
+    key: str = ""
+    started: float = 0.0
 
 
 @dataclass
@@ -63,12 +69,15 @@
         Time between requests, in seconds.
     limit : float
         Declared time limit of a request, in seconds.
+    key : str
+        Key of an organisation; empty for none.
     """
 
     get_addresses: object
     requests: list
     pause: float = 0.0
     limit: float = 10.0
+    key: str = ""
     calls: list = field(default_factory=list)
 
     def __post_init__(self):
@@ -101,20 +110,31 @@
         """Send one request; return the Call."""
         request_id = uuid.uuid4().hex
         started = time.monotonic()
+        headers = {"Hingesill-Request-Id": request_id}
+        if self.key:
+            headers["Authorization"] = f"Bearer {self.key}"
         body = b"e2e4" if method in ("POST", "PUT") else None
         try:
             response = self._pool.request(
                 method,
                 f"http://{address}{path}",
                 body=body,
-                headers={"Hingesill-Request-Id": request_id},
+                headers=headers,
                 timeout=10.0,
             )
         except urllib3.exceptions.HTTPError as error:
             seconds = time.monotonic() - started
             reason = type(error).__name__
             return Call(
-                request_id, repeatable, "cut", reason, False, seconds, 0, self.limit
+                request_id,
+                repeatable,
+                "cut",
+                reason,
+                False,
+                seconds,
+                limit=self.limit,
+                key=self.key,
+                started=started,
             )
         seconds = time.monotonic() - started
         outcome = response.headers.get("Hingesill-Outcome", "none")
@@ -130,6 +150,8 @@
             response.status,
             self.limit,
             response.headers.get("Retry-After", ""),
+            self.key,
+            started,
         )
 
     def _is_own(self, response, request_id):
--- a/matrix/mutant.py
+++ b/matrix/mutant.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import random
 import sys
 
 import eventlet
@@ -13,21 +14,26 @@
 from hingesill_core.configuration.changelog import Accepted, ChangeLog
 from hingesill_core.probing import proberate
 from hingesill_core.probing.probeshare import ProbeShare
+from hingesill_core.quotas.decision import QuotaDecision, QuotaStatus
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.registry import Registry
 from hingesill_core.retries import decision
 from hingesill_core.routing import dispatcher
 from hingesill_core.routing.endpoint_state import EndpointState
 from hingesill_core.routing.messages import Refusal
 from hingesill_node.datapath import prober
+from hingesill_node.datapath.authentication import Authenticator, Identity
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.messages import Answer
 from hingesill_node.lifecycle import Lifecycle
 from hingesill_node.main import serve
+from hingesill_node.quotas.gate import QuotaGate
 
 __all__ = ["MUTATIONS"]
 
 MUTATIONS = Registry("mutation")
 PROBE_INTERVAL_SECONDS = 0.02
+REFUSED_SHARE = 0.2
 
 
 @MUTATIONS.register("repeats moves")
@@ -137,6 +143,64 @@
     )
 
 
+@MUTATIONS.register("ignores quotas")
+def ignore_quotas():
+    """Admit each request, whatever the quota of its organisation."""
+    QuotaGate.acquire = lambda self, name, may_wait: QuotaDecision(QuotaStatus.ADMITTED)
+    QuotaGate.give_back = lambda self, name: None
+
+
+@MUTATIONS.register("refuses inside quotas")
+def refuse_inside_quotas():
+    """Refuse some of the requests inside the quota."""
+    acquire = QuotaGate.acquire
+
+    def acquire_some(self, name, may_wait):
+        if random.random() < REFUSED_SHARE:
+            return QuotaDecision(QuotaStatus.REFUSED, 0.1)
+        return acquire(self, name, may_wait)
+
+    QuotaGate.acquire = acquire_some
+
+
+@MUTATIONS.register("ignores keys")
+def ignore_keys():
+    """Let requests without a valid key run under the first organisation."""
+    identify = Authenticator.identify
+
+    def identify_anyway(self, pairs, route, request_id):
+        found = identify(self, pairs, route, request_id)
+        if isinstance(found, Refusal):
+            digests = self.blackboard.configuration.keys._by_digest
+            digest, organisation = next(iter(digests.items()))
+            return Identity(organisation, digest)
+        return found
+
+    Authenticator.identify = identify_anyway
+
+
+@MUTATIONS.register("refuses valid keys")
+def refuse_valid_keys():
+    """Refuse some of the requests with a valid key as if it was unknown."""
+    identify = Authenticator.identify
+
+    def identify_some(self, pairs, route, request_id):
+        if random.random() < REFUSED_SHARE:
+            return Refusal(RefusalReason.UNAUTHENTICATED, Outcome.NOT_RUN)
+        return identify(self, pairs, route, request_id)
+
+    Authenticator.identify = identify_some
+
+
+@MUTATIONS.register("passes keys on")
+def pass_keys_on():
+    """Send the caller's key to the endpoint."""
+    list_drops = Authenticator.list_dropped_headers
+    Authenticator.list_dropped_headers = lambda self, pairs, route: list_drops(
+        self, pairs, route
+    ) - {"authorization"}
+
+
 def main():
     """Apply the mutation that the first argument names, then serve."""
     mutation = MUTATIONS.get(sys.argv.pop(1))
--- a/soak/main.py
+++ b/soak/main.py
@@ -1,24 +1,50 @@
 """Run seeds of the soak: ``python -m soak.main --seeds=50`` or ``--seed=7``."""
 
+import json
 import random
+import shutil
 import sys
 import tempfile
 import time
 from collections import Counter
+from pathlib import Path
 
 import fire
 
+from demo.load import Caller
 from matrix.evidence import Evidence, Violation
 from matrix.promises import PROMISES
 from soak.faults import CONCURRENT_FAULTS, FAULTS
+from soak.organisations import (
+    GREEDY,
+    KEYS,
+    LEAVING,
+    MODEST,
+    QUOTAS,
+    STEADY,
+    check_keys,
+)
+from soak.quotajudges import (
+    UNAUTHENTICATED,
+    check_bounds,
+    check_refusals,
+    check_shares,
+)
 from soak.report import Finding, choose_seeds, report_seeds
-from soak.scene import Scene
+from soak.scene import REQUESTS, Scene
 
 __all__ = ["main", "run_seed"]
 
+# Folder for the logs of seeds that failed; git ignores it.
+LOGS = Path(__file__).parent.parent / "target"
 FAULTS_PER_SEED = 6
 INITIAL_PAUSE_SECONDS = 0.5
 RECOVERY_SECONDS = 2.0
+# Seconds after the recovery until requests far below a quota must be admitted, and for
+# which this is judged. Lists of nodes change within 2 s, a new coordinator then waits
+# for 4 s.
+QUOTA_RECOVERY_SECONDS = 5.0
+CALM_SECONDS = 6.0
 # Share of faults with which a concurrent fault of each kind starts.
 CONCURRENT_SHARE = 0.3
 CHECKED = (
@@ -36,7 +62,7 @@
 REGRESSION_FAULTS = ("limits",)
 
 
-def run_seed(seed, mutation="", names=None):
+def run_seed(seed, mutation="", names=None, is_calm_judged=True):
     """Run one seed, optionally with a mutation; return its Finding.
 
     Parameters
@@ -47,6 +73,8 @@
         Rule that the nodes violate; see `matrix.mutant`.
     names : list of str or None
         Faults to choose from; all if None.
+    is_calm_judged : bool
+        Whether quotas and keys are judged for a time without faults as well.
     """
     rng = random.Random(seed)
     with tempfile.TemporaryDirectory() as folder:
@@ -57,11 +85,29 @@
             time.sleep(INITIAL_PAUSE_SECONDS)
             faults = run_faults(scene, rng, names or FAULTS.list_names(), concurrent)
             time.sleep(RECOVERY_SECONDS)
-            return evaluate(scene, seed, faults)
+            calm_since = time.monotonic() + QUOTA_RECOVERY_SECONDS
+            if is_calm_judged:
+                time.sleep(QUOTA_RECOVERY_SECONDS + CALM_SECONDS)
+            finding = evaluate(scene, seed, faults)
+            if is_calm_judged:
+                finding.violations.extend(check_calm(scene, calm_since))
+                finding.violations.extend(check_removal(scene))
+            if finding.violations and not mutation:
+                keep_logs(scene, seed)
+            return finding
         finally:
             scene.close()
 
 
+def keep_logs(scene, seed):
+    """Copy the logs of a seed that failed, with the requests that endpoints ran."""
+    kept = LOGS / f"own-soak-{seed}"
+    shutil.copytree(scene.fleet.folder, kept, dirs_exist_ok=True)
+    requests = json.dumps(scene.fleet.read_requests())
+    (kept / "requests.json").write_text(requests)
+    print(f"logs of seed {seed}: {kept.relative_to(LOGS.parent)}")
+
+
 def create_random_sources(seed):
     """Return a random source for each kind of concurrent fault."""
     names = REGRESSION_FAULTS if seed in REGRESSIONS else CONCURRENT_FAULTS.list_names()
@@ -112,9 +158,44 @@
     evidence = Evidence(calls=calls, ran=ran)
     violations = [v for name in CHECKED for v in PROMISES.get(name)(evidence)]
     violations += check_end(scene)
+    requests = scene.fleet.read_requests()
+    violations += check_keys(calls, requests)
+    arrivals = [(organisation, at) for _, organisation, _, at in requests]
+    violations += check_bounds(arrivals, QUOTAS)
+    if scene.overload == "refuse-early":
+        violations += check_shares(list_answers(scene), 0.0, time.monotonic(), "in all")
     return Finding(seed, faults, len(calls), violations)
 
 
+def list_answers(scene):
+    """Return organisation, start time and status of each call with a valid key."""
+    names = {key: name for name, key in KEYS.items()}
+    return [
+        (names[call.key], call.started, call.status)
+        for caller in scene.callers
+        for call in caller.calls
+        if call.key in names
+    ]
+
+
+def check_calm(scene, calm_since):
+    """Yield violations of quotas in the time without faults."""
+    yield from check_refusals(list_answers(scene), calm_since, MODEST, GREEDY)
+
+
+def check_removal(scene):
+    """Yield violations after an organisation was removed, at each node."""
+    if not scene.remove_organisation(LEAVING):
+        yield Violation("fleet", f"the removal of {LEAVING!r} is not in force")
+    for name in (LEAVING, STEADY):
+        caller = Caller(lambda: scene.usable, REQUESTS, key=KEYS[name])
+        for address in scene.usable:
+            call = caller.send(address, *REQUESTS[0])
+            if (call.status == UNAUTHENTICATED) != (name == LEAVING):
+                what = f"answered {call.status} to {name!r} after {LEAVING!r} left"
+                yield Violation(address, what)
+
+
 def check_end(scene):
     """Yield a violation for each unclean planned stop and for lost service."""
     for code in scene.exit_codes:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -7,6 +7,16 @@
 import yaml
 
 from demo.load import Caller
+from soak.organisations import (
+    GREEDY,
+    KEYS,
+    LEAVING,
+    MODEST,
+    NO_KEY,
+    STEADY,
+    UNKNOWN,
+    build_documents,
+)
 from soak.proxy import Proxy
 from standins.fleet import EXAMPLES, Fleet
 
@@ -22,8 +32,10 @@
 # A high share of retries, so that violated retry rules are detected.
 SEND_POLICY = {"hedge_share": 0.1, "retry_share": 0.5}
 NODES = 3
-CALLERS = 4
-CALLER_PAUSE_SECONDS = 0.02
+# Key and pause in seconds of each caller. One organisation sends several times its
+# quota, another one less than a tenth.
+CALLERS = [(KEYS[STEADY], 0.02)] * 4 + [(KEYS[GREEDY], 0.02)] * 2
+CALLERS += [(KEYS[MODEST], 0.1), (KEYS[LEAVING], 0.1), (UNKNOWN, 0.1), (NO_KEY, 0.1)]
 STOP_SECONDS = 15.0
 
 
@@ -47,6 +59,8 @@
         self.seed = seed
         self.mutation = mutation
         self.can_suspend = can_suspend
+        # Only nodes that refuse early promise fair shares; the others queue.
+        self.overload = "refuse-early" if seed % 2 else "queue"
         self.usable = []
         self.leaving = set()
         self.unplanned = []
@@ -72,8 +86,8 @@
         if waited.returncode:
             raise RuntimeError(waited.stdout + waited.stderr)
         self.callers = [
-            Caller(lambda: self.usable, REQUESTS, CALLER_PAUSE_SECONDS).start()
-            for _ in range(CALLERS)
+            Caller(lambda: self.usable, REQUESTS, pause, key=key).start()
+            for key, pause in CALLERS
         ]
 
     def _write_declarations(self):
@@ -87,9 +101,20 @@
                 for address in self._start_endpoints()
             ]
             content["sends"] = SEND_POLICY
+            content["overload"] = self.overload
             (folder / file.name).write_text(yaml.safe_dump(content))
+        (folder / "organisations.yaml").write_text(
+            yaml.safe_dump_all(build_documents())
+        )
         return folder
 
+    def remove_organisation(self, name):
+        """Remove an organisation; return whether all nodes confirmed it in time."""
+        node = next(iter(self.fleet.nodes.values()))
+        removed = self.fleet.run_cli(node, "remove", f"organisation:{name}")
+        waited = self.fleet.run_cli(node, "status", "--wait=10")
+        return removed.returncode == 0 and waited.returncode == 0
+
     def _start_endpoints(self):
         """Start endpoints; return the addresses of the proxies in front of them."""
         addresses = []
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -1,8 +1,9 @@
 """A test endpoint with a fixed number of slots, a queue and injected faults.
 
 ``PUT /standin/faults`` sets the faults: a JSON object with any keys of `FAULTS`.
-``GET /standin/record`` returns how often each request id ran, and counters. Checkers
-compare this record with the responses that callers received.
+``GET /standin/record`` returns how often each request id ran, and counters, ``GET
+/standin/requests`` id, organisation, Authorization and arrival time of each run.
+Checkers compare this record with the responses that callers received.
 """
 
 import json
@@ -61,6 +62,8 @@
         self.random = random.Random(seed)
         self.running = 0
         self.ran = Counter()
+        # Id, organisation, Authorization and arrival time of each request that ran.
+        self.requests = []
         self.cancelled = 0
         self.probes = 0
         self.probe_times = []
@@ -88,6 +91,9 @@
 
     def handle_standin(self, path, environ, start_response):
         """Set the faults, if requested, and return the record."""
+        if path == "/standin/requests":
+            start_response("200 OK", [("Content-Type", "application/json")])
+            return [json.dumps(self.requests).encode()]
         if path == "/standin/faults":
             self.faults = json.loads(environ["wsgi.input"].read() or b"{}")
             self.random = random.Random(f"{self.seed} {self.faults.get('seed')}")
@@ -156,6 +162,10 @@
                     self.cancelled += 1
                     return self.shed(start_response)
                 self.ran[request_id] += 1
+                organisation = environ.get("HTTP_HINGESILL_ORGANISATION", "")
+                authorization = environ.get("HTTP_AUTHORIZATION", "")
+                ran = (request_id, organisation, authorization, arrived)
+                self.requests.append(ran)
                 self.spend_time(environ)
         finally:
             self.running -= 1
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -267,6 +267,20 @@
         """Return the record of an endpoint: requests that ran, and counters."""
         return call("GET", f"http://{endpoint}/standin/record")
 
+    def read_requests(self):
+        """Return each request that the endpoints ran.
+
+        Returns
+        -------
+        list of list
+            Request id, organisation, Authorization and arrival time in seconds.
+        """
+        return [
+            request
+            for endpoint in self.endpoints
+            for request in call("GET", f"http://{endpoint}/standin/requests")
+        ]
+
     def run_cli(self, node, *arguments):
         """Run the command-line client against a node; return the finished process."""
         return subprocess.run(
