--- a/soak/quotajudges.py
+++ b/soak/quotajudges.py
@@ -23,6 +23,9 @@
 ANSWERED, UNAUTHENTICATED, OVER_QUOTA = 200, 401, 429
 # An organisation must be served at least this part of the share that all are served.
 FAIR_PART = 0.25
+# Share of the requests inside a quota that nodes must admit. A decision that takes over
+# 12 ms is a refusal, which happens where nodes stand still beside other processes.
+MIN_ADMITTED_SHARE = 0.99
 # With fewer requests, the share of an organisation is too random to be judged.
 MIN_REQUESTS = 30
 
@@ -87,7 +90,7 @@
     calm = Counter((name, status) for name, at, status in answers if at >= calm_since)
     sent = sum(count for (name, _), count in calm.items() if name == modest)
     refused = calm[modest, OVER_QUOTA]
-    if refused:
+    if refused > (1 - MIN_ADMITTED_SHARE) * sent:
         yield Violation(modest, f"{refused} of {sent} requests got 429 without a fault")
     if sent < MIN_REQUESTS:
         yield Violation(modest, f"only {sent} requests were sent without a fault")
