Quotas: coordinators do not begin anew at the first requests of an idle fleet

A node refreshes its list of nodes only while quotas are used. At the first request it took all others for nodes that had just joined, told the coordinator so, and that one took it for an absence and began a takeover. Seen with a trace: absence at 4.4 s after the start, the time of the refresh.

Ruled out: a rejection by the other nodes, a suspension, and the load of the machine; none of these was in the trace.

Now nodes of a list that was not refreshed count as joined at the time of the list before. The unit test of the answers to probes refreshes its list before each change, as nodes in use do; another one guards against this fault.

--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -152,6 +152,8 @@
         self._round_at = None
         self._rejected_at = float("-inf")
         self._refreshed_at = float("-inf")
+        # Time of the list that is being refreshed.
+        self._listed_at = None
 
     def configure(self, organisations, now):
         """Set the organisations.
@@ -219,6 +221,8 @@
         now : float
             Seconds of the node's clock.
         """
+        is_refresh = self._listed_at is not None
+        listed_at = self._listed_at if is_refresh else self._refreshed_at
         self._refreshed_at = now
         if self._started_at is None or own != self.own:
             self._started_at = self._round_at = now
@@ -236,7 +240,7 @@
             return
         self.quorum.set_nodes(sorted(self.nodes - {own}))
         self._record_left(left, now)
-        self._record_joined(joined, now)
+        self._record_joined(joined, listed_at, now)
         for placement in self._placements.values():
             placement.update(joined, left, self.nodes)
         for client in self._clients.values():
@@ -262,15 +266,28 @@
             del self._left[node]
             self._started_at = max(self._started_at, at)
 
-    def _record_joined(self, joined, now):
-        """Record the nodes that joined; the list of a starting node is incomplete."""
+    def _refresh(self, now):
+        """Have the list of nodes refreshed."""
+        self._listed_at, self._refreshed_at = self._refreshed_at, now
+        self.refresh_nodes()
+        self._listed_at = None
+
+    def _record_joined(self, joined, listed_at, now):
+        """Record the nodes that joined; the list of a starting node is incomplete.
+
+        Notes
+        -----
+        A list is not refreshed while nobody uses a quota. Nodes that are in it
+        afterwards may have joined at any time since `listed_at`. Taken for nodes that
+        have just joined, all coordinators of a fleet began anew at its first requests.
+        """
         self._joined = {
             node: at
             for node, at in self._joined.items()
             if node in self.nodes and now - at <= LEFT_SECONDS
         }
         if now - self._started_at > START_SECONDS:
-            self._joined.update(dict.fromkeys(joined, now))
+            self._joined.update(dict.fromkeys(joined, listed_at))
 
     def _send_acceptance(self, node, number, now):
         """Tell a coordinator whether and since when the node list has it."""
@@ -294,8 +311,7 @@
             return ADMITTED
         self._detect_suspension(now)
         if now - self._refreshed_at > REFRESH_SECONDS:
-            self._refreshed_at = now
-            self.refresh_nodes()
+            self._refresh(now)
         if self.own is None:
             return NOT_READY
         client = self._get_client(name)
@@ -605,8 +621,7 @@
         if self.own is None:
             return
         if not self.is_idle(now) and now - self._refreshed_at > REFRESH_SECONDS:
-            self._refreshed_at = now
-            self.refresh_nodes()
+            self._refresh(now)
         for name, client in list(self._clients.items()):
             self._run(client, client.run_round, now)
             if client.is_unused(now):
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -384,12 +384,27 @@
                 for second in range(before, int(now) + 1):
                     quotas.run_round(float(second))
                 before = int(now) + 1
+                # The list was refreshed just before the change.
+                quotas.set_nodes(NODES[0], quotas.nodes, now)
                 quotas.set_nodes(NODES[0], listed, now)
                 quotas.handle_message(QuotaProbe(7), other, now)
                 reply = sent[-1]
                 self.assertEqual(reply.is_accepted, other in listed)
                 self.assertAlmostEqual(reply.listed_seconds, seconds, places=5)
 
+    def test_nodes_of_a_list_that_was_not_refreshed_have_not_just_joined(self):
+        """The coordinators began anew at the first requests of an idle fleet."""
+        quotas = self.start({"acme": Organisation("acme", rate=5.0)}, NODES[2:])
+        sent = []
+        quotas.send = lambda node, message: sent.append(message)
+        quotas.refresh_nodes = lambda: quotas.set_nodes(NODES[0], NODES, 10.001)
+        for now in range(1, 10):
+            quotas.run_round(float(now))
+        quotas.acquire("acme", 10.0)
+        quotas.handle_message(QuotaProbe(7), NODES[1], 10.1)
+        replies = [m for m in sent if isinstance(m, QuotaProbeReply)]
+        self.assertAlmostEqual(replies[-1].listed_seconds, 10.1)
+
     def test_pool_is_empty_after_an_absence_but_not_after_a_start(self):
         """A list has a node that started up to 2 s later."""
         for at, is_anew in ((2.0, False), (2.5, True), (50.0, True)):
