Lines of requests in trouble say what endpoints did not answer

Change: the dispatcher keeps, for each service, the contacts since an endpoint last sent anything: sent, timed out, refused, pending, left out for want of connections. Lines 6003 have them as `unanswered`. No decision uses them.

--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -17,6 +17,7 @@
 from hingesill_core.routing.messages import Queued, Refusal, Send, SendStatus
 from hingesill_core.routing.overload import suggest_return
 from hingesill_core.routing.policies import POLICIES
+from hingesill_core.routing.reachability import Reachability
 from hingesill_core.routing.retryhandler import RetryHandler
 from hingesill_core.routing.selection import takes_work
 from hingesill_core.routing.serviceavailability import ServiceAvailability
@@ -73,6 +74,7 @@
         self.retries = TokenBudget(service.sends.retry_share)
         self.retrying = RetryHandler(self)
         self.service_availability = ServiceAvailability(self)
+        self.reachability = Reachability()
         self.limits = limits or ServiceLimits(service.name, rng)
         self.limits.usable = self._accepts_work
         self.limited_requests = LimitedRequests(self)
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -112,15 +112,15 @@
             self.authenticator,
         )
         answer = exchange.run()
-        self._log_request(request, service, exchange.timeline, answer)
+        self._log_request(request, exchange, answer)
         if isinstance(answer, Refusal):
             return self._refuse(environ, start_response, answer, request_id, service)
         self.counters.add("requests", service, Outcome.ANSWERED.value)
         return self._forward_answer(environ, start_response, request, exchange, answer)
 
-    def _log_request(self, request, service, timeline, answer):
+    def _log_request(self, request, exchange, answer):
         """Log the outcome of a request and the steps that led to it."""
-        ticket = request.ticket
+        ticket, service, timeline = request.ticket, exchange.service, exchange.timeline
         seconds = self.clock() - ticket.arrived
         refused = isinstance(answer, Refusal)
         target = ticket.route.target or ticket.route.timeout
@@ -142,6 +142,7 @@
             steps=[str(step) for step in timeline.steps],
             steps_left_out=timeline.left_out,
             **describe_lost_request(request, timeline),
+            **({} if ordinary else describe_unanswered(exchange)),
         )
 
     def _build_request(self, environ, request_id):
@@ -325,6 +326,13 @@
     }
 
 
+def describe_unanswered(exchange):
+    """Return the log field on contacts of the service without any answer, if any."""
+    reachability = exchange.runner.dispatcher.reachability
+    evidence = reachability.describe(exchange.clock())
+    return {"unanswered": evidence} if evidence else {}
+
+
 def close_after_answer(environ):
     """Make the server close the caller's connection after this response."""
     environ[PROTOCOL_KEY].close_connection = 1
--- a/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
@@ -10,7 +10,11 @@
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed, PoolFull
 from hingesill_node.datapath.messages import QueryResult
-from hingesill_node.datapath.transport import FIRST_FAULT_STATUS, TRANSPORT_ERRORS
+from hingesill_node.datapath.transport import (
+    FIRST_FAULT_STATUS,
+    TRANSPORT_ERRORS,
+    is_timeout,
+)
 
 __all__ = ["LoadQueryClient"]
 
@@ -126,6 +130,8 @@
     def _query_endpoint(self, endpoint, pool):
         connection = None
         response = None
+        reachability = self.runner.dispatcher.reachability
+        reachability.record_contact(endpoint, self.runner.clock())
         try:
             connection = pool.acquire()
             if not self.binding.may_query(endpoint, pool.born, self.runner.clock()):
@@ -133,12 +139,15 @@
                 return
             reply, response = self._call(endpoint, connection)
         except PoolFull:
+            reachability.record_left_out(endpoint)
             self.counters.add("probes_left_out", self.runner.dispatcher.service.name)
             return
-        except ConnectFailed:
-            reply = LoadReply(endpoint, SendStatus.CONNECT_FAILED)
-        except TRANSPORT_ERRORS:
-            reply = LoadReply(endpoint, SendStatus.LOST)
+        except (ConnectFailed, *TRANSPORT_ERRORS) as error:
+            timed_out = is_timeout(error)
+            reachability.record_failure(endpoint, timed_out, self.runner.clock())
+            is_connect = isinstance(error, ConnectFailed)
+            status = SendStatus.CONNECT_FAILED if is_connect else SendStatus.LOST
+            reply = LoadReply(endpoint, status)
         if connection is not None and response is None:
             pool.discard(connection)
             connection = None
@@ -157,6 +166,7 @@
         sent_at = self.runner.clock()
         connection.flush()
         response = connection.read_head()
+        self.runner.dispatcher.reachability.record_heard(self.runner.clock())
         response.read_short(MAX_BODY_BYTES)
         if not self.wire.is_answer_of(response, endpoint):
             return self._read_refusal(endpoint, response), None
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -158,6 +158,7 @@
             The result read from the answer's head.
         """
         now = self.clock()
+        self.dispatcher.reachability.record_heard(now)
         limit, backoff = result.limit, result.backoff
         if limit is not None and not limit.is_valid:
             self._log_invalid_header(Event.LIMIT_INVALID, send.endpoint, now)
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -3,14 +3,19 @@
 from hingesill_core.reasons import Outcome
 from hingesill_core.retries.decision import DEFINITELY_NOT_RUN
 from hingesill_core.routing.messages import SendResult, SendStatus
-from hingesill_node.datapath.connections import ConnectFailed
+from hingesill_node.datapath.connections import ConnectFailed, PoolFull
 from hingesill_node.datapath.messages import LiveSend
 from hingesill_node.datapath.requesttimeline import (
     StepKind,
     describe_report,
     describe_status,
 )
-from hingesill_node.datapath.transport import BodyFailed, connect, send_request
+from hingesill_node.datapath.transport import (
+    BodyFailed,
+    connect,
+    is_timeout,
+    send_request,
+)
 
 __all__ = ["RequestSends"]
 
@@ -112,7 +117,8 @@
             send_request(live, self.request, self.clock(), self.wire)
             self._close_if_settled(live)
             return live
-        except ConnectFailed:
+        except ConnectFailed as error:
+            self._record_failed_connect(live, error)
             return self.end(live, SendResult(SendStatus.CONNECT_FAILED))
         except BodyFailed:
             self.end(live, SendResult(SendStatus.CANCELLED))
@@ -120,6 +126,15 @@
         except OSError:
             return self.end(live, SendResult(SendStatus.LOST))
 
+    def _record_failed_connect(self, live, error):
+        """Record a connection that could not be opened as evidence."""
+        if isinstance(error, PoolFull):
+            return
+        reachability = self.runner.dispatcher.reachability
+        endpoint, timed_out = live.send.endpoint, is_timeout(error)
+        reachability.record_contact(endpoint, live.send.started)
+        reachability.record_failure(endpoint, timed_out, self.clock())
+
     def _close_if_settled(self, live):
         """Close the connection of a settled send; return whether it is settled."""
         if live.settled and live.connection is not None:
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -3,7 +3,14 @@
 from hingesill_core.routing.messages import SendResult, SendStatus
 from hingesill_node.datapath.waits import WaitTimeout
 
-__all__ = ["BodyFailed", "TRANSPORT_ERRORS", "connect", "read_result", "send_request"]
+__all__ = [
+    "BodyFailed",
+    "TRANSPORT_ERRORS",
+    "connect",
+    "is_timeout",
+    "read_result",
+    "send_request",
+]
 
 CHUNK_BYTES = 64 * 1024
 WRITE_TIMEOUT_SECONDS = 10.0
@@ -16,6 +23,11 @@
     """The body from the caller was incomplete or too large during streaming."""
 
 
+def is_timeout(error):
+    """Return whether a transport error, or what it was raised from, is a timeout."""
+    return isinstance(error.__cause__ or error, (TimeoutError, WaitTimeout))
+
+
 def connect(live):
     """Acquire a connection from the pool unless the send has one already.
 
