Crash checks: a node that reaches no endpoint reports no crash

Cause: found by reading, in the search for the same cause elsewhere. A lost response starts a check that opens a connection to the endpoint; if that fails, the endpoint counts as crashed under the request. A node whose paths to all endpoints are cut, with resets, loses all responses, and each check fails: after two endpoints the request is quarantined, at all nodes, as crashes are gossiped.

Change: if the connection fails, two other endpoints are tried; if none of them accepts a connection, the result is logged and nothing is reported. Where a service has one endpoint, nothing changes.

Ruled out: a comparison with the last answer of any endpoint, as an idle node has none; not counting time-outs, as cuts may reset and crashed VMs may hang.

--- a/packages/hingesill-node/hingesill_node/crashes/requestguard.py
+++ b/packages/hingesill-node/hingesill_node/crashes/requestguard.py
@@ -74,9 +74,19 @@
             request.fingerprints, self.clock(), pending
         )
 
-    def handle_lost_response(self, request, endpoint, address):
-        """Start a check whether an endpoint crashed while it had a request."""
-        self._checks.begin(endpoint, address, request.fingerprints)
+    def handle_lost_response(self, request, endpoint, address, others=()):
+        """Start a check whether an endpoint crashed while it had a request.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The request.
+        endpoint, address : str
+            Identity and address of the endpoint.
+        others : sequence of str
+            Addresses of other endpoints, which show whether this node reaches any.
+        """
+        self._checks.begin(endpoint, address, request.fingerprints, others)
 
     def record_answer(self, request):
         """Record that an endpoint answered a request."""
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -22,6 +22,8 @@
 CALLER_CHECK_INTERVAL_SECONDS = 0.05
 # Minimum interval between log lines about invalid headers.
 LOG_INTERVAL_SECONDS = 5.0
+# Endpoints that are tried to find out whether any can be reached.
+TRIAL_ENDPOINTS = 2
 
 
 class ServiceRunner:
@@ -130,6 +132,14 @@
             self.query_client = LoadQueryClient(self, wire, counters)
         return self.query_client
 
+    def list_other_addresses(self, endpoint):
+        """Return addresses of a few other endpoints, chosen at random."""
+        others = [
+            pool.address for name, pool in self.pools.items() if name != endpoint
+        ]
+        count = min(TRIAL_ENDPOINTS, len(others))
+        return self.dispatcher.rng.sample(others, count)
+
     def settle(self, send, result):
         """Pass a send's result to the dispatcher and start queued requests."""
         state = self.dispatcher.find_state(send)
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -193,5 +193,8 @@
         """Have the guard check whether the endpoint crashed under the request."""
         self.timeline.has_lost = True
         self.runner.guard.handle_lost_response(
-            self.request, live.send.endpoint, live.pool.address
+            self.request,
+            live.send.endpoint,
+            live.pool.address,
+            self.runner.list_other_addresses(live.send.endpoint),
         )
