Requests go through another node while no endpoint can be reached

Cause: a node had no way to an endpoint but its own connections, and noticed nothing: readiness depends on the store only.

Evidence: `unanswered` of lines 6003 in a scene of real processes: all endpoints contacted, 363 contacts in 2.2 s, none answered, none left out.

Change, and why it works: `Reachability` concludes from its own evidence that no endpoint of a service can be reached: three endpoints (or all) without a byte for 80 ms, 200 ms if they reset, and nothing from any other; time in which the node itself was delayed does not count. Waiting and new requests then go to another node (`PeerTable`, `Forwarder`), at an address of their own that only registered nodes may use (`ForwardEntry`), one hop at most. That node serves them as its own callers' requests: key, quota, retry budget, limits and crashes count there. What the other node certainly did not run goes to the next one; what may have run goes on only if it may be repeated, with a retry token. Two endpoints are queried each 150 ms; the first byte ends it, and ejections learned meanwhile are dropped.

Ruled out: not being ready (kept connections stay, and a balancer uses all nodes where most are not ready); other time-outs (nothing is reached after them).

--- a/packages/hingesill-core/hingesill_core/configuration/services.py
+++ b/packages/hingesill-core/hingesill_core/configuration/services.py
@@ -103,6 +103,10 @@
     homes: tuple[str, ...] = ()
     public: bool = False
 
+    def list_services(self):
+        """Return the names of the services that may get its requests."""
+        return [part.service for part in self.parts] or [self.service]
+
     def choose_service(self, rng):
         """Return the service of the next request, at random by weight."""
         if not self.parts:
--- a/packages/hingesill-core/hingesill_core/discovery/records.py
+++ b/packages/hingesill-core/hingesill_core/discovery/records.py
@@ -138,12 +138,21 @@
         The node's data centre.
     strength : float
         Processor time that it may use, in cores; the strongest nodes are relays.
+    forward_port : int
+        Port at which it accepts requests that other nodes forward, on the IP address of
+        `address`; 0 if it accepts none, as nodes of older builds.
     """
 
     name: str
     address: str
     data_centre: str
     strength: float = 1.0
+    forward_port: int = 0
+
+    @property
+    def forward_address(self):
+        """IP address and port for forwarded requests."""
+        return f"{self.address.rpartition(':')[0]}:{self.forward_port}"
 
 
 class QuarantineRecord(Struct, frozen=True):
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/forwarding/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the ratelimits sub-package."""
--- a/packages/hingesill-core/hingesill_core/retries/budget.py
+++ b/packages/hingesill-core/hingesill_core/retries/budget.py
@@ -36,6 +36,10 @@
         """Record a first send."""
         self.tokens = min(self.burst, self.tokens + self.share)
 
+    def forfeit(self):
+        """Give up what a first send earned that another node makes."""
+        self.tokens = max(0.0, self.tokens - self.share)
+
     def spend(self, reserve=0.0):
         """Spend one token; return whether one was available.
 
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -14,7 +14,13 @@
 from hingesill_core.routing.latebinding import LateBinding
 from hingesill_core.routing.limitedrequests import LimitedRequests
 from hingesill_core.routing.loadqueries import FRESH_REPORT_POLICY
-from hingesill_core.routing.messages import Queued, Refusal, Send, SendStatus
+from hingesill_core.routing.messages import (
+    Forward,
+    Queued,
+    Refusal,
+    Send,
+    SendStatus,
+)
 from hingesill_core.routing.overload import suggest_return
 from hingesill_core.routing.policies import POLICIES
 from hingesill_core.routing.reachability import Reachability
@@ -22,8 +28,10 @@
 from hingesill_core.routing.selection import takes_work
 from hingesill_core.routing.serviceavailability import ServiceAvailability
 
-__all__ = ["Dispatcher"]
+__all__ = ["Dispatcher", "TRIAL_INTERVAL_SECONDS"]
 
+# Interval of trials whether an endpoint can be reached again.
+TRIAL_INTERVAL_SECONDS = 0.15
 # Round-trip time to another data centre, in seconds.
 CROSS_DATA_CENTRE_RTT_SECONDS = 0.003
 
@@ -166,11 +174,14 @@
 
         Returns
         -------
-        LoadQuery, Send, Queued or Refusal
+        LoadQuery, Send, Queued, Forward or Refusal
             The endpoints to query first, the endpoint to send to, the notice that the
-            request is queued, or its final response.
+            request is queued or that another node must serve it, or its final response.
         """
         self.last_submit_at = now
+        decision = self.divert(ticket, now)
+        if decision is not None:
+            return decision
         self.hedging.budget.earn()
         self.retries.earn()
         query = self.begin_queries(ticket, now)
@@ -178,6 +189,39 @@
             return query
         return self.dispatch_without_query(ticket, now)
 
+    def divert(self, ticket, now):
+        """Return Forward or a Refusal if no endpoint can be reached, else None.
+
+        Notes
+        -----
+        The node that serves a forwarded request earns its extra sends.
+        """
+        if not self.reachability.assess(self.states, now):
+            return None
+        if ticket.is_forwarded:
+            return self.refuse(ticket, RefusalReason.ENDPOINTS_UNREACHABLE, now)
+        return Forward()
+
+    def divert_waiting(self, ticket, now):
+        """Return what `divert` does for a request that has earned extra sends."""
+        decision = self.divert(ticket, now)
+        if isinstance(decision, Forward):
+            self.hedging.budget.forfeit()
+            self.retries.forfeit()
+        return decision
+
+    def end_outage(self, since):
+        """Drop what was learned of endpoints while none could be reached.
+
+        Parameters
+        ----------
+        since : float
+            Time at which an endpoint of the service was last heard before.
+        """
+        for state in self.states.values():
+            for health in (state.health, state.query_health):
+                health.drop_failures(since)
+
     def begin_queries(self, ticket, now):
         """Return a LoadQuery or Refusal, or None where no load queries are used."""
         if self.service.policy != FRESH_REPORT_POLICY:
@@ -233,12 +277,18 @@
             return Refusal(
                 reason, outcome, self.latency.suggest_retry_after(wait, self.rng)
             )
+        if reason is RefusalReason.ENDPOINTS_UNREACHABLE:
+            return Refusal(reason, outcome, self.suggest_return_after_trial())
         if reason is RefusalReason.NO_CAPACITY_IN_TIME:
             return Refusal(
                 reason, outcome, suggest_return(ticket.deadline - now, self.rng)
             )
         return Refusal(reason, outcome, self.suggest_retry_after(ticket.route, now))
 
+    def suggest_return_after_trial(self):
+        """Return the Retry-After in seconds while no endpoint can be reached."""
+        return TRIAL_INTERVAL_SECONDS * (1 + self.rng.random())
+
     def suggest_retry_after(self, route, now):
         """Return the Retry-After in seconds, estimated from the current load."""
         backoff = self.service_availability.suggest_retry_after(route, now)
--- a/packages/hingesill-core/hingesill_core/routing/health.py
+++ b/packages/hingesill-core/hingesill_core/routing/health.py
@@ -28,6 +28,8 @@
 
     Attributes
     ----------
+    failed_at : float
+        Time of the last failure.
     failures_to_eject : int
         Failures in a row after which it is ejected.
     max_ejection : float
@@ -44,6 +46,7 @@
     ejections: int = 0
     ejected_until: float = 0.0
     trial_in_flight: bool = False
+    failed_at: float = float("-inf")
     fault_share: float = 0.0
     failures_to_eject: int = FAILURES_TO_EJECT
     max_ejection: float = MAX_EJECTION_SECONDS
@@ -81,6 +84,7 @@
         return recovered
 
     def _record_failure(self, now, may_eject):
+        self.failed_at = now
         self.fault_share += FAULT_WEIGHT * (1 - self.fault_share)
         self.consecutive += 1
         failed_trial = self.trial_in_flight
@@ -95,6 +99,15 @@
         self.ejected_until = now + pause
         self.consecutive = 0
 
+    def drop_failures(self, since):
+        """Forget the failures, if there was one after a time that shows nothing."""
+        if self.failed_at < since:
+            return
+        self.consecutive = self.ejections = 0
+        self.ejected_until = self.fault_share = 0.0
+        self.trial_in_flight = False
+        self.failed_at = float("-inf")
+
     def is_ejected(self, now):
         """Return whether the endpoint is ejected."""
         return now < self.ejected_until
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -158,6 +158,8 @@
         """
         if not self.has_reports or self.waiting:
             return None
+        if self.dispatcher.reachability.lost_at is not None:
+            return None
         endpoints = self._choose_endpoints(
             self.rules.first_fan_out, now, (ticket.route,)
         )
@@ -386,6 +388,9 @@
 
     def expire(self, now):
         """Yield (ticket, decision) for each request that stops waiting."""
+        if self.dispatcher.reachability.assess(self.dispatcher.states, now):
+            yield from self._divert_waiting(now)
+            return
         if self.limits.limited:
             for ticket in self.limited_waiting.list_surplus(now):
                 self.waiting.pop(ticket)
@@ -402,6 +407,14 @@
                 self.waiting.pop(ticket)
                 yield ticket, refusal
 
+    def _divert_waiting(self, now):
+        """Yield (ticket, decision) for all requests, as no endpoint can be reached."""
+        for waiting in list(self.waiting.values()):
+            if not waiting.hedge:
+                self.waiting.pop(waiting.ticket)
+                ticket = waiting.ticket
+                yield ticket, self.dispatcher.divert_waiting(ticket, now)
+
     def _find_final_refusal(self, waiting, now):
         """Return the Refusal of a request whose wait has ended, or None."""
         ticket = waiting.ticket
--- a/packages/hingesill-core/hingesill_core/routing/messages.py
+++ b/packages/hingesill-core/hingesill_core/routing/messages.py
@@ -12,6 +12,7 @@
 from hingesill_core.routing.load_report import LoadReport
 
 __all__ = [
+    "Forward",
     "RetryDenied",
     "Queued",
     "Refusal",
@@ -45,6 +46,8 @@
         The organisation of its caller; None where callers need no keys.
     key_digest : str
         Digest of the caller's key; empty without one.
+    is_forwarded : bool
+        Another node forwarded it; it is not forwarded again.
     """
 
     route: Route
@@ -60,6 +63,7 @@
     retry_forbidden: bool = False
     organisation: Organisation | None = None
     key_digest: str = ""
+    is_forwarded: bool = False
 
     @property
     def rank(self):
@@ -106,6 +110,10 @@
     """The request is queued until ``dispatch_queued`` or ``expire`` yields it."""
 
 
+class Forward(Struct, frozen=True):
+    """Forward the request to another node: no endpoint can be reached from here."""
+
+
 class Refusal(Struct, frozen=True):
     """The final response to a request without an answer of an endpoint.
 
--- a/packages/hingesill-node/hingesill_node/control/node.py
+++ b/packages/hingesill-node/hingesill_node/control/node.py
@@ -101,6 +101,10 @@
         last = state.last_peer_at
         return last is not None and self.clock() - last < MAX_PEER_SILENCE_SECONDS
 
+    def get_nodes(self):
+        """See `node.Control`; requests are not forwarded without a directory."""
+        return {}
+
     def get_confirmed_age(self):
         """See `node.Control`."""
         return self.thread.state.get_confirmed_age_ms() / 1000
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -10,9 +10,12 @@
 from hingesill_node.datapath.authentication import Authenticator
 from hingesill_node.datapath.bodies import CountedBody, LimitedBody, PrefixedBody
 from hingesill_node.datapath.exchange import Exchange
+from hingesill_node.datapath.forwardentry import FORWARD_KEY
 from hingesill_node.datapath.framing import find_framing_fault
 from hingesill_node.datapath.headers import (
+    FORWARD_DROPS,
     HOP_BY_HOP,
+    ForwardHeaders,
     filter_headers,
 )
 from hingesill_node.datapath.messages import Body, CallerRequest
@@ -62,8 +65,8 @@
         self.counters = counters
         self.max_body_bytes = max_body_bytes
         self.wire = wire or OwnFormat()
-        self.request_drops = HOP_BY_HOP | self.wire.request_drops
-        self.answer_drops = HOP_BY_HOP | self.wire.answer_drops
+        self.request_drops = HOP_BY_HOP | FORWARD_DROPS | self.wire.request_drops
+        self.answer_drops = HOP_BY_HOP | FORWARD_DROPS | self.wire.answer_drops
         self.authenticator = Authenticator(
             blackboard, self.wire.organisation_header, clock
         )
@@ -99,7 +102,7 @@
     def _exchange(self, environ, start_response, request):
         """Send an accepted request to endpoints and respond to it."""
         request_id = request.request_id
-        service = request.ticket.route.choose_service(self.rng)
+        service = self._choose_service(request)
         refusal = self.runners.guard.find_refusal(request)
         if refusal is not None:
             return self._refuse(environ, start_response, refusal, request_id, service)
@@ -115,9 +118,25 @@
         self._log_request(request, exchange, answer)
         if isinstance(answer, Refusal):
             return self._refuse(environ, start_response, answer, request_id, service)
-        self.counters.add("requests", service, Outcome.ANSWERED.value)
+        if answer.refusal is not None:
+            self.elapsed.record_unserved(self.clock())
+        outcome = answer.refusal or Outcome.ANSWERED
+        self.counters.add("requests", service, outcome.value)
         return self._forward_answer(environ, start_response, request, exchange, answer)
 
+    def _choose_service(self, request):
+        """Return the service of a request, for a forwarded one the chosen one.
+
+        Notes
+        -----
+        A second random choice would change the shares of a split route.
+        """
+        route = request.ticket.route
+        forwarded = request.forwarded
+        if forwarded is not None and forwarded.service in route.list_services():
+            return forwarded.service
+        return route.choose_service(self.rng)
+
     def _log_request(self, request, exchange, answer):
         """Log the outcome of a request and the steps that led to it."""
         ticket, service, timeline = request.ticket, exchange.service, exchange.timeline
@@ -132,6 +151,7 @@
             request=request.request_id,
             service=service,
             **describe_organisation(ticket),
+            **describe_forwarding_node(request),
             version=self.blackboard.configuration.revision,
             ms=round(seconds * 1000),
             left_ms=round((ticket.deadline - ticket.arrived) * 1000),
@@ -170,6 +190,7 @@
             return Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
         # The configuration may change while the body is read.
         headers = self._filter_headers(pairs, route)
+        forwarded = environ.get(FORWARD_KEY)
         arrived = self.clock()
         tokens = self._get_tokens(identity.organisation, request_id)
         if isinstance(tokens, Refusal):
@@ -195,6 +216,8 @@
             ),
             organisation=identity.organisation,
             key_digest=identity.key_digest,
+            is_forwarded=forwarded is not None,
+            sends=0 if forwarded is None else forwarded.sends,
         )
         return CallerRequest(
             request_id,
@@ -208,6 +231,8 @@
             environ.get("REMOTE_ADDR", ""),
             configuration.keys,
             tokens,
+            list(filter_headers(pairs, self.request_drops)),
+            forwarded,
         )
 
     def _filter_headers(self, pairs, route):
@@ -290,6 +315,9 @@
         if service and refusal.reason is not RefusalReason.QUARANTINED:
             self.elapsed.record_unserved(self.clock())
         answer = self.wire.build_refusal_answer(refusal, request_id)
+        if FORWARD_KEY in environ:
+            result = f"{refusal.outcome.value} {refusal.reason.value}"
+            answer.headers.append((ForwardHeaders.RESULT, result))
         if answer.closes:
             close_after_answer(environ)
         else:
@@ -299,6 +327,12 @@
         # open the caller would read it as the next response.
         return [b"" if environ.get("REQUEST_METHOD") == "HEAD" else answer.body]
 
+    def refuse_unread(self, environ, start_response, reason):
+        """Refuse a forwarded request whose body is not read; close its connection."""
+        close_after_answer(environ)
+        refusal = Refusal(reason, Outcome.NOT_RUN)
+        return self._refuse(environ, start_response, refusal, "", "")
+
     def _answer_internal_error(self, environ, start_response, error):
         """Log an internal error and respond to the request with a refusal."""
         log_event(
@@ -315,6 +349,11 @@
     return {"organisation": ticket.organisation.name}
 
 
+def describe_forwarding_node(request):
+    """Return the log field with the node that forwarded a request, if one did."""
+    return {} if request.forwarded is None else {"for_node": request.forwarded.node}
+
+
 def describe_lost_request(request, timeline):
     """Return log fields to match a request that lost a response in other log lines."""
     if not timeline.has_lost:
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -37,10 +37,11 @@
     ``send`` buffers its data until ``flush`` sends it.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, connect_timeout=CONNECT_TIMEOUT_SECONDS):
         host, _, port = address.rpartition(":")
-        super().__init__(host.strip("[]"), int(port), timeout=CONNECT_TIMEOUT_SECONDS)
+        super().__init__(host.strip("[]"), int(port), timeout=connect_timeout)
         self.address = address
+        self.connect_timeout = connect_timeout
         self.idle_until = 0.0
         self.used = False
         self.method = ""
@@ -50,7 +51,7 @@
         """Connect, or raise ConnectFailed on a failure or timeout."""
         try:
             self.sock = green_socket.create_connection(
-                (self.host, self.port), timeout=CONNECT_TIMEOUT_SECONDS
+                (self.host, self.port), timeout=self.connect_timeout
             )
         except OSError as error:
             raise ConnectFailed(f"{self.address}: {error}") from error
@@ -125,12 +126,22 @@
         Returns monotonic seconds.
     born : int
         Incarnation of the endpoint, as its start time in ms; 0 if unknown.
+    connect_timeout : float
+        Maximum seconds for opening a connection.
     """
 
-    def __init__(self, address, limit, clock=time.monotonic, born=0):
+    def __init__(
+        self,
+        address,
+        limit,
+        clock=time.monotonic,
+        born=0,
+        connect_timeout=CONNECT_TIMEOUT_SECONDS,
+    ):
         self.address = address
         self.born = born
         self.limit = limit
+        self.connect_timeout = connect_timeout
         self._clock = clock
         self._idle = deque()
         self._closed = False
@@ -161,7 +172,7 @@
                 f"{self.address}: limit of connections to the endpoint reached"
             )
         self.open_count += 1
-        connection = EndpointConnection(self.address)
+        connection = EndpointConnection(self.address, self.connect_timeout)
         try:
             connection.open()
         except BaseException:
@@ -197,6 +208,12 @@
         self.open_count -= 1
         connection.close()
 
+    def close_expired(self):
+        """Close connections that were idle for too long."""
+        now = self._clock()
+        while self._idle and self._idle[0].idle_until < now:
+            self.discard(self._idle.popleft())
+
     def retire(self):
         """Close idle connections now and others when released: the endpoint ended."""
         self._closed = True
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -11,6 +11,7 @@
 from hingesill_core.retries.decision import DEFINITELY_NOT_RUN
 from hingesill_core.routing.loadqueries import LoadQuery
 from hingesill_core.routing.messages import (
+    Forward,
     Queued,
     Refusal,
     RetryDenied,
@@ -18,6 +19,7 @@
     SendStatus,
 )
 from hingesill_node.datapath.callers import is_caller_gone
+from hingesill_node.datapath.forwarding import Hop
 from hingesill_node.datapath.hedges import QueryingHedge
 from hingesill_node.datapath.messages import Answer
 from hingesill_node.datapath.requesttimeline import RequestTimeline, StepKind
@@ -97,9 +99,13 @@
                 if isinstance(decision, LoadQuery):
                     decision = self._wait_for_reply(decision)
                 elif isinstance(decision, Queued):
-                    self._add_step(StepKind.QUEUED)
+                    self.add_step(StepKind.QUEUED)
                     decision = self.runner.wait_queued(self.request)
+                elif isinstance(decision, Forward):
+                    return self._forward()
                 elif isinstance(decision, Refusal):
+                    if decision.reason is RefusalReason.ENDPOINTS_UNREACHABLE:
+                        self.runner.start_trials(self.wire, self.counters)
                     return self.fault_answer or decision
                 else:
                     outcome = self._execute_send(decision)
@@ -109,6 +115,17 @@
         finally:
             self._cancel_all()
 
+    def _forward(self):
+        """Have another node serve the request; return an Answer or a Refusal."""
+        self.runner.start_trials(self.wire, self.counters)
+        if self.runner.forwarder is not None:
+            result = self.runner.forwarder.forward(self)
+            if result is not None:
+                return result
+        return self.fault_answer or self.runner.dispatcher.refuse(
+            self.ticket, RefusalReason.ENDPOINTS_UNREACHABLE, self.clock()
+        )
+
     def _decide_after(self, status):
         """Return the dispatcher's decision after a send without an answer."""
         # Until crash checks of lost sends have a result, a request that may crash
@@ -125,7 +142,7 @@
         self.counters.add("retries", self.service, reason.value)
         denied = isinstance(decision, Refusal)
         kind = StepKind.NOT_RETRIED if denied else StepKind.RETRIED
-        self._add_step(kind, detail=reason.value)
+        self.add_step(kind, detail=reason.value)
         return decision
 
     def _may_ask_for_retry(self, status):
@@ -166,7 +183,7 @@
             self.ticket, self.exposing_status or status, self.clock()
         )
 
-    def _add_step(self, kind, endpoint="", detail=""):
+    def add_step(self, kind, endpoint="", detail=""):
         """Add a step to the request's timeline."""
         self.timeline.add(kind, self.clock(), endpoint, detail)
 
@@ -176,7 +193,7 @@
             self.clock()
         )
         skipped = f"({backing_off} resting)" if backing_off else ""
-        self._add_step(StepKind.QUERIED, ",".join(query.endpoints), skipped)
+        self.add_step(StepKind.QUERIED, ",".join(query.endpoints), skipped)
         result = self.runner.get_query_client(self.wire, self.counters).wait(
             self.request, query
         )
@@ -249,13 +266,18 @@
                 return SendStatus.LATE
             hedge_at = max(next_try_at, self._compute_hedge_time(in_flight[-1]))
             if now >= hedge_at:
+                if self.runner.dispatcher.reachability.lost_at is not None:
+                    # The answer cannot arrive, and neither can that of a hedge.
+                    self._cancel_hedge()
+                    self.sends.end_all(in_flight, SendStatus.LATE)
+                    return SendStatus.LATE
                 self._start_hedge()
                 next_try_at = self._get_next_try(self.clock())
                 continue
             ready = self._wait(in_flight, min(self.ticket.deadline, hedge_at))
             if ready is self.request:
                 if self._should_cancel():
-                    self._add_step(StepKind.CALLER_GONE)
+                    self.add_step(StepKind.CALLER_GONE)
                     return Refusal(RefusalReason.CALLER_GONE, self.sends.get_outcome())
             elif ready is not None:
                 outcome = self._read(ready)
@@ -407,6 +429,9 @@
             The answer was cut short, so the caller's response must not end cleanly.
         """
         live = answer.live
+        if isinstance(live, Hop):
+            yield from live.stream()
+            return
         response = live.response
         keep = False
         try:
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "EndpointHeaders",
+    "ForwardHeaders",
     "HOP_BY_HOP",
     "HeaderNames",
     "RETRY_AFTER",
@@ -71,6 +72,35 @@
     ORGANISATION = "Hingesill-Organisation"
 
 
+class ForwardHeaders:
+    """Names of the headers between a node that forwards a request and the next one."""
+
+    # Name of the node that forwards the request.
+    NODE = "Hingesill-Forwarding-Node"
+    # IP address of the caller.
+    CALLER = "Hingesill-Forwarded-Caller"
+    # The service that the forwarding node chose.
+    SERVICE = "Hingesill-Forwarded-Service"
+    # Number of sends to endpoints so far.
+    SENDS = "Hingesill-Forwarded-Sends"
+    # In a response: outcome and reason, if the node itself refused the request.
+    RESULT = "Hingesill-Forward-Refusal"
+
+    @staticmethod
+    def environ(name):
+        """Return the key of a header in the WSGI environment."""
+        return f"HTTP_{name.upper().replace('-', '_')}"
+
+
+FORWARD_DROPS = frozenset(
+    {
+        ForwardHeaders.NODE.lower(),
+        ForwardHeaders.CALLER.lower(),
+        ForwardHeaders.SERVICE.lower(),
+        ForwardHeaders.SENDS.lower(),
+        ForwardHeaders.RESULT.lower(),
+    }
+)
 RETRIES_TAKEN = "taken"
 HOP_BY_HOP = frozenset(
     {
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -3,6 +3,7 @@
 from msgspec import Struct, field
 
 from hingesill_core.crashes.fingerprint import describe_request
+from hingesill_core.reasons import Outcome
 from hingesill_core.routing.messages import Send, Ticket
 from hingesill_node.quotas.requesttokens import NO_TOKENS
 
@@ -53,6 +54,10 @@
         The keys in force when its own key was last checked and its headers filtered.
     tokens : RequestTokens or NoTokens
         Its tokens under the quota of its organisation.
+    hop_headers : list of tuple
+        The headers for another node, which checks the caller's key itself.
+    forwarded : ForwardedFrom or None
+        The node that forwarded it, if one did.
     """
 
     request_id: str
@@ -66,6 +71,8 @@
     caller: str = ""
     keys: object = None
     tokens: object = NO_TOKENS
+    hop_headers: list = field(default_factory=list)
+    forwarded: object = None
     _fingerprints: tuple = ()
 
     @property
@@ -80,7 +87,7 @@
 
 
 class Answer(Struct):
-    """An endpoint's answer, with its body buffered or still to be read.
+    """An answer, with its body buffered or still to be read.
 
     Parameters
     ----------
@@ -92,8 +99,11 @@
         As received from the endpoint.
     body : bytes or None
         The whole body, or None if it is still to be read from ``live``.
-    live : LiveSend or None
-        The send whose response holds the rest of the body, if any.
+    live : LiveSend, Hop or None
+        The send, or the hop to another node, whose response holds the rest of the
+        body, if any.
+    refusal : Outcome or None
+        Outcome of a request that another node refused; None for an endpoint's answer.
     """
 
     status: int
@@ -101,6 +111,7 @@
     headers: list
     body: bytes | None
     live: object = None
+    refusal: Outcome | None = None
 
 
 class QueryResult(Struct, frozen=True):
--- a/packages/hingesill-node/hingesill_node/datapath/requesttimeline.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requesttimeline.py
@@ -22,6 +22,8 @@
     RETRIED = "retried"
     NOT_RETRIED = "not-retried"
     CALLER_GONE = "caller-gone"
+    FORWARDED = "through"
+    RETURNED = "returned"
 
 
 class Step(Struct, frozen=True):
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -7,8 +7,9 @@
 
 from hingesill_core.limits.shares import compute_connection_share
 from hingesill_core.reasons import Outcome, RefusalReason
-from hingesill_core.routing.dispatcher import Dispatcher
+from hingesill_core.routing.dispatcher import TRIAL_INTERVAL_SECONDS, Dispatcher
 from hingesill_core.routing.messages import Refusal, SendResult, SendStatus
+from hingesill_core.routing.selection import takes_work
 from hingesill_node.crashes.requestguard import RequestGuard
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import Pool
@@ -22,8 +23,10 @@
 CALLER_CHECK_INTERVAL_SECONDS = 0.05
 # Minimum interval between log lines about invalid headers.
 LOG_INTERVAL_SECONDS = 5.0
-# Endpoints that are tried to find out whether any can be reached.
+# Endpoints queried in each trial whether any can be reached.
 TRIAL_ENDPOINTS = 2
+# Seconds without a request after which trials end.
+IDLE_TRIAL_SECONDS = 5.0
 
 
 class ServiceRunner:
@@ -51,6 +54,9 @@
         Rate limits of the service's endpoints.
     availabilities : AvailabilityRegistry or None
         Availability of each known incarnation of an endpoint.
+    forwarder : Forwarder or None
+        Forwards requests while no endpoint can be reached; None if no other node
+        accepts them.
     """
 
     def __init__(
@@ -65,11 +71,15 @@
         guard=None,
         limits=None,
         availabilities=None,
+        forwarder=None,
     ):
         self.guard = guard or RequestGuard()
+        self.forwarder = forwarder
+        self.trials = None
         self.dispatcher = Dispatcher(
             service, fleet, rng, query_pool, curves, limits, availabilities
         )
+        self.dispatcher.reachability.is_enabled = forwarder is not None
         self._next_log_at = 0.0
         self.announcements = announcements
         self.clock = clock
@@ -132,11 +142,59 @@
             self.query_client = LoadQueryClient(self, wire, counters)
         return self.query_client
 
+    def start_trials(self, wire, counters):
+        """Try endpoints regularly until one can be reached again."""
+        if self.trials is None:
+            query_client = self.get_query_client(wire, counters)
+            self.trials = eventlet.spawn(self._run_trials, query_client)
+
+    def _run_trials(self, query_client):
+        """Query the load of a few endpoints until one replies or requests end."""
+        dispatcher, reachability = self.dispatcher, self.dispatcher.reachability
+        lost_at, heard_at = reachability.lost_at, reachability.heard_at
+        name = dispatcher.service.name
+        log_event(
+            Event.SERVICE_UNREACHABLE,
+            service=name,
+            evidence=reachability.describe(self.clock()),
+            nodes=self._count_usable_peers(),
+        )
+        while reachability.lost_at is not None:
+            if self.clock() - dispatcher.last_submit_at > IDLE_TRIAL_SECONDS:
+                reachability.forget()
+                break
+            query_client.query_load(self._choose_trial_endpoints())
+            eventlet.sleep(TRIAL_INTERVAL_SECONDS * dispatcher.rng.uniform(0.7, 1.3))
+        self.trials = None
+        dispatcher.end_outage(heard_at)
+        log_event(
+            Event.SERVICE_REACHED,
+            service=name,
+            ms=round(1000 * (self.clock() - (lost_at or self.clock()))),
+            forgotten=self.clock() - reachability.heard_at > IDLE_TRIAL_SECONDS,
+        )
+
+    def _choose_trial_endpoints(self):
+        """Return random endpoints that may be queried."""
+        now = self.clock()
+        usable = [
+            identity
+            for identity, state in self.dispatcher.states.items()
+            if takes_work(state, now)
+        ]
+        count = min(TRIAL_ENDPOINTS, len(usable))
+        return self.dispatcher.rng.sample(usable, count)
+
+    def _count_usable_peers(self):
+        """Return the number of nodes through which requests may go."""
+        if self.forwarder is None:
+            return 0
+        name = self.dispatcher.service.name
+        return self.forwarder.peers.count_usable(name, self.clock())
+
     def list_other_addresses(self, endpoint):
         """Return addresses of a few other endpoints, chosen at random."""
-        others = [
-            pool.address for name, pool in self.pools.items() if name != endpoint
-        ]
+        others = [pool.address for name, pool in self.pools.items() if name != endpoint]
         count = min(TRIAL_ENDPOINTS, len(others))
         return self.dispatcher.rng.sample(others, count)
 
--- a/packages/hingesill-node/hingesill_node/datapath/runnertable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runnertable.py
@@ -52,6 +52,7 @@
         self.quotas = QuotaGate(rng, tolerance, clock)
         self.availability_log = AvailabilityLog(clock)
         self.availabilities = AvailabilityRegistry(self.availability_log.record)
+        self.forwarder = None
         self._wire = None
         self._counters = None
         blackboard.watch("configuration", self.refresh)
@@ -76,6 +77,7 @@
                 self.guard,
                 self.limits.get(name),
                 self.availabilities,
+                self.forwarder,
             )
             self.runners[name] = runner
             self._apply_drain_notices(runner)
@@ -93,6 +95,13 @@
         self.availability_log.counters = counters
         self.quotas.labels.counters = counters
 
+    def count_unreachable(self):
+        """Return the number of services of which no endpoint can be reached."""
+        return sum(
+            runner.dispatcher.reachability.lost_at is not None
+            for runner in self.runners.values()
+        )
+
     def query_load(self, name, endpoints):
         """Query the load of some endpoints of a service without a request."""
         if endpoints and self._is_declared(name):
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -10,6 +10,7 @@
     "is_timeout",
     "read_result",
     "send_request",
+    "write_request",
 ]
 
 CHUNK_BYTES = 64 * 1024
@@ -61,10 +62,18 @@
     BodyFailed
         If the body could not be read from the caller.
     """
-    connection = live.connection
+    remaining = request.ticket.deadline - now
+    added = wire.build_request_headers(
+        request.request_id, live.send.endpoint, remaining, request.ticket.organisation
+    )
+    write_request(live.connection, request, [*request.headers, *added])
+
+
+def write_request(connection, request, headers):
+    """Write a request with the given headers; see `send_request` for errors."""
     connection.set_time_limit(WRITE_TIMEOUT_SECONDS)
     connection.collect()
-    write_head(connection, request, now, live.send.endpoint, wire)
+    write_head(connection, request, headers)
     body = request.body
     if body.whole is not None:
         if body.whole:
@@ -76,16 +85,10 @@
     stream_body(connection, body)
 
 
-def write_head(connection, request, now, endpoint, wire):
+def write_head(connection, request, headers):
     """Write the request line and the headers to the connection's buffer."""
     connection.begin(request.method, request.target)
-    for name, value in request.headers:
-        connection.putheader(name, value)
-    remaining = request.ticket.deadline - now
-    added = wire.build_request_headers(
-        request.request_id, endpoint, remaining, request.ticket.organisation
-    )
-    for name, value in added:
+    for name, value in headers:
         connection.putheader(name, value)
     body = request.body
     if body.length is None:
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -114,6 +114,13 @@
             *build_organisation_header(self.organisation_header, organisation),
         ]
 
+    def build_hop_headers(self, request_id, remaining):
+        """Return the headers that replace those dropped from a forwarded request."""
+        return [
+            (HeaderNames.REQUEST_ID, request_id),
+            (HeaderNames.REMAINING, str(max(1, int(remaining * 1000)))),
+        ]
+
     def build_answer_headers(self, request_id):
         """Return the headers that the node adds to an endpoint's response."""
         return [(HeaderNames.REQUEST_ID, request_id), (HeaderNames.OUTCOME, "answered")]
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -3,6 +3,7 @@
 import random
 
 import eventlet
+from msgspec.structs import replace
 
 from hingesill_core.configuration.route_table import RouteTable
 from hingesill_core.configuration.services import SendBudget
@@ -87,7 +88,13 @@
         source = open_source(settings.directory)
         vm = settings.vm or settings.name
         peers = PeerClient(vm, settings.data_centre)
-        entry = NodeRecord(vm, self.address, settings.data_centre, settings.strength)
+        entry = NodeRecord(
+            vm,
+            self.address,
+            settings.data_centre,
+            settings.strength,
+            settings.forward_port,
+        )
         choice = RelayChoice(entry, random.Random())
         # The boot-time clock counts time during which the VM is suspended, so that the
         # age of the directory includes it.
@@ -235,8 +242,11 @@
     def _is_listed(self, node):
         """Return whether the store lists a node's entry, as far as is known."""
         directory = self.follower.directory
-        is_known = directory.nodes.get(node.name) == node
-        return is_known and node.name not in directory.unlisted
+        known = directory.nodes.get(node.name)
+        if known is None or node.name in directory.unlisted:
+            return False
+        # A relay of an older build passes entries on without the port.
+        return replace(known, forward_port=node.forward_port) == node
 
     def _get_registration_spread_seconds(self):
         """Return the seconds over which all nodes register again after a restore."""
@@ -264,6 +274,10 @@
         """See `node.Control`."""
         return self.follower.get_contact_age() < MAX_SILENCE_SECONDS
 
+    def get_nodes(self):
+        """See `node.Control`."""
+        return self.follower.directory.nodes
+
     def get_confirmed_age(self):
         """See `node.Control`."""
         return self.follower.get_contact_age()
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -14,6 +14,8 @@
 from hingesill_node.admin import AdminApplication
 from hingesill_node.blackboard import Blackboard
 from hingesill_node.datapath.application import Application
+from hingesill_node.datapath.forwardentry import ForwardEntry
+from hingesill_node.datapath.forwarding import Forwarder
 from hingesill_node.datapath.runnertable import RunnerTable
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.datapath.wire import OwnFormat
@@ -56,6 +58,9 @@
     def is_connected(self):
         """Return whether the store or another node answers."""
 
+    def get_nodes(self):
+        """Return the NodeRecord of each registered node by name."""
+
     def get_confirmed_age(self):
         """Return the seconds since the current view was last confirmed."""
 
@@ -114,6 +119,7 @@
             ),
         )
         self.runners.enable_load_queries(wire or OwnFormat(), self.counters)
+        self.wire = wire or OwnFormat()
         self.lifecycle = Lifecycle(self.blackboard, settings, self.control)
         self.application = Application(
             self.blackboard,
@@ -141,6 +147,7 @@
             "leaving_endpoints": availabilities.count_leaving(now),
             "over_quota": self.runners.quotas.count_over(),
             "quota_waiting": self.runners.quotas.count_waiting(),
+            "unreachable_services": self.runners.count_unreachable(),
             "quarantined": len(self.runners.guard.decisions.quarantine),
             "revision": self.blackboard.configuration.revision,
             "invalid_entries": self.control.count_invalid(),
@@ -153,7 +160,7 @@
         if isinstance(listeners, str):
             return report_bind_error(listeners)
         callers, admin = listeners
-        error = self.control.start(self.runners)
+        error = self._start_forwarding() or self.control.start(self.runners)
         if error:
             return report_bind_error(error)
         start_server(admin, self._build_admin())
@@ -176,6 +183,27 @@
         self.control.stop()
         return 0 if is_clean else EXIT_STOP_BOUND
 
+    def _start_forwarding(self):
+        """Accept forwarded requests, and forward own ones; return an error message."""
+        if not (self.settings.forward_port and self.settings.directory):
+            return ""
+        address = f"{split_host(self.control.address)}:{self.settings.forward_port}"
+        try:
+            listener = listen(address, False)
+        except OSError as error:
+            return f"forward_port {address}: {error.strerror}"
+        forwarder = self.runners.forwarder = Forwarder(
+            self.settings.vm or self.settings.name,
+            self.settings.data_centre,
+            self.control.get_nodes,
+            self.counters,
+            self.wire,
+            self.runners.clock,
+        )
+        entry = ForwardEntry(self.application, forwarder.peers.is_member)
+        start_server(listener, entry)
+        return ""
+
     def _wait_for_configuration(self, clock=time.monotonic):
         """Keep callers in the accept queue until their requests can be served."""
         deadline = clock() + FIRST_READ_TIMEOUT_SECONDS
@@ -223,6 +251,11 @@
     gc.enable()
 
 
+def split_host(address):
+    """Return the host of an address with a port."""
+    return address.rpartition(":")[0]
+
+
 def format_address(sock):
     """Return the address that a socket listens on."""
     host, port = sock.getsockname()[:2]
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -124,6 +124,16 @@
     control_address: Annotated[
         str, Meta(description="IP:PORT for operators and other nodes.")
     ] = "127.0.0.1:8081"
+    forward_port: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=65535,
+            description="With a directory: port, on the IP of `control_address`, for "
+            "requests that other nodes forward while they reach no endpoint; 0 for "
+            "neither accepting nor forwarding any.",
+        ),
+    ] = 0
     admin_address: Annotated[
         str, Meta(description="IP:PORT of /ready, /metrics and /organisations.")
     ] = "127.0.0.1:8082"
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -97,6 +97,17 @@
     ENDPOINT_LEAVING = (4019, logging.INFO, "an endpoint reports that it is leaving")
     REST_ENDED = (4021, logging.INFO, "the back-off of an endpoint is over")
     REST_INVALID = (4020, logging.WARNING, "an endpoint's Retry-After is not valid")
+    SERVICE_UNREACHABLE = (
+        4022,
+        logging.WARNING,
+        "no endpoint of a service can be reached, requests go through other nodes",
+    )
+    SERVICE_REACHED = (4023, logging.INFO, "a service can be reached again")
+    FORWARD_REFUSED = (
+        4024,
+        logging.WARNING,
+        "a forwarded request does not come from a registered node",
+    )
     PROBE_SHARE_HELD = (5001, logging.INFO, "a share of the probe budget is held")
     PROBE_SHARE_LOST = (5002, logging.INFO, "a share of the probe budget has expired")
     REQUEST_ANSWERED = (6002, logging.INFO, "a request was answered")
