--- a/packages/hingesill-cli/hingesill_cli/breakdown.py
+++ b/packages/hingesill-cli/hingesill_cli/breakdown.py
@@ -13,6 +13,8 @@
 SUBJECTS = ("service", "organisation")
 NO_SUBJECT = "-"
 UNAUTHENTICATED = "unauthenticated"
+# Reason with which a node refuses what another one forwards and a third one may serve.
+UNREACHABLE = "endpoints-unreachable"
 
 # Time format of log lines, with milliseconds after the comma.
 TIME_FORMAT = "%Y-%m-%d %H:%M:%S,%f"
@@ -55,12 +57,17 @@
         steps = fields.get("steps", ())
         sends = [match for match in map(SEND.match, steps) if match]
         milliseconds = int(fields.get("ms", 0))
-        self.total_times.append(milliseconds)
+        # A forwarded request counts once, at the node that its caller used.
+        is_forwarded = bool(fields.get("for_node"))
+        if not is_forwarded:
+            self.total_times.append(milliseconds)
         self.unqueried += any(map(EMPTY_QUERY.match, steps))
         self.hedged += any(send[2] == "hedged" for send in sends)
         self.retried += sum(send[2] == "sent" for send in sends) > 1
         self.slots_in_use.update(int(send[4]) for send in sends if send[4] is not None)
-        if fields.get("reason"):
+        if fields.get("reason") and not (
+            is_forwarded and fields["reason"] == UNREACHABLE
+        ):
             self.refusals[fields["reason"]] += 1
         if sends:
             self.wait_times.append(int(sends[0][1]))
--- a/standins/partition.py
+++ b/standins/partition.py
@@ -43,8 +43,8 @@
         self.restore()
 
     def wrap(self, program):
-        """Return the arguments that run a Python program under this partition."""
-        return [sys.executable, __file__, str(self.file), program]
+        """Return the interpreter's arguments that run a program under this file."""
+        return [__file__, str(self.file), program]
 
     def cut(self, addresses, mode="silent"):
         """Cut the process off from addresses."""
--- a/standins/suspension.py
+++ b/standins/suspension.py
@@ -29,9 +29,10 @@
         self._excluded = 0.0
         self._since = 0.0
 
-    def wrap(self, program):
+    def wrap(self, program, *arguments):
         """Return the arguments that run a Python program with this clock."""
-        return [sys.executable, suspendedclock.__file__, str(self.file), program]
+        interpreter = [sys.executable, suspendedclock.__file__]
+        return [*interpreter, str(self.file), program, *arguments]
 
     def begin(self, process):
         """Suspend a process."""
