Forwarding in large fleets: nodes that serve are preferred, and named to others

A few nodes left in a cut data centre got 25 times the mean load.

Also: a node that answers nothing for half of a repeatable request's time counts as lost, and a node that lost its endpoints while it had a repeatable request makes it a retry in place of a refusal.

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -318,6 +318,7 @@
         if FORWARD_KEY in environ:
             result = f"{refusal.outcome.value} {refusal.reason.value}"
             answer.headers.append((ForwardHeaders.RESULT, result))
+            answer.headers.extend(self._name_nodes(refusal, service))
         if answer.closes:
             close_after_answer(environ)
         else:
@@ -327,6 +328,14 @@
         # open the caller would read it as the next response.
         return [b"" if environ.get("REQUEST_METHOD") == "HEAD" else answer.body]
 
+    def _name_nodes(self, refusal, service):
+        """Return the header with nodes that can serve what this one cannot, if any."""
+        if refusal.reason is not RefusalReason.ENDPOINTS_UNREACHABLE:
+            return []
+        peers = self.runners.forwarder.peers
+        names = peers.list_known(service, self.clock())
+        return [(ForwardHeaders.NAMED, ",".join(names))] if names else []
+
     def refuse_unread(self, environ, start_response, reason):
         """Refuse a forwarded request whose body is not read; close its connection."""
         close_after_answer(environ)
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -23,8 +23,6 @@
 
 __all__ = ["Forwarder", "Hop"]
 
-# Nodes that are asked in turn for one request; each takes a round trip.
-MAX_PEERS_TRIED = 8
 # Connections to one other node.
 MAX_CONNECTIONS = 64
 # Far above the round trip to a running node.
@@ -33,6 +31,9 @@
 MAX_BUFFERED_BODY_BYTES = 64 * 1024
 # Time that the other node's own refusal of a late request needs to arrive in time.
 RETURN_MARGIN_SECONDS = 0.003
+# Share of a request's time after which a node that has answered none of this node's
+# requests meanwhile counts as silent.
+SILENT_SHARE = 0.5
 # Interval of closing connections that are not used any more.
 PRUNE_INTERVAL_SECONDS = 6.0
 # Reasons for which another node refuses what a third one may serve.
@@ -92,7 +93,7 @@
         """
         exchange.request.tokens.release()
         tried = set()
-        while len(tried) < MAX_PEERS_TRIED:
+        while True:
             now = self.clock()
             if now + RETURN_MARGIN_SECONDS >= exchange.ticket.deadline:
                 return None
@@ -105,7 +106,6 @@
                 return result
             if not exchange.ticket.replayable:
                 return None
-        return None
 
     def _try(self, exchange, node):
         """Forward a request to one node.
@@ -200,10 +200,11 @@
             return Refusal(RefusalReason.CALLER_GONE, Outcome.UNKNOWN)
         except OSError:
             return self._handle_loss(SendStatus.LOST)
-        if not self._wait():
-            if self.status:
-                return Refusal(RefusalReason.CALLER_GONE, Outcome.UNKNOWN)
-            return self._handle_loss(SendStatus.LATE)
+        status = self._wait()
+        if status is SendStatus.CANCELLED:
+            return Refusal(RefusalReason.CALLER_GONE, Outcome.UNKNOWN)
+        if status is not None:
+            return self._handle_loss(status)
         try:
             return self._read()
         except TRANSPORT_ERRORS:
@@ -225,29 +226,47 @@
         write_request(self._connection, request, headers)
 
     def _wait(self):
-        """Wait for the response; return whether it has begun.
+        """Wait for the response.
 
-        Notes
-        -----
-        The status is set if the caller of a repeatable request has left.
+        Returns
+        -------
+        SendStatus or None
+            None if the response has begun; LATE if the time has passed, LOST if the
+            node is silent, CANCELLED if the caller of a repeatable request has left.
         """
-        exchange = self.exchange
+        exchange, ticket = self.exchange, self.exchange.ticket
+        clock = self.forwarder.clock
+        began = clock()
+        until = check_at = ticket.deadline
+        if ticket.route.repeatable and ticket.replayable:
+            check_at = began + SILENT_SHARE * (until - began)
         while True:
             sockets = [self._connection.sock]
             if exchange.caller_watched:
                 sockets.append(exchange.request.caller_socket)
-            left = exchange.ticket.deadline - self.forwarder.clock()
-            ready = wait_any(sockets, left)
+            ready = wait_any(sockets, check_at - clock())
             if ready is self._connection.sock:
-                return True
+                return None
+            if ready is None and check_at >= until:
+                return SendStatus.LATE
             if ready is None:
-                return False
-            exchange.caller_watched = False
-            is_gone = is_caller_gone(exchange.request.caller_socket)
-            if is_gone and exchange.ticket.route.repeatable:
-                exchange.add_step(StepKind.CALLER_GONE)
+                check_at = until
+                if self.forwarder.peers.get_heard_at(self.node) < began:
+                    return SendStatus.LOST
+            elif self._has_caller_left():
                 self._end("caller-gone")
-                return False
+                return SendStatus.CANCELLED
+
+    def _has_caller_left(self):
+        """Return whether the caller left and the request may be cancelled."""
+        exchange = self.exchange
+        exchange.caller_watched = False
+        if not is_caller_gone(exchange.request.caller_socket):
+            return False
+        if not exchange.ticket.route.repeatable:
+            return False
+        exchange.add_step(StepKind.CALLER_GONE)
+        return True
 
     def _read(self):
         connection, request = self._connection, self.exchange.request
@@ -256,17 +275,25 @@
         self.response = response = connection.read_head(
             lambda received: wire.is_own_answer(received, request.request_id)
         )
+        self.forwarder.peers.record_heard(self.node, self.forwarder.clock())
         body = response.read_short(MAX_BUFFERED_BODY_BYTES)
         refusal = response.get(ForwardHeaders.RESULT)
         if refusal is not None:
             return self._handle_refusal(refusal, body)
         self.status = "answered"
+        self.forwarder.peers.record_served(
+            self.node, self.exchange.service, self.forwarder.clock()
+        )
         return Answer(response.status, response.reason, response.headers, body, self)
 
     def _handle_refusal(self, text, body):
         """Return what follows a refusal by the other node itself."""
         outcome, _, reason = text.partition(" ")
         if outcome != Outcome.NOT_RUN.value:
+            if reason == RefusalReason.ENDPOINTS_UNREACHABLE.value:
+                # The other node lost its endpoints after it had sent the request.
+                self._record_unable(reason)
+                return self._handle_loss(SendStatus.LATE)
             self._end(f"refused {text}")
             if body is None:
                 return self._refuse_as_lost()
@@ -292,7 +319,10 @@
         """Remember that the other node cannot serve the service now."""
         peers, now = self.forwarder.peers, self.forwarder.clock()
         if reason == RefusalReason.ENDPOINTS_UNREACHABLE.value:
-            peers.record_unreachable(self.node, self.exchange.service, now)
+            service = self.exchange.service
+            peers.record_unreachable(self.node, service, now)
+            named = self.response.get(ForwardHeaders.NAMED)
+            peers.record_named(named.split(",") if named else [], service, now)
         elif reason != RefusalReason.NO_ROUTE.value:
             peers.record_failure(self.node, now)
 
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -85,6 +85,8 @@
     SENDS = "Hingesill-Forwarded-Sends"
     # In a response: outcome and reason, if the node itself refused the request.
     RESULT = "Hingesill-Forward-Refusal"
+    # In a response: names of nodes that reach endpoints of the service.
+    NAMED = "Hingesill-Forward-Nodes"
 
     @staticmethod
     def environ(name):
@@ -99,6 +101,7 @@
         ForwardHeaders.SERVICE.lower(),
         ForwardHeaders.SENDS.lower(),
         ForwardHeaders.RESULT.lower(),
+        ForwardHeaders.NAMED.lower(),
     }
 )
 RETRIES_TAKEN = "taken"
