Quotas: a forwarded request has one token, taken by the node that forwards it

Cause: found by review, before any landing. The forwarding node gave its token back and the other node needed a new one: two decisions for a request, and tokens that came back to a node which forwards could not be used by the others.

Change: the forwarding node takes the token as for a send, says so in a header that only registered nodes can set, and gets it back if the request certainly did not run. The other node holds it as lent: it uses it for the first send, and never gives it back to its own pool. Further sends there need tokens of its own.

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -192,7 +192,8 @@
         headers = self._filter_headers(pairs, route)
         forwarded = environ.get(FORWARD_KEY)
         arrived = self.clock()
-        tokens = self._get_tokens(identity.organisation, request_id)
+        has_token = forwarded is not None and forwarded.has_token
+        tokens = self._get_tokens(identity.organisation, request_id, has_token)
         if isinstance(tokens, Refusal):
             return tokens
         body = None
@@ -241,11 +242,13 @@
         drops = self.request_drops | dropped if dropped else self.request_drops
         return list(filter_headers(pairs, drops))
 
-    def _get_tokens(self, organisation, request_id):
+    def _get_tokens(self, organisation, request_id, has_token):
         """Return the tokens of a request, or the Refusal of one beyond its quota."""
         if organisation is None:
             return NO_TOKENS
         tokens = RequestTokens(self.runners.quotas, request_id)
+        if has_token:
+            tokens.borrow(organisation)
         return tokens.admit(organisation) or tokens
 
     def _refuse_unrouted(self, configuration):
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -138,7 +138,7 @@
             now = self.clock()
             decision, reason = self.runner.dispatcher.retry(self.ticket, status, now)
         else:
-            decision, reason = self._refuse_by_quota(status), RetryReason.DENIED_QUOTA
+            decision, reason = self.refuse_by_quota(status), RetryReason.DENIED_QUOTA
         self.counters.add("retries", self.service, reason.value)
         denied = isinstance(decision, Refusal)
         kind = StepKind.NOT_RETRIED if denied else StepKind.RETRIED
@@ -152,9 +152,9 @@
         retrying = self.runner.dispatcher.retrying
         if retrying.is_forbidden(self.ticket, status, self.clock()):
             return True
-        return self._has_token()
+        return self.has_token()
 
-    def _has_token(self):
+    def has_token(self):
         """Return whether the next send has a token, or get one.
 
         Notes
@@ -169,7 +169,7 @@
         self.quota_refusal = tokens.admit(organisation)
         return self.quota_refusal is None
 
-    def _refuse_by_quota(self, status):
+    def refuse_by_quota(self, status):
         """Return the Refusal of a request that gets no further token.
 
         Parameters
@@ -237,8 +237,8 @@
                 return refusal
             if self.request.tokens.is_ready(self.ticket.organisation):
                 return None
-            if not self._has_token():
-                return self.fault_answer or self._refuse_by_quota(SendStatus.LOST)
+            if not self.has_token():
+                return self.fault_answer or self.refuse_by_quota(SendStatus.LOST)
 
     def check_key(self):
         """Return the Refusal of a request whose key is no longer valid, or None."""
--- a/packages/hingesill-node/hingesill_node/datapath/forwardentry.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwardentry.py
@@ -25,11 +25,14 @@
         The service that it chose for the request.
     sends : int
         How often the request has been sent to endpoints.
+    has_token : bool
+        Whether it has taken a token of the organisation's quota for the request.
     """
 
     node: str
     service: str = ""
     sends: int = 0
+    has_token: bool = False
 
 
 class ForwardEntry:
@@ -62,6 +65,7 @@
             name,
             environ.get(ForwardHeaders.environ(ForwardHeaders.SERVICE), ""),
             int(sends) if is_number and len(sends) <= MAX_SENDS_DIGITS else 0,
+            ForwardHeaders.environ(ForwardHeaders.TOKEN) in environ,
         )
         if not name or not self.is_member(name, environ["REMOTE_ADDR"]):
             log_event(
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -91,7 +91,6 @@
         Answer, Refusal or None
             None if no other node serves the request now, and none has run it.
         """
-        exchange.request.tokens.release()
         tried = set()
         while True:
             now = self.clock()
@@ -181,6 +180,7 @@
         self.response = None
         self._connection = None
         self._is_closed = False
+        self._token = None
         self._may_have_run = exchange.ticket.exposed
 
     def run(self):
@@ -191,6 +191,11 @@
             self._connection = self.pool.acquire()
         except ConnectFailed:
             return self._end_unsent("connect-failed")
+        request = exchange.request
+        if not exchange.has_token():
+            self._end("quota-exceeded")
+            return exchange.refuse_by_quota(SendStatus.LOST)
+        _, self._token = request.tokens.use(ticket.organisation)
         # Set before the first byte, as a caller that leaves meanwhile is told the same.
         ticket.exposed = True
         try:
@@ -223,6 +228,8 @@
             (ForwardHeaders.SERVICE, self.exchange.service),
             (ForwardHeaders.SENDS, str(request.ticket.sends)),
         ]
+        if self._token is not None:
+            headers.append((ForwardHeaders.TOKEN, "1"))
         write_request(self._connection, request, headers)
 
     def _wait(self):
@@ -299,6 +306,7 @@
                 return self._refuse_as_lost()
             return self._pass_on(body, Outcome.UNKNOWN)
         self.exchange.ticket.exposed = self._may_have_run
+        self.exchange.request.tokens.recover(self._token)
         if reason in NEXT_REASONS:
             self._record_unable(reason)
             self._end(reason)
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -83,6 +83,8 @@
     SERVICE = "Hingesill-Forwarded-Service"
     # Number of sends to endpoints so far.
     SENDS = "Hingesill-Forwarded-Sends"
+    # Set if the forwarding node has taken a token of the organisation's quota.
+    TOKEN = "Hingesill-Forwarded-Token"
     # In a response: outcome and reason, if the node itself refused the request.
     RESULT = "Hingesill-Forward-Refusal"
     # In a response: names of nodes that reach endpoints of the service.
@@ -100,6 +102,7 @@
         ForwardHeaders.CALLER.lower(),
         ForwardHeaders.SERVICE.lower(),
         ForwardHeaders.SENDS.lower(),
+        ForwardHeaders.TOKEN.lower(),
         ForwardHeaders.RESULT.lower(),
         ForwardHeaders.NAMED.lower(),
     }
--- a/packages/hingesill-node/hingesill_node/quotas/requesttokens.py
+++ b/packages/hingesill-node/hingesill_node/quotas/requesttokens.py
@@ -18,10 +18,14 @@
         Name of the organisation.
     expires_at : float
         Time until which it may be held before a send, in seconds of the node's clock.
+    is_lent : bool
+        The node that forwarded the request took it, and gives it back if it is not
+        used.
     """
 
     organisation: str
     expires_at: float
+    is_lent: bool = False
 
 
 class NoTokens:
@@ -80,6 +84,11 @@
         self._last_decision = None
         self._is_closed = False
 
+    def borrow(self, organisation):
+        """Hold the token that the node took which forwarded the request."""
+        if organisation is not None and organisation.rate > 0:
+            self._held = Token(organisation.name, float("inf"), is_lent=True)
+
     def admit(self, organisation):
         """Get the token of a request that no endpoint has run; may wait.
 
@@ -183,13 +192,13 @@
         is_valid = self.gate.clock() <= token.expires_at
         if is_valid and self._held is None and not self._is_closed:
             self._held = token
-        else:
+        elif not token.is_lent:
             self.gate.give_back(token.organisation)
 
     def release(self):
         """Give back the held token."""
         token, self._held = self._held, None
-        if token is not None:
+        if token is not None and not token.is_lent:
             self.gate.give_back(token.organisation)
 
     def close(self):
