--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -232,7 +232,7 @@
             environ.get("REMOTE_ADDR", ""),
             configuration.keys,
             tokens,
-            list(filter_headers(pairs, self.request_drops)),
+            pairs,
             forwarded,
         )
 
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -11,7 +11,12 @@
 from hingesill_core.routing.messages import Refusal, SendStatus
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed, Pool
-from hingesill_node.datapath.headers import ForwardHeaders
+from hingesill_node.datapath.headers import (
+    FORWARD_DROPS,
+    HOP_BY_HOP,
+    ForwardHeaders,
+    filter_headers,
+)
 from hingesill_node.datapath.messages import Answer
 from hingesill_node.datapath.requesttimeline import StepKind
 from hingesill_node.datapath.transport import (
@@ -74,6 +79,7 @@
         self.peers = PeerTable(name, data_centre, get_nodes, random.Random())
         self.counters = counters
         self.wire = wire
+        self.drops = HOP_BY_HOP | FORWARD_DROPS | wire.request_drops
         self.clock = clock
         self._pools = {}
         self._is_pruning = False
@@ -219,7 +225,8 @@
         request, wire = self.exchange.request, self.forwarder.wire
         remaining = request.ticket.deadline - self.forwarder.clock()
         headers = [
-            *request.hop_headers,
+            # With the caller's key, which the other node checks itself.
+            *filter_headers(request.received_headers, self.forwarder.drops),
             *wire.build_hop_headers(
                 request.request_id, remaining - RETURN_MARGIN_SECONDS
             ),
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "EndpointHeaders",
+    "FORWARD_DROPS",
     "ForwardHeaders",
     "HOP_BY_HOP",
     "HeaderNames",
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -54,8 +54,8 @@
         The keys in force when its own key was last checked and its headers filtered.
     tokens : RequestTokens or NoTokens
         Its tokens under the quota of its organisation.
-    hop_headers : list of tuple
-        The headers for another node, which checks the caller's key itself.
+    received_headers : list of tuple
+        The headers as received from the caller.
     forwarded : ForwardedFrom or None
         The node that forwarded it, if one did.
     """
@@ -71,7 +71,7 @@
     caller: str = ""
     keys: object = None
     tokens: object = NO_TOKENS
-    hop_headers: list = field(default_factory=list)
+    received_headers: list = field(default_factory=list)
     forwarded: object = None
     _fingerprints: tuple = ()
 
