Forwarding: refusals of other nodes in the logs, and of retries there

A refusal that another node gave was logged as "a request was answered" and its time counted as an answer's. A retry of a forwarded request at a node that had just lost its endpoints was refused as `connect-failed`, which the forwarding node passes on in place of asking the next node.

One name is clearer, a parameter that nothing used is gone.

Ruled out: nothing.

--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -202,7 +202,7 @@
             return self.refuse(ticket, RefusalReason.ENDPOINTS_UNREACHABLE, now)
         return Forward()
 
-    def divert_waiting(self, ticket, now):
+    def divert_admitted(self, ticket, now):
         """Return what `divert` does for a request that has earned extra sends."""
         decision = self.divert(ticket, now)
         if isinstance(decision, Forward):
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -413,7 +413,7 @@
             if not waiting.hedge:
                 self.waiting.pop(waiting.ticket)
                 ticket = waiting.ticket
-                yield ticket, self.dispatcher.divert_waiting(ticket, now)
+                yield ticket, self.dispatcher.divert_admitted(ticket, now)
 
     def _find_final_refusal(self, waiting, now):
         """Return the Refusal of a request whose wait has ended, or None."""
--- a/packages/hingesill-core/hingesill_core/routing/reachability.py
+++ b/packages/hingesill-core/hingesill_core/routing/reachability.py
@@ -75,7 +75,7 @@
             contacts = self.unanswered[endpoint] = Unanswered(now)
         contacts.sent += 1
 
-    def record_failure(self, endpoint, timed_out, now):
+    def record_failure(self, endpoint, timed_out):
         """Record that a contact ended without any byte from the endpoint.
 
         Parameters
@@ -84,8 +84,6 @@
             Identity of the endpoint.
         timed_out : bool
             Whether the contact timed out; otherwise it was reset or refused.
-        now : float
-            Seconds of the node's clock.
         """
         contacts = self.unanswered.get(endpoint)
         if contacts is None:
--- a/packages/hingesill-core/hingesill_core/routing/retryhandler.py
+++ b/packages/hingesill-core/hingesill_core/routing/retryhandler.py
@@ -35,9 +35,14 @@
         retry = decide_retry(ticket, status, self._dispatcher.retries, now, p10)
         if isinstance(retry, RetryDenied):
             return self.refuse(ticket, status, now), retry.reason
-        query = self._dispatcher.divert_waiting(ticket, now)
-        if query is None:
-            query = self._dispatcher.begin_queries(ticket, now)
+        diverted = self._dispatcher.divert_admitted(ticket, now)
+        if isinstance(diverted, Refusal):
+            if status is not SendStatus.NOT_SENT:
+                self._dispatcher.retries.refund()
+            return diverted, RetryReason.DENIED_NO_ENDPOINT
+        if diverted is not None:
+            return diverted, retry
+        query = self._dispatcher.begin_queries(ticket, now)
         if isinstance(query, Refusal):
             return self._refuse_without_endpoint(ticket, status, now)
         if query is not None:
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_outage.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_outage.py
@@ -32,6 +32,13 @@
         self.assertIs(decision.reason, RefusalReason.ENDPOINTS_UNREACHABLE)
         self.assertGreater(decision.retry_after, 0.0)
 
+    def test_a_retry_of_a_forwarded_request_is_refused_for_the_same_reason(self):
+        ticket = Ticket(ROUTE, 1.0, 3.0, is_forwarded=True)
+        self.dispatcher.retries.tokens = 1.0
+        decision, _ = self.dispatcher.retry(ticket, SendStatus.CONNECT_FAILED, 1.0)
+        self.assertIs(decision.reason, RefusalReason.ENDPOINTS_UNREACHABLE)
+        self.assertEqual(self.dispatcher.retries.tokens, 1.0)
+
     def test_the_first_byte_ends_it(self):
         self.dispatcher.reachability.record_heard(1.0)
         self.assertNotIsInstance(self.submit(), Forward)
--- a/packages/hingesill-core/hingesill_core/routing/tests/test_reachability.py
+++ b/packages/hingesill-core/hingesill_core/routing/tests/test_reachability.py
@@ -12,8 +12,8 @@
     def test_contacts_are_counted_by_how_they_ended(self):
         for endpoint in ("a", "b", "c", "d"):
             self.reachability.record_contact(endpoint, 1.0)
-        self.reachability.record_failure("a", timed_out=True, now=1.25)
-        self.reachability.record_failure("b", timed_out=False, now=1.01)
+        self.reachability.record_failure("a", timed_out=True)
+        self.reachability.record_failure("b", timed_out=False)
         self.reachability.record_left_out("c")
         self.assertEqual(
             self.reachability.describe(1.3),
@@ -72,7 +72,7 @@
     def test_resets_count_later_than_silence(self):
         self.contact("a", "b", "c")
         for endpoint in ("a", "b", "c"):
-            self.reachability.record_failure(endpoint, timed_out=False, now=0.001)
+            self.reachability.record_failure(endpoint, timed_out=False)
         self.assertFalse(self.assess(0.15))
         self.assertTrue(self.assess(0.25))
 
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -142,10 +142,11 @@
         ticket, service, timeline = request.ticket, exchange.service, exchange.timeline
         seconds = self.clock() - ticket.arrived
         refused = isinstance(answer, Refusal)
+        served = not refused and answer.refusal is None
         target = ticket.route.target or ticket.route.timeout
-        if not refused:
+        if served:
             self.counters.latencies[service].record(seconds)
-        ordinary = not refused and ticket.sends <= 1 and seconds <= target
+        ordinary = served and ticket.sends <= 1 and seconds <= target
         log_event(
             Event.REQUEST_ANSWERED if ordinary else Event.REQUEST_IN_TROUBLE,
             request=request.request_id,
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -95,7 +95,8 @@
         Returns
         -------
         Answer, Refusal or None
-            None if no other node serves the request now, and none has run it.
+            None if no other node serves the request now; the ticket tells whether one
+            may have run it.
         """
         tried = set()
         while True:
--- a/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
@@ -144,7 +144,7 @@
             return
         except (ConnectFailed, *TRANSPORT_ERRORS) as error:
             timed_out = is_timeout(error)
-            reachability.record_failure(endpoint, timed_out, self.runner.clock())
+            reachability.record_failure(endpoint, timed_out)
             is_connect = isinstance(error, ConnectFailed)
             status = SendStatus.CONNECT_FAILED if is_connect else SendStatus.LOST
             reply = LoadReply(endpoint, status)
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -133,7 +133,7 @@
         reachability = self.runner.dispatcher.reachability
         endpoint, timed_out = live.send.endpoint, is_timeout(error)
         reachability.record_contact(endpoint, live.send.started)
-        reachability.record_failure(endpoint, timed_out, self.clock())
+        reachability.record_failure(endpoint, timed_out)
 
     def _close_if_settled(self, live):
         """Close the connection of a settled send; return whether it is settled."""
