Comments of the forwarding code as plain sentences; a logged name has a bound

Cause: the read-through. Three comments began like cut sentences, one gave a misleading reason, a test package named another subject, and line 4024 wrote the whole name that an unknown sender gave, up to the size of a head.

Change: as said; 100 characters of the name are written.

Ruled out: changes of behaviour beside the length of that field.

--- a/packages/hingesill-cli/hingesill_cli/trace.py
+++ b/packages/hingesill-cli/hingesill_cli/trace.py
@@ -19,7 +19,7 @@
 # A request without a valid key. Its line has neither service nor organisation.
 UNAUTHENTICATED_EVENT = 6005
 ENDPOINT_EVENTS = frozenset({4001, 4002, 4003, 4004})
-# Among them, that no endpoint of a service can be reached, and that one can again.
+# Events of the node itself, with the start and the end of an outage of its paths.
 NODE_EVENTS = frozenset({*range(1000, 4000), 4022, 4023})
 # Number of the node's events before the end of the request that are printed.
 MAX_NODE_EVENTS = 5
--- a/packages/hingesill-core/hingesill_core/forwarding/tests/__init__.py
+++ b/packages/hingesill-core/hingesill_core/forwarding/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the ratelimits sub-package."""
+"""Tests of the forwarding sub-package."""
--- a/packages/hingesill-node/hingesill_node/datapath/forwardentry.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwardentry.py
@@ -12,6 +12,8 @@
 # Key in the WSGI environment of a forwarded request.
 FORWARD_KEY = "hingesill.forwarded"
 MAX_SENDS_DIGITS = 3
+# Characters of an unknown sender's name that are written to the log.
+MAX_LOGGED_NAME_LENGTH = 100
 
 
 class ForwardedFrom(Struct, frozen=True):
@@ -69,7 +71,9 @@
         )
         if not name or not self.is_member(name, environ["REMOTE_ADDR"]):
             log_event(
-                Event.FORWARD_REFUSED, node_name=name, address=environ["REMOTE_ADDR"]
+                Event.FORWARD_REFUSED,
+                node_name=name[:MAX_LOGGED_NAME_LENGTH],
+                address=environ["REMOTE_ADDR"],
             )
             return self._refuse(environ, start_response, RefusalReason.UNKNOWN_NODE)
         if self.application.blackboard.phase is Phase.STOPPING:
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -203,7 +203,7 @@
             self._end("quota-exceeded")
             return exchange.refuse_by_quota(SendStatus.LOST)
         _, self._token = request.tokens.use(ticket.organisation)
-        # Set before the first byte, as a caller that leaves meanwhile is told the same.
+        # A part of the request may arrive and run even if the write fails.
         ticket.exposed = True
         try:
             self._write()
@@ -226,7 +226,7 @@
         request, wire = self.exchange.request, self.forwarder.wire
         remaining = request.ticket.deadline - self.forwarder.clock()
         headers = [
-            # With the caller's key, which the other node checks itself.
+            # The caller's key is among them; the other node checks it itself.
             *filter_headers(request.received_headers, self.forwarder.drops),
             *wire.build_hop_headers(
                 request.request_id, remaining - RETURN_MARGIN_SECONDS
--- a/packages/hingesill-node/hingesill_node/datapath/headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headers.py
@@ -86,9 +86,9 @@
     SENDS = "Hingesill-Forwarded-Sends"
     # Set if the forwarding node has taken a token of the organisation's quota.
     TOKEN = "Hingesill-Forwarded-Token"
-    # In a response: outcome and reason, if the node itself refused the request.
+    # Outcome and reason, in the response to a request that the node itself refused.
     RESULT = "Hingesill-Forward-Refusal"
-    # In a response: names of nodes that reach endpoints of the service.
+    # Names of nodes that reach endpoints of the service, in such a response.
     NAMED = "Hingesill-Forward-Nodes"
 
     @staticmethod
