Crash checks: crashes are counted while all endpoints are down

What callers saw: nothing yet.

Cause: since a crash was dropped if two other endpoints refused connections too, as the node might have lost its paths to all of them. Requests that crash most endpoints at once look the same, so their crashes were not counted and went on.

Change: up to four others are tried. If all refuse, the check goes on until the node receives anything from the service, and counts if the endpoint still refuses then and another one accepts. At the end of a partition the endpoint accepts connections and nothing is reported; where open connections live on, no other accepts.

Ruled out: comparing with more endpoints only, as all may be down; counting each endpoint that refuses while another accepts at the first moment of the end of a partition, as paths may come back within some milliseconds.

--- a/packages/hingesill-node/hingesill_node/crashes/requestguard.py
+++ b/packages/hingesill-node/hingesill_node/crashes/requestguard.py
@@ -74,7 +74,7 @@
             request.fingerprints, self.clock(), pending
         )
 
-    def handle_lost_response(self, request, endpoint, address, others=()):
+    def handle_lost_response(self, request, endpoint, address, runner=None):
         """Start a check whether an endpoint crashed while it had a request.
 
         Parameters
@@ -83,10 +83,10 @@
             The request.
         endpoint, address : str
             Identity and address of the endpoint.
-        others : sequence of str
-            Addresses of other endpoints, which show whether this node reaches any.
+        runner : ServiceRunner or None
+            The service's runner, which shows whether this node reaches any endpoint.
         """
-        self._checks.begin(endpoint, address, request.fingerprints, others)
+        self._checks.begin(endpoint, address, request.fingerprints, runner)
 
     def record_answer(self, request):
         """Record that an endpoint answered a request."""
--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -25,6 +25,8 @@
 LOG_INTERVAL_SECONDS = 5.0
 # Endpoints queried in each trial whether any can be reached.
 TRIAL_ENDPOINTS = 2
+# Other endpoints that are tried before a check concludes that none can be reached.
+COMPARED_ENDPOINTS = 4
 # Seconds without a request after which trials end.
 IDLE_TRIAL_SECONDS = 5.0
 
@@ -195,9 +197,13 @@
     def list_other_addresses(self, endpoint):
         """Return addresses of a few other endpoints, chosen at random."""
         others = [pool.address for name, pool in self.pools.items() if name != endpoint]
-        count = min(TRIAL_ENDPOINTS, len(others))
+        count = min(COMPARED_ENDPOINTS, len(others))
         return self.dispatcher.rng.sample(others, count)
 
+    def get_heard_at(self):
+        """Return the time at which any endpoint of the service last sent anything."""
+        return self.dispatcher.reachability.heard_at
+
     def settle(self, send, result):
         """Pass a send's result to the dispatcher and start queued requests."""
         state = self.dispatcher.find_state(send)
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -196,5 +196,5 @@
             self.request,
             live.send.endpoint,
             live.pool.address,
-            self.runner.list_other_addresses(live.send.endpoint),
+            self.runner,
         )
