Quotas: one coordinator, also between parts that both reach the rest

What organisations got: more than their quota.

Cause: nodes accept each coordinator that is in their lists. Those that reach both have both in their lists, so the substitute is confirmed although the coordinator that it replaces goes on.

Change: probes name the nodes that left the list of the prober, and answers say which of them the answering node has and may be alive (heard within 1 s, or asked less than 50 ms ago). For an organisation, who has an earlier coordinator does not confirm its substitute. If that lasts for over 0.3 s, the substitute begins anew. Older nodes ignore the list and answer without one, as before.

Ruled out: equal lists as a condition, as lists differ for 1 to 2 s after each change and every coordinator would stop; counting all listed nodes as alive, as a coordinator that died stays listed for up to two minutes at nodes without requests.

Test changed: test_idle_coordinator_is_cut_off_and_used_after_it_is_back kept the lists of idle nodes old even after they had got a datagram. Nodes refresh lists older than 0.5 s then (QuotaExchange.handle_datagram), so the simulation does so too. All bounds are as they were.

--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -17,10 +17,16 @@
     QuotaReport,
 )
 from hingesill_core.quotas.placement import Placement
-from hingesill_core.quotas.quorum import Quorum
+from hingesill_core.quotas.quorum import REJECTED_SECONDS, Quorum
 from hingesill_core.ratelimits.coordinators import compute_weight
 
-__all__ = ["FleetQuotas", "MAX_WAIT_SECONDS", "QuotaChange", "QuotaUsage"]
+__all__ = [
+    "FleetQuotas",
+    "MAX_PROBED_LEFT",
+    "MAX_WAIT_SECONDS",
+    "QuotaChange",
+    "QuotaUsage",
+]
 
 # Gap between rounds that shows a suspension, in seconds.
 SUSPENDED_SECONDS = 2.5
@@ -47,6 +53,12 @@
 # Reports that wait for the answers to probes, and the time for which they do, in
 # seconds; their requests are decided after `MAX_WAIT_SECONDS` anyway.
 MAX_DEFERRED = 2000
+# Nodes that left, the newest ones, that a probe contains.
+MAX_PROBED_LEFT = 32
+# Time for which a node counts as alive after a message, and after which one that was
+# asked without an answer does not, in seconds. Answers take some milliseconds.
+HEARD_SECONDS = 1.0
+ANSWER_SECONDS = 0.05
 DEFERRED_SECONDS = 0.02
 
 ADMITTED = QuotaDecision(QuotaStatus.ADMITTED)
@@ -94,6 +106,24 @@
     is_over: bool
 
 
+class Contest(Struct):
+    """Time for which most nodes may have had an earlier coordinator of an organisation.
+
+    Attributes
+    ----------
+    began, seen_at : float
+        When that was first and last found, in seconds of the node's clock.
+    """
+
+    began: float
+    seen_at: float
+
+    @property
+    def is_certain(self):
+        """Whether it lasted longer than nodes need to ask that coordinator."""
+        return self.seen_at - self.began > REJECTED_SECONDS
+
+
 class FleetQuotas:
     """The quotas of all organisations at one node.
 
@@ -151,6 +181,10 @@
         self._started_at = None
         self._round_at = None
         self._rejected_at = float("-inf")
+        self._contests = {}
+        # Times at which nodes were last heard from, and asked whether they are alive.
+        self._heard_at = {}
+        self._asked_at = {}
         self._refreshed_at = float("-inf")
         # Time of the list that is being refreshed.
         self._listed_at = None
@@ -200,7 +234,11 @@
         client = self._clients.pop(name)
         self._totals[name] = (client.used, client.refused)
         if name not in self._coordinators:
-            self._placements.pop(name, None)
+            self._drop_placement(name)
+
+    def _drop_placement(self, name):
+        self._placements.pop(name, None)
+        self._contests.pop(name, None)
 
     def _get_placement(self, name):
         placement = self._placements.get(name)
@@ -239,6 +277,9 @@
         if not joined and not left and self._placements:
             return
         self.quorum.set_nodes(sorted(self.nodes - {own}))
+        for times in (self._heard_at, self._asked_at):
+            for node in left:
+                times.pop(node, None)
         self._record_left(left, now)
         self._record_joined(joined, listed_at, now)
         for placement in self._placements.values():
@@ -289,16 +330,33 @@
         if now - self._started_at > START_SECONDS:
             self._joined.update(dict.fromkeys(joined, listed_at))
 
-    def _send_acceptance(self, node, number, now):
+    def _send_acceptance(self, node, number, now, left=()):
         """Tell a coordinator whether and since when the node list has it."""
         at = self._joined.get(node)
         # 0 stands for a node that did not join.
         seconds = 0.0 if at is None else max(1e-6, now - at)
         if seconds > LEFT_SECONDS:
             seconds = 0.0
-        reply = QuotaProbeReply(number, node in self.nodes, seconds)
+        kept = tuple(
+            i for i, other in enumerate(left) if self._may_be_alive(other, now)
+        )
+        reply = QuotaProbeReply(number, node in self.nodes, seconds, kept)
         self.send(node, reply)
 
+    def _may_be_alive(self, node, now):
+        """Return whether a node of the list may answer; ask it if that is unknown."""
+        if node not in self.nodes:
+            return False
+        heard_at = self._heard_at.get(node, float("-inf"))
+        asked_at = self._asked_at.get(node, float("-inf"))
+        if now - heard_at <= HEARD_SECONDS:
+            return True
+        if heard_at < asked_at and now - asked_at <= HEARD_SECONDS:
+            return now - asked_at <= ANSWER_SECONDS
+        self._asked_at[node] = now
+        self.send(node, QuotaProbe(0))
+        return True
+
     def acquire(self, name, now):
         """Return the QuotaDecision on one arrival at an endpoint.
 
@@ -398,6 +456,8 @@
         self._detect_suspension(now)
         if self.own is None:
             return ()
+        if sender in self.nodes:
+            self._heard_at[sender] = now
         if isinstance(message, QuotaReply):
             client = self._clients.get(message.organisation)
             if client is None or sender != client.coordinator:
@@ -411,13 +471,12 @@
         elif isinstance(message, QuotaProbe) and message.organisation:
             self._tell_lease(message.organisation, sender, now)
         elif isinstance(message, QuotaProbe):
-            self._send_acceptance(sender, message.number, now)
+            self._send_acceptance(sender, message.number, now, message.left)
         elif isinstance(message, QuotaProbeReply):
             self._detect_rejection(now)
             if message.listed_seconds:
                 self._detect_absence(now - message.listed_seconds, now)
-            is_accepted = message.is_accepted
-            self.quorum.record_answer(message.number, sender, is_accepted, now)
+            self.quorum.record_answer(message, sender, now)
             return self._handle_deferred(now)
         return ()
 
@@ -430,14 +489,17 @@
         if placement.coordinator != self.own:
             return None
         self._detect_rejection(now)
-        if not self.quorum.is_confirmed(now):
+        earlier = self._find_earlier(placement)
+        if not self.quorum.is_confirmed(now, earlier):
+            self._detect_contest(name, now)
             if len(self._deferred) < MAX_DEFERRED:
                 self._deferred[name, sender] = (report, now)
-            self._send_probes(now)
+            self._send_probes(now, earlier)
             return None
         coordinator = self._coordinators.get(name)
         if coordinator is None:
             coordinator = self._create_coordinator(name, placement, now)
+        self._contests.pop(name, None)
         return coordinator.handle_report(report, sender, now)
 
     def _tell_lease(self, name, sender, now):
@@ -502,6 +564,9 @@
     def _create_coordinator(self, name, placement, now):
         organisation = self._limited[name]
         begin = max(self._started_at, self._rejected_at)
+        contest = self._contests.get(name)
+        if contest is not None and contest.is_certain:
+            begin = max(begin, contest.seen_at)
         since = placement.find_since(self._left, begin)
         missing = self.nodes - {self.own}
         missing |= self._find_leaseholders(name, placement.weight, now)
@@ -532,9 +597,42 @@
         for node in nodes:
             self.send(node, QuotaProbe(0, coordinator.name))
 
-    def _send_probes(self, now):
-        for node, number in self.quorum.start_round(now):
-            self.send(node, QuotaProbe(number))
+    def _send_probes(self, now, earlier=frozenset()):
+        left = self._list_probed()
+        for node, number in self.quorum.start_round(now, left, earlier):
+            self.send(node, QuotaProbe(number, "", left))
+
+    def _list_probed(self):
+        """Return the nodes that left last, of which probes ask."""
+        left = [node for node in reversed(self._left) if node not in self.nodes]
+        return tuple(left[:MAX_PROBED_LEFT])
+
+    def _find_earlier(self, placement):
+        """Return the nodes that left and that this node replaces as the coordinator."""
+        if not self._left:
+            return frozenset()
+        return frozenset(
+            node
+            for node in self._list_probed()
+            if compute_weight(placement.name, node) < placement.weight
+        )
+
+    def _detect_contest(self, name, now):
+        """Begin anew as a coordinator if most nodes have an earlier one in their lists.
+
+        Notes
+        -----
+        Nodes that are cut off from that one only leave it out of their lists, while it
+        goes on to grant to the others.
+        """
+        if not self.quorum.is_confirmed(now):
+            return
+        contest = self._contests.get(name)
+        if contest is None:
+            contest = self._contests[name] = Contest(now, now)
+        contest.seen_at = now
+        if contest.is_certain:
+            self._coordinators.pop(name, None)
 
     def _handle_deferred(self, now):
         """Handle the reports that waited for a confirmation of this node."""
@@ -632,7 +730,7 @@
             if coordinator.is_idle(now):
                 del self._coordinators[name]
                 if name not in self._clients:
-                    self._placements.pop(name, None)
+                    self._drop_placement(name)
         if any(
             now - coordinator.reported_at <= PROBED_SECONDS
             for coordinator in self._coordinators.values()
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -88,10 +88,13 @@
     organisation : str
         Organisation of which the sender has become the coordinator; the receiver
         answers with a QuotaReport instead of a QuotaProbeReply. Empty otherwise.
+    left : tuple of tuple
+        IP numbers and ports of nodes that left the sender's list of nodes.
     """
 
     number: int
     organisation: str = ""
+    left: tuple[tuple[str, int], ...] = ()
 
 
 class QuotaProbeReply(Struct, frozen=True, array_like=True, tag=4):
@@ -106,8 +109,12 @@
     listed_seconds : float
         Seconds since the coordinator joined that list; 0 if it was in it when the node
         started, or joined long ago.
+    kept : tuple of int
+        Positions in the probe's `left` of the nodes that the list of the answering node
+        has, unless they do not answer.
     """
 
     number: int
     is_accepted: bool
     listed_seconds: float = 0.0
+    kept: tuple[int, ...] = ()
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct, field
 
-__all__ = ["PROBE_INTERVAL_SECONDS", "Quorum"]
+__all__ = ["PROBE_INTERVAL_SECONDS", "REJECTED_SECONDS", "Quorum"]
 
 # Nodes that are probed before anything is granted, and later in each round.
 MAX_SAMPLE = 15
@@ -20,6 +20,28 @@
 REJECTED_SECONDS = 0.3
 
 
+class ProbeOutcome(Struct, frozen=True):
+    """Outcome of a probe.
+
+    Parameters
+    ----------
+    at : float
+        Time of the probe, in seconds of the node's clock.
+    is_accepted : bool
+        Whether the probed node answered that its node list has this node.
+    kept : frozenset of tuple
+        Nodes of its list that left the list of this node, as far as they may answer.
+    """
+
+    at: float
+    is_accepted: bool
+    kept: frozenset = frozenset()
+
+    def is_positive(self, earlier):
+        """Return whether the probed node accepts this node in place of others."""
+        return self.is_accepted and self.kept.isdisjoint(earlier)
+
+
 class Quorum(Struct):
     """Samples nodes to find out whether this node may grant.
 
@@ -27,6 +49,10 @@
     coordinator. Both would grant the whole rate. The number of probes doesn't depend on
     the size of the fleet.
 
+    Nodes that reach this node may also reach the coordinator that it replaces. So for
+    an organisation, nodes whose lists have one of the `earlier` nodes, which left the
+    list of this node and come before it there, do not confirm it.
+
     Parameters
     ----------
     rng : random.Random
@@ -49,34 +75,45 @@
         known = set(self.others)
         self.outcomes = {n: o for n, o in self.outcomes.items() if n in known}
 
-    def start_round(self, now):
-        """Return (node, number) of the probes to send now, if any are due."""
+    def start_round(self, now, left=(), earlier=frozenset()):
+        """Return (node, number) of the probes to send now, if any are due.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the node's clock.
+        left : tuple of tuple
+            Addresses of nodes that left the node list, which the probes contain.
+        earlier : frozenset of tuple
+            Those of them in whose place the node wants to be confirmed.
+        """
         self._settle(now)
+        is_replacing = self.is_confirmed(now, earlier)
         if not self.others or now - self.probed_at < PROBE_INTERVAL_SECONDS:
             # An unconfirmed node repeats its probes: requests wait for the answers.
             if not self.others or now - self.probed_at < PROBE_TIMEOUT_SECONDS:
                 return []
-            if self.is_confirmed(now):
+            if is_replacing:
                 return []
         is_confirmed = self.is_confirmed(now)
         if is_confirmed:
             self.unconfirmed_since = None
         elif self.unconfirmed_since is None:
             self.unconfirmed_since = now
-        if is_confirmed:
+        if is_replacing:
             size = min(ROUND_SAMPLE, len(self.others))
             chosen = self.rng.sample(self.others, size)
         else:
-            chosen = self._choose_unconfirmed()
+            chosen = self._choose_unconfirmed(earlier)
         self.probed_at = now
         probes = []
         for node in chosen:
             self.number += 1
-            self.pending[self.number] = (node, now)
+            self.pending[self.number] = (node, now, left)
             probes.append((node, self.number))
         return probes
 
-    def _choose_unconfirmed(self):
+    def _choose_unconfirmed(self, earlier):
         """Return the nodes to probe: those that have not accepted this node first.
 
         Notes
@@ -84,7 +121,11 @@
         When a fleet starts, the first probes reach few nodes. Their outcomes would
         count for `VALID_SECONDS`, although these nodes have started in the meantime.
         """
-        negative = [node for node, (_, yes) in self.outcomes.items() if not yes]
+        negative = [
+            node
+            for node, outcome in self.outcomes.items()
+            if not outcome.is_positive(earlier)
+        ]
         if len(negative) >= MAX_SAMPLE:
             return self.rng.sample(negative, MAX_SAMPLE)
         known = set(negative)
@@ -94,22 +135,23 @@
 
     def _settle(self, now):
         """Count probes without an answer as negative, and drop old outcomes."""
-        for number, (node, at) in list(self.pending.items()):
+        for number, (node, at, _) in list(self.pending.items()):
             if now - at > PROBE_TIMEOUT_SECONDS:
                 del self.pending[number]
-                self.outcomes[node] = (at, False)
+                self.outcomes[node] = ProbeOutcome(at, False)
         self.outcomes = {
             node: outcome
             for node, outcome in self.outcomes.items()
-            if now - outcome[0] <= VALID_SECONDS
+            if now - outcome.at <= VALID_SECONDS
         }
 
-    def record_answer(self, number, sender, is_accepted, now):
-        """Record a node's answer: whether its node list has this node."""
-        node, at = self.pending.get(number, (None, 0.0))
+    def record_answer(self, reply, sender, now):
+        """Record the QuotaProbeReply of a node."""
+        node, at, left = self.pending.get(reply.number, (None, 0.0, ()))
         if node == sender:
-            del self.pending[number]
-            self.outcomes[node] = (at, is_accepted)
+            del self.pending[reply.number]
+            kept = frozenset(left[i] for i in reply.kept if i < len(left))
+            self.outcomes[node] = ProbeOutcome(at, reply.is_accepted, kept)
             if self.is_confirmed(now):
                 self.unconfirmed_since = None
 
@@ -120,11 +162,23 @@
             and now - self.unconfirmed_since > REJECTED_SECONDS
         )
 
-    def is_confirmed(self, now):
-        """Return whether most nodes have accepted this node recently."""
+    def is_confirmed(self, now, earlier=frozenset()):
+        """Return whether most nodes have accepted this node recently.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the node's clock.
+        earlier : frozenset of tuple
+            Addresses of nodes in whose place they have to accept it.
+        """
         if not self.others:
             return True
-        fresh = [yes for at, yes in self.outcomes.values() if now - at <= VALID_SECONDS]
+        fresh = [
+            outcome.is_positive(earlier)
+            for outcome in self.outcomes.values()
+            if now - outcome.at <= VALID_SECONDS
+        ]
         sample = min(MAX_SAMPLE, len(self.others))
         # All others of a small fleet are probed, and this node counts as well.
         needed = (sample + 1) // 2
--- a/packages/hingesill-core/hingesill_core/quotas/tests/quotasimulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/quotasimulation.py
@@ -17,6 +17,8 @@
 TRANSIT_SECONDS = 0.001
 ROUND_SECONDS = 0.1
 RESUME_SECONDS = 0.005
+# Interval at which nodes that get datagrams refresh their lists of nodes.
+REFRESH_SECONDS = 0.5
 
 
 class SimulatedNode:
@@ -26,6 +28,7 @@
         self.simulation = simulation
         self.address = address
         self.is_alive = True
+        self.refreshed_at = simulation.now
         self.waiting = []
         self.quotas = FleetQuotas(random.Random(simulation.rng.random()))
         self.quotas.send = lambda to, message: simulation.transmit(self, to, message)
@@ -48,6 +51,14 @@
         else:
             simulation.record(decision, simulation.now)
 
+    def refresh_nodes(self):
+        """Refresh an old list of nodes, as a node does that gets a datagram."""
+        simulation = self.simulation
+        if simulation.now - self.refreshed_at > REFRESH_SECONDS:
+            self.refreshed_at = simulation.now
+            registered = simulation.registered
+            self.quotas.set_nodes(self.address, registered, simulation.now)
+
     def resume(self):
         """Decide on waiting requests."""
         if not self.is_alive:
@@ -92,6 +103,8 @@
         (time, whether a token bucket of the whole fleet admits it) of all requests.
     transit_seconds : float
         Mean time of a datagram on its way.
+    registered : list of tuple or None
+        What a refreshed list of nodes contains; None if lists are set by `set_nodes`.
     can_reach : callable
         Returns whether a datagram from one address reaches another one.
     """
@@ -105,6 +118,7 @@
         self.reference = TokenBucket(burst, 0.0)
         self.datagrams = 0
         self.transit_seconds = TRANSIT_SECONDS
+        self.registered = None
         self.can_reach = lambda sender, receiver: True
         self._events = []
         self._order = count()
@@ -163,6 +177,8 @@
     def _deliver(self, sender, to, message):
         node = self.nodes.get(to)
         if node is not None and node.is_alive:
+            if self.registered is not None:
+                node.refresh_nodes()
             if node.quotas.handle_message(message, sender, self.now):
                 node.resume()
 
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_liveness.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_liveness.py
@@ -41,7 +41,8 @@
             for node, number in answers:
                 if self.liveness.record_datagram(node, self.now):
                     self.responsive = set(self.liveness.set_nodes(self.nodes))
-                self.liveness.quorum.record_answer(number, node, True, 0.005)
+                reply = QuotaProbeReply(number, True)
+                self.liveness.quorum.record_answer(reply, node, 0.005)
 
     def kill_and_suspect(self, *dead):
         self.alive -= set(dead)
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -62,7 +62,7 @@
         quorum.set_nodes(others)
         for node, number in quorum.start_round(0.0):
             if node in accepting:
-                quorum.record_answer(number, node, True, 0.005)
+                quorum.record_answer(QuotaProbeReply(number, True), node, 0.005)
         return quorum
 
     def test_most_nodes_have_to_accept_the_node(self):
@@ -86,7 +86,8 @@
         for round_ in (1, 2):
             now = round_ * 0.11
             for node, number in quorum.start_round(now):
-                quorum.record_answer(number, node, round_ == 2, now + 0.005)
+                reply = QuotaProbeReply(number, round_ == 2)
+                quorum.record_answer(reply, node, now + 0.005)
         self.assertTrue(quorum.is_confirmed(0.3))
 
     def test_number_of_probes_does_not_depend_on_the_fleet(self):
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_simulation.py
@@ -140,6 +140,19 @@
                 simulation = self.run_fault(kill, rate)
                 self.assert_recovered(simulation)
 
+    def test_dead_coordinator_that_other_nodes_still_list(self):
+        """Nodes without requests do not notice that it is dead."""
+        simulation = start(107, 164, 164)
+        node = simulation.find_coordinator()
+        node.is_alive = False
+        others = [a for a in simulation.addresses if a != node.address]
+        users = [rank_coordinators(NAME, others)[0], *others[:20]]
+        simulation.set_nodes(others, users)
+        rng = simulation.rng
+        simulation.load(0.9 * 164, 15, lambda: rng.choice(users))
+        self.assert_bound_holds(simulation)
+        self.assert_recovered(simulation, seconds=9.0)
+
     def test_coordinator_restarts_again_and_again(self):
         """A coordinator forgets what it allocated; its pool would be full each time."""
 
@@ -323,6 +336,7 @@
                 users = rank_coordinators(NAME, others)[:changed]
                 rng = simulation.rng
                 simulation.can_reach = lambda a, b: (a == own) == (b == own)
+                simulation.registered = others
                 simulation.after(0.6, simulation.set_nodes, others, users)
                 simulation.load(0, 30)
                 since = simulation.now
@@ -331,6 +345,7 @@
                 admitted = len([at for at in simulation.arrivals if at >= since])
                 self.assertGreaterEqual(admitted, 0.9 * burst)
                 simulation.can_reach = lambda a, b: True
+                simulation.registered = simulation.addresses
                 simulation.set_nodes(simulation.addresses, users)
                 simulation.run_until(simulation.now + 0.1)
                 simulation.submit_burst(burst)
--- a/packages/hingesill-node/hingesill_node/quotas/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/datagrams.py
@@ -21,6 +21,11 @@
 KINDS = (QuotaReport, QuotaReply, QuotaProbe, QuotaProbeReply)
 DECODER = Decoder(QuotaReport | QuotaReply | QuotaProbe | QuotaProbeReply)
 NAME = "organisation"
+LISTS = ("left", "kept")
+# Nodes that a probe names at most, and the length of their IP numbers.
+MAX_NODES = 64
+MAX_HOST_LENGTH = 64
+MAX_PORT = 65535
 NUMBERS = ("link", "number", "seen", "node_list")
 AMOUNTS = ("taken", "held", "share", "demand", "wanted", "tokens")
 TIMES = ("seconds", "retry_after", "listed_seconds")
@@ -37,7 +42,7 @@
         **dict.fromkeys(TIMES, MAX_SECONDS),
         **dict.fromkeys(FLAGS, True),
     }
-    names = [name for name in kind.__struct_fields__ if name != NAME]
+    names = [name for name in kind.__struct_fields__ if name not in (NAME, *LISTS)]
     return [(name, limits[name]) for name in names]
 
 
@@ -79,3 +84,17 @@
         # A value that is not a number fails this comparison.
         if not 0 <= value <= limit:
             raise ValueError(f"{name} of {value} is out of range")
+    check_lists(message)
+
+
+def check_lists(message):
+    """Raise ValueError if a list of nodes or positions is too long or invalid."""
+    left, kept = (getattr(message, name, ()) for name in LISTS)
+    if max(len(left), len(kept)) > MAX_NODES:
+        raise ValueError(f"more than {MAX_NODES} nodes")
+    for host, port in left:
+        if len(host) > MAX_HOST_LENGTH or not 0 < port <= MAX_PORT:
+            raise ValueError(f"{host[:MAX_HOST_LENGTH]}:{port} is not an address")
+    for position in kept:
+        if not 0 <= position < MAX_NODES:
+            raise ValueError(f"position {position} is out of range")
--- a/packages/hingesill-node/hingesill_node/quotas/exchange.py
+++ b/packages/hingesill-node/hingesill_node/quotas/exchange.py
@@ -151,9 +151,7 @@
             self._refresh_nodes()
         self._refresh_old_nodes(now)
         if isinstance(message, QuotaProbeReply):
-            self.liveness.quorum.record_answer(
-                message.number, sender, message.is_accepted, now
-            )
+            self.liveness.quorum.record_answer(message, sender, now)
             if message == REPLACED:
                 self._begin_anew(now)
         elif isinstance(message, QuotaReport) and self.gate.knows(message.organisation):
--- a/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
@@ -7,6 +7,7 @@
 from msgspec.structs import replace
 
 from hingesill_core.organisations.organisation import Organisation
+from hingesill_core.quotas.fleet import MAX_PROBED_LEFT
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
@@ -16,6 +17,7 @@
 from hingesill_core.ratelimits.coordinators import rank_coordinators
 from hingesill_node.quotas.datagrams import (
     MAX_NAME_LENGTH,
+    MAX_NODES,
     QUOTA_PREFIX,
     decode_message,
     encode_message,
@@ -33,6 +35,8 @@
     QuotaProbe(0, "acme"),
     QuotaProbeReply(4, True),
     QuotaProbeReply(0, True, 3.5),
+    QuotaProbe(4, "", (("10.0.0.1", 80), ("10.0.0.2", 80))),
+    QuotaProbeReply(4, True, 0.0, (1,)),
 )
 MAX_DATAGRAM_BYTES = 1400
 
@@ -59,6 +63,21 @@
                     with self.subTest(changed), self.assertRaises(ValueError):
                         decode_message(encode_message(changed))
 
+    def test_lists_of_nodes(self):
+        node = ("10.0.0.1", 80)
+        invalid = [("x" * 65, 80)], [("10.0.0.1", 0)], [("10.0.0.1", 65536)], [("a",)]
+        for left in (*invalid, [node] * (MAX_NODES + 1)):
+            with self.subTest(left), self.assertRaises(ValueError):
+                decode_message(encode_message(QuotaProbe(1, "", left)))
+        for kept in ([-1], [MAX_NODES], ["x"], [0] * (MAX_NODES + 1)):
+            with self.subTest(kept), self.assertRaises(ValueError):
+                decode_message(encode_message(QuotaProbeReply(1, True, 0.0, kept)))
+
+    def test_a_probe_with_the_most_nodes_fits_into_a_datagram(self):
+        left = (("255.255.255.255", 65535),) * MAX_PROBED_LEFT
+        data = encode_message(QuotaProbe(2**40, "", left))
+        self.assertLess(len(data), MAX_DATAGRAM_BYTES)
+
     def test_names(self):
         for name in ("", "x" * (MAX_NAME_LENGTH + 1), 5):
             with self.assertRaises(ValueError):
