The specification of a forwarded request

Cause: the hop between nodes was not in the model, though "not run" and "at most once" depend on it when nodes stop, connections are lost and sends arrive late.

--- a/model/main.py
+++ b/model/main.py
@@ -7,6 +7,7 @@
 from minicheck import check_liveness, check_safety
 
 from model import (
+    forwarding,
     granting,
     lives,
     probing,
@@ -59,7 +60,7 @@
 def check_all():
     """Check all specifications and broken variants and return the report."""
     report = Report()
-    modules = (spreading, probing, restoring, granting, quotas, takeover)
+    modules = (spreading, probing, restoring, granting, quotas, takeover, forwarding)
     for module in (*modules, watching, lives):
         protocol = module.build_protocol()
         states, found = check_protocol(protocol)
