A starting node knows another one before it serves requests

Cause: nodes that start together register while each makes its first read. A read that lists no other node was enough to serve requests. If the store was lost before the second one, the node knew nobody whom it could query for changes.

Change: a read that lists no other node does not confirm the directory. The node reads again each 0.4 s, as it does until its own entry is listed, for at most 1.5 s, also if the store fails meanwhile; then it serves requests with what it has.

Introductions by datagrams: whoever can send one could offer a directory.

Result: test_a_node_that_knows_no_other_one_does_not_serve_yet fails without the change. A single node starts up to 1.5 s later.

--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -55,8 +55,8 @@
 FAULT_PAUSE_SECONDS = 0.5
 # Mean pause between attempts to follow relays while the store is unavailable.
 OUTAGE_PAUSE_SECONDS = 0.6
-# A starting node repeats its first read until its own entry is listed, at most for this
-# time.
+# A starting node repeats its first read until it and another node are listed, at most
+# for this time.
 MAX_BOOTSTRAP_SECONDS = 1.5
 BOOTSTRAP_PAUSE_SECONDS = 0.4
 # Interval at which other nodes are queried while the store is unavailable, in seconds.
@@ -189,10 +189,14 @@
             eventlet.sleep(RELAY_PAUSE_SECONDS)
 
     def _bootstrap(self):
-        """Read the store, possibly stale, until this node's own entry is listed.
+        """Read the store, possibly stale, until it lists this node and another one.
 
         Notes
         -----
+        A node that knows no other one has nobody to query when it loses the store.
+        Nodes that start together register at the same time, so it reads again before it
+        serves requests.
+
         A read that may be stale costs a tenth of a consistent one. Other nodes supply
         what it lacks before this node serves requests: nodes that start just after the
         store was restored from an older copy would answer 404 for routes that are in
@@ -205,17 +209,15 @@
         if isinstance(answer, StoreFailure):
             self._record_outage(answer)
             self._pause()
+            self.is_confirmed = self.is_confirmed or self._has_waited_at_start()
             return
         self.last_contact_at = self.clock()
         for snapshot in self._fetch_newer_at_start(answer):
             if self.directory.can_apply(snapshot):
                 self.directory.merge_snapshot(snapshot, self.clock())
         self.published_directory.publish_changes()
-        waited = self.clock() - self._started_at
-        if (
-            self.choice.own.name in self.directory.nodes
-            or waited > MAX_BOOTSTRAP_SECONDS
-        ):
+        is_listed = self.choice.own.name in self.directory.nodes
+        if (is_listed and self.is_confirmed) or self._has_waited_at_start():
             self._is_bootstrapped = True
         else:
             eventlet.sleep(BOOTSTRAP_PAUSE_SECONDS * random.uniform(0.8, 1.2))
@@ -223,9 +225,15 @@
     def _fetch_newer_at_start(self, read):
         """Return the read snapshot and those of other nodes, ordered by position."""
         newer = self.peers.fetch_newer_at_start(read)
-        self.is_confirmed = True
+        knows_others = any(name != self.choice.own.name for name in read.nodes)
+        if knows_others or self._has_waited_at_start():
+            self.is_confirmed = True
         return sorted([read, *newer], key=lambda snapshot: snapshot.position)
 
+    def _has_waited_at_start(self):
+        """Return whether this node has looked for other nodes long enough."""
+        return self.clock() - self._started_at > MAX_BOOTSTRAP_SECONDS
+
     def _choose_relay(self):
         if self.choice is None:
             return None
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
@@ -267,6 +267,42 @@
         eventlet.sleep(2.0)
         self.assertLess(source.calls, 9)
 
+    def start(self, reads):
+        """Start a node; return its follower."""
+        own = NodeRecord("own", "10.0.0.9:1", "a")
+        choice = RelayChoice(own, random.Random(1))
+        follower = Follower(
+            ScriptedSource(reads), NoPeers(), lambda directory: None, choice
+        )
+        self.addCleanup(eventlet.spawn(follower._follow).kill)
+        return follower
+
+    def test_a_node_that_knows_no_other_one_does_not_serve_yet(self):
+        """It would have nobody to query if it lost the store."""
+        own = NodeRecord("own", "10.0.0.9:1", "a")
+        other = NodeRecord("other", "10.0.0.8:1", "a")
+        alone = replace(build_snapshot(5), nodes={"own": own})
+        both = replace(build_snapshot(6), nodes={"own": own, "other": other})
+        follower = self.start([alone, both])
+        eventlet.sleep(0.1)
+        self.assertFalse(follower.is_initialized())
+        eventlet.sleep(0.6)
+        self.assertTrue(follower.is_initialized())
+
+    def test_a_single_node_serves_after_a_time(self):
+        own = NodeRecord("own", "10.0.0.9:1", "a")
+        alone = replace(build_snapshot(5), nodes={"own": own})
+        follower = self.start([alone] * 9)
+        eventlet.sleep(2.5)
+        self.assertTrue(follower.is_initialized())
+
+    def test_a_node_that_loses_the_store_after_its_first_read_serves_after_a_time(self):
+        own = NodeRecord("own", "10.0.0.9:1", "a")
+        alone = replace(build_snapshot(5), nodes={"own": own})
+        follower = self.start([alone, *[StoreFailure("status 503")] * 9])
+        eventlet.sleep(4.0)
+        self.assertTrue(follower.is_initialized())
+
 
 class PauseTests(unittest.TestCase):
     # A change must be in force at each node from 3 s after an outage on.
