Forwarding: the only node that serves is preferred whatever it has in flight

What callers saw: with all nodes but one without endpoints, about half of the requests at fleets of 96 and 312 nodes were refused, for as long as the partition lasted (simulation).

Cause: a node that knew one serving node compared its requests in flight with those of a random other one. The serving node has some in flight, one that reaches nothing has none and was chosen; after many refusals only two nodes are asked.

Change: where four times as many nodes were found to reach nothing as to serve, those that serve come first, unless one has sent no response for 0.5 s. A quarter of the requests still explores, with their first try only.

--- a/packages/hingesill-core/hingesill_core/forwarding/peers.py
+++ b/packages/hingesill-core/hingesill_core/forwarding/peers.py
@@ -12,9 +12,15 @@
 # Seconds for which a node that served a service, or was named by another node, is
 # preferred for it.
 KNOWN_SECONDS = 3.0
-# Share of requests for which nodes are chosen that are not known to serve the service,
-# so that the load spreads.
+# Share of requests for which nodes are chosen first that are not known to serve the
+# service, so that the load spreads.
 EXPLORED_SHARE = 0.25
+# Nodes that reach nothing for each one known to serve, from which on the latter is
+# preferred however many requests it has in flight.
+SCARCE_RATIO = 4
+# Seconds without any response after which a node with requests in flight is no longer
+# preferred.
+SILENT_SECONDS = 0.5
 # Seconds between updates of the list of nodes.
 REFRESH_SECONDS = 0.25
 # Nodes that are asked for one request, each of which takes a round trip, and the number
@@ -54,6 +60,8 @@
         self._refreshed_at = float("-inf")
         # Time of the last response, by name, of nodes with requests in flight.
         self._heard_at = {}
+        # Time since which a node with requests in flight has sent no response.
+        self._silent_since = {}
         # Time until which a node is avoided, by name and service; an empty service
         # stands for all.
         self._avoided = {}
@@ -77,9 +85,9 @@
         Notes
         -----
         Nodes of the own data centre come first, unless most of those that were asked
-        could not serve: the others would get the requests of all of them. Of two
-        random nodes the one with fewer requests in flight is taken, which also avoids
-        a node that does not respond.
+        could not serve: the others would get the requests of all of them. Nodes that
+        are known to serve come before these. Of two random nodes the one with fewer
+        requests in flight is taken, which also avoids a node that does not respond.
         """
         is_in_vain = self._in_vain[service] >= REFUSALS_IN_VAIN
         if len(tried) >= (MAX_TRIED_IN_VAIN if is_in_vain else MAX_TRIED):
@@ -92,16 +100,35 @@
         if self._prefers_near(service, now):
             near = [node for node in usable if node.data_centre == self.data_centre]
             usable = near or usable
-        known = [node for node in usable if self._is_known(node.name, service, now)]
-        if len(known) > 1 and self.rng.random() >= EXPLORED_SHARE:
-            usable = known
         if not usable:
             return None
+        known = self._list_responsive(usable, service, now)
+        explores = not tried and self.rng.random() < EXPLORED_SHARE
+        if known and not explores:
+            if len(known) > 1 or self._is_scarce(service, now):
+                usable = known
+            else:
+                usable = [*known, self.rng.choice(usable)]
         pair = self.rng.sample(usable, min(2, len(usable)))
-        if len(known) == 1:
-            pair = [*known, pair[0]]
         return min(pair, key=lambda node: self.in_flight[node.name])
 
+    def _list_responsive(self, nodes, service, now):
+        """Return the nodes that are known to serve a service and that respond."""
+        return [
+            node
+            for node in nodes
+            if self._is_known(node.name, service, now)
+            and now - self._silent_since.get(node.name, now) <= SILENT_SECONDS
+        ]
+
+    def _is_scarce(self, service, now):
+        """Return whether few of the nodes that were asked serve a service."""
+        known = sum(self._is_known(node.name, service, now) for node in self._peers)
+        avoided = sum(
+            not self._is_usable(node.name, service, now) for node in self._peers
+        )
+        return avoided >= SCARCE_RATIO * known
+
     def _list_peers(self, now):
         """Return the other nodes that accept forwarded requests."""
         if now - self._refreshed_at >= REFRESH_SECONDS:
@@ -144,9 +171,10 @@
         ]
         return self.rng.sample(known, min(MAX_NAMED, len(known)))
 
-    def begin(self, node):
+    def begin(self, node, now):
         """Record that a request is forwarded to a node."""
         self.in_flight[node.name] += 1
+        self._silent_since.setdefault(node.name, now)
 
     def end(self, node):
         """Record that a forwarded request has ended."""
@@ -154,10 +182,13 @@
         if not self.in_flight[node.name]:
             del self.in_flight[node.name]
             self._heard_at.pop(node.name, None)
+            self._silent_since.pop(node.name, None)
 
     def record_heard(self, node, now):
         """Record that a node responded."""
         self._heard_at[node.name] = now
+        if node.name in self._silent_since:
+            self._silent_since[node.name] = now
 
     def get_heard_at(self, node):
         """Return when a node with requests in flight last responded."""
--- a/packages/hingesill-core/hingesill_core/forwarding/tests/test_peers.py
+++ b/packages/hingesill-core/hingesill_core/forwarding/tests/test_peers.py
@@ -49,7 +49,7 @@
 
     def test_a_node_with_many_requests_in_flight_gets_fewer(self):
         for _ in range(5):
-            self.peers.begin(self.nodes["a1"])
+            self.peers.begin(self.nodes["a1"], 0.0)
         self.assertNotIn("a1", self.choose_many())
         for _ in range(5):
             self.peers.end(self.nodes["a1"])
@@ -71,6 +71,24 @@
         self.assertLess(chosen["a3"], 40)
         self.assertGreater(chosen["a3"], 0)
 
+    def load_the_only_node_that_served(self):
+        """Let five nodes refuse, and give one that served five requests."""
+        for name in ("a2", "a3", "b0", "b1", "b2"):
+            self.peers.record_unreachable(self.nodes[name], "s", 0.0)
+        self.peers.record_served(self.nodes["a1"], "s", 0.0)
+        for _ in range(5):
+            self.peers.begin(self.nodes["a1"], 0.0)
+
+    def test_the_only_node_that_served_gets_most_whatever_it_has_in_flight(self):
+        self.load_the_only_node_that_served()
+        self.assertGreater(self.choose_many()["a1"], 120)
+
+    def test_a_node_that_served_and_no_longer_responds_is_not_preferred(self):
+        self.load_the_only_node_that_served()
+        self.assertNotIn("a1", self.choose_many(now=0.6))
+        self.peers.record_heard(self.nodes["a1"], 0.6)
+        self.assertGreater(self.choose_many(now=0.7)["a1"], 120)
+
     def test_a_node_that_knows_none_uses_those_that_others_name(self):
         self.peers.record_unreachable(self.nodes["a1"], "s", 0.0)
         self.peers.record_named(["b1", "b2", "a0"], "s", 0.0)
--- a/packages/hingesill-core/hingesill_core/forwarding/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/forwarding/tests/test_simulation.py
@@ -51,7 +51,8 @@
         while now < SECONDS:
             now += self.rng.expovariate(rate)
             while self.ends and self.ends[0][0] <= now:
-                _, table, node = self.ends.pop(0)
+                ended_at, table, node = self.ends.pop(0)
+                table.record_heard(node, ended_at)
                 table.end(node)
             self._forward(self.rng.choice(self.cut), now)
 
@@ -67,7 +68,7 @@
                 table.record_unreachable(node, "s", now)
                 table.record_named(named, "s", now)
                 continue
-            table.begin(node)
+            table.begin(node, now)
             table.record_served(node, "s", now)
             self.ends.append((now + WORK_SECONDS, table, node))
             self.carried[node.name] += 1
@@ -114,6 +115,11 @@
     def test_half_of_the_nodes(self):
         self.assert_carried(lambda i, zone: i % 2)
 
+    def test_all_but_one_node(self):
+        for nodes, share in ((18, 0.98), (96, 0.95), (312, 0.9)):
+            served, _, _ = play(nodes, lambda i, zone: i != 5)
+            self.assertGreater(served, share, nodes)
+
     def test_a_fleet_of_one_refuses(self):
         self.assertEqual(play(1, lambda i, zone: True)[0], 0.0)
 
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -122,7 +122,7 @@
             None if the request may go to another node.
         """
         hop = Hop(self, exchange, node, self._get_pool(node.forward_address))
-        self.peers.begin(node)
+        self.peers.begin(node, self.clock())
         try:
             result = hop.run()
         except BaseException:
