Quotas: a node that may be dead is not evidence against its substitute

Found by reading.

Change: answers to probes tell what is kept from what is not known yet, and the latter counts neither for nor against. Who did not answer stays dead until it is heard from; it is asked each second.

No test shows the moments alone.

--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -8,8 +8,9 @@
 
 from hingesill_core.quotas.allowance import compute_allowance, compute_extra
 from hingesill_core.quotas.client import MAX_WAIT_SECONDS, QuotaClient
-from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS, QuotaCoordinator
+from hingesill_core.quotas.coordinator import QuotaCoordinator
 from hingesill_core.quotas.decision import QuotaDecision, QuotaStatus, QuotaTolerance
+from hingesill_core.quotas.membership import ListHistory, NodeContacts
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
@@ -22,7 +23,6 @@
 
 __all__ = [
     "FleetQuotas",
-    "MAX_PROBED_LEFT",
     "MAX_WAIT_SECONDS",
     "QuotaChange",
     "QuotaUsage",
@@ -43,9 +43,6 @@
 START_SECONDS = 1.0
 # Interval at which the node list is refreshed while there is work, in seconds.
 REFRESH_SECONDS = 0.5
-# Time for which nodes that left are remembered, in seconds: any pool is full after it,
-# or is filled more slowly than it could be.
-LEFT_SECONDS = 120.0
 # Time after its start for which a node may join the lists of others, in seconds. A node
 # that joins a list later was out of it, and another coordinator may have granted. That
 # one grants little within `ENDED_SECONDS` of its own start, which has to be longer.
@@ -53,12 +50,6 @@
 # Reports that wait for the answers to probes, and the time for which they do, in
 # seconds; their requests are decided after `MAX_WAIT_SECONDS` anyway.
 MAX_DEFERRED = 2000
-# Nodes that left, the newest ones, that a probe contains.
-MAX_PROBED_LEFT = 32
-# Time for which a node counts as alive after a message, and after which one that was
-# asked without an answer does not, in seconds. Answers take some milliseconds.
-HEARD_SECONDS = 1.0
-ANSWER_SECONDS = 0.05
 DEFERRED_SECONDS = 0.02
 
 ADMITTED = QuotaDecision(QuotaStatus.ADMITTED)
@@ -174,17 +165,12 @@
         # Waiting requests of organisations that no longer have a quota.
         self._released = {}
         self._deferred = {}
-        self._left = {}
-        self._left_at = float("-inf")
-        # Times at which nodes joined the list, since this node started.
-        self._joined = {}
+        self._history = ListHistory()
+        self._contacts = NodeContacts()
         self._started_at = None
         self._round_at = None
         self._rejected_at = float("-inf")
         self._contests = {}
-        # Times at which nodes were last heard from, and asked whether they are alive.
-        self._heard_at = {}
-        self._asked_at = {}
         self._refreshed_at = float("-inf")
         # Time of the list that is being refreshed.
         self._listed_at = None
@@ -277,10 +263,9 @@
         if not joined and not left and self._placements:
             return
         self.quorum.set_nodes(sorted(self.nodes - {own}))
-        for times in (self._heard_at, self._asked_at):
-            for node in left:
-                times.pop(node, None)
-        self._record_left(left, now)
+        self._contacts.forget(left)
+        forgotten_at = self._history.record_left(left, now)
+        self._started_at = max(self._started_at, forgotten_at)
         self._record_joined(joined, listed_at, now)
         for placement in self._placements.values():
             placement.update(joined, left, self.nodes)
@@ -296,17 +281,6 @@
                     joined, self.nodes, self.node_list, now
                 )
 
-    def _record_left(self, left, now):
-        for node in left:
-            self._left.pop(node, None)
-            self._left[node] = self._left_at = now
-        while self._left:
-            node, at = next(iter(self._left.items()))
-            if now - at <= LEFT_SECONDS:
-                break
-            del self._left[node]
-            self._started_at = max(self._started_at, at)
-
     def _refresh(self, now):
         """Have the list of nodes refreshed."""
         self._listed_at, self._refreshed_at = self._refreshed_at, now
@@ -322,41 +296,29 @@
         afterwards may have joined at any time since `listed_at`. Taken for nodes that
         have just joined, all coordinators of a fleet began anew at its first requests.
         """
-        self._joined = {
-            node: at
-            for node, at in self._joined.items()
-            if node in self.nodes and now - at <= LEFT_SECONDS
-        }
-        if now - self._started_at > START_SECONDS:
-            self._joined.update(dict.fromkeys(joined, listed_at))
+        if now - self._started_at <= START_SECONDS:
+            joined = ()
+        self._history.record_joined(joined, listed_at, self.nodes, now)
 
     def _send_acceptance(self, node, number, now, left=()):
         """Tell a coordinator whether and since when the node list has it."""
-        at = self._joined.get(node)
-        # 0 stands for a node that did not join.
-        seconds = 0.0 if at is None else max(1e-6, now - at)
-        if seconds > LEFT_SECONDS:
-            seconds = 0.0
-        kept = tuple(
-            i for i, other in enumerate(left) if self._may_be_alive(other, now)
+        seconds = self._history.get_listed_seconds(node, now)
+        kept, unknown = [], []
+        for position, other in enumerate(left):
+            if other not in self.nodes:
+                continue
+            is_alive = self._contacts.is_alive(other, now)
+            if is_alive is None:
+                unknown.append(position)
+            elif is_alive:
+                kept.append(position)
+            if self._contacts.should_ask(other, now):
+                self.send(other, QuotaProbe(0))
+        reply = QuotaProbeReply(
+            number, node in self.nodes, seconds, tuple(kept), tuple(unknown)
         )
-        reply = QuotaProbeReply(number, node in self.nodes, seconds, kept)
         self.send(node, reply)
 
-    def _may_be_alive(self, node, now):
-        """Return whether a node of the list may answer; ask it if that is unknown."""
-        if node not in self.nodes:
-            return False
-        heard_at = self._heard_at.get(node, float("-inf"))
-        asked_at = self._asked_at.get(node, float("-inf"))
-        if now - heard_at <= HEARD_SECONDS:
-            return True
-        if heard_at < asked_at and now - asked_at <= HEARD_SECONDS:
-            return now - asked_at <= ANSWER_SECONDS
-        self._asked_at[node] = now
-        self.send(node, QuotaProbe(0))
-        return True
-
     def acquire(self, name, now):
         """Return the QuotaDecision on one arrival at an endpoint.
 
@@ -457,7 +419,7 @@
         if self.own is None:
             return ()
         if sender in self.nodes:
-            self._heard_at[sender] = now
+            self._contacts.record_heard(sender, now)
         if isinstance(message, QuotaReply):
             client = self._clients.get(message.organisation)
             if client is None or sender != client.coordinator:
@@ -489,7 +451,7 @@
         if placement.coordinator != self.own:
             return None
         self._detect_rejection(now)
-        earlier = self._find_earlier(placement)
+        earlier = self._history.find_earlier(name, placement.weight, self.nodes)
         if not self.quorum.is_confirmed(now, earlier):
             self._detect_contest(name, now)
             if len(self._deferred) < MAX_DEFERRED:
@@ -522,44 +484,9 @@
         weight = compute_weight(name, coordinator)
         return not any(
             now - at < ENDED_SECONDS
-            for node, at in self._list_recently_left(now)
+            for node, at in self._history.list_recent(now)
             if compute_weight(name, node) < weight
-        ) and not self._find_leaseholders(name, weight, now)
-
-    def _list_recently_left(self, now):
-        """Return (node, time) of nodes of which leases may be valid."""
-        if now - self._left_at > TAKEOVER_SECONDS:
-            return []
-        return [
-            (node, at)
-            for node, at in self._left.items()
-            if now - at <= TAKEOVER_SECONDS
-        ]
-
-    def _find_leaseholders(self, name, weight, now):
-        """Return the nodes that left and may use leases of which nobody tells.
-
-        Parameters
-        ----------
-        name : str
-            Name of the organisation.
-        weight : int
-            Weight of the present coordinator.
-        now : float
-            Seconds of the node's clock.
-
-        Notes
-        -----
-        An earlier coordinator that left alone gave leases to itself only, which end
-        within `ENDED_SECONDS`. Others may be cut off together with it, and then their
-        leases are renewed until it is no longer confirmed.
-        """
-        left = {
-            node for node, _ in self._list_recently_left(now) if node not in self.nodes
-        }
-        if len(left) == 1 and compute_weight(name, next(iter(left))) < weight:
-            return set()
-        return left
+        ) and not self._history.find_leaseholders(name, weight, self.nodes, now)
 
     def _create_coordinator(self, name, placement, now):
         organisation = self._limited[name]
@@ -567,9 +494,11 @@
         contest = self._contests.get(name)
         if contest is not None and contest.is_certain:
             begin = max(begin, contest.seen_at)
-        since = placement.find_since(self._left, begin)
+        since = placement.find_since(self._history.left, begin)
         missing = self.nodes - {self.own}
-        missing |= self._find_leaseholders(name, placement.weight, now)
+        missing |= self._history.find_leaseholders(
+            name, placement.weight, self.nodes, now
+        )
         coordinator = QuotaCoordinator(
             name,
             organisation.rate,
@@ -579,7 +508,7 @@
             now,
             self.own,
             missing,
-            placement.find_since(self._left, float("-inf")) + ENDED_SECONDS,
+            placement.find_since(self._history.left, float("-inf")) + ENDED_SECONDS,
             begin + START_SECONDS,
             self.node_list,
         )
@@ -598,25 +527,10 @@
             self.send(node, QuotaProbe(0, coordinator.name))
 
     def _send_probes(self, now, earlier=frozenset()):
-        left = self._list_probed()
+        left = self._history.list_probed(self.nodes)
         for node, number in self.quorum.start_round(now, left, earlier):
             self.send(node, QuotaProbe(number, "", left))
 
-    def _list_probed(self):
-        """Return the nodes that left last, of which probes ask."""
-        left = [node for node in reversed(self._left) if node not in self.nodes]
-        return tuple(left[:MAX_PROBED_LEFT])
-
-    def _find_earlier(self, placement):
-        """Return the nodes that left and that this node replaces as the coordinator."""
-        if not self._left:
-            return frozenset()
-        return frozenset(
-            node
-            for node in self._list_probed()
-            if compute_weight(placement.name, node) < placement.weight
-        )
-
     def _detect_contest(self, name, now):
         """Begin anew as a coordinator if most nodes have an earlier one in their lists.
 
--- /dev/null
+++ b/packages/hingesill-core/hingesill_core/quotas/membership.py
@@ -0,0 +1,177 @@
+"""What a node knows of the nodes that joined or left its list, and of their lives."""
+
+from msgspec import Struct, field
+
+from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS
+from hingesill_core.ratelimits.coordinators import compute_weight
+
+__all__ = ["MAX_PROBED_LEFT", "ListHistory", "NodeContacts"]
+
+# Time for which nodes that left are remembered, in seconds: any pool is full after it,
+# or is filled more slowly than it could be.
+LEFT_SECONDS = 120.0
+# Nodes that left, the newest ones, that a probe contains.
+MAX_PROBED_LEFT = 32
+# Time for which a node counts as alive after a message, after which one that was asked
+# without an answer does not, and interval of further questions, in seconds. Answers
+# take some milliseconds.
+HEARD_SECONDS = 1.0
+ANSWER_SECONDS = 0.05
+ASK_INTERVAL_SECONDS = 1.0
+
+
+class ListHistory(Struct):
+    """Times at which nodes joined or left the list of nodes.
+
+    Attributes
+    ----------
+    left : dict
+        Time at which a node left by its address, the oldest first. It may be in the
+        list again.
+    joined : dict
+        Time at which a node joined by its address, for nodes of the list.
+    """
+
+    left: dict = field(default_factory=dict)
+    joined: dict = field(default_factory=dict)
+    left_at: float = float("-inf")
+
+    def record_left(self, left, now):
+        """Record nodes that left.
+
+        Returns
+        -------
+        float
+            Time of the latest departure that is forgotten now; minus infinity if none
+            is.
+        """
+        for node in left:
+            self.left.pop(node, None)
+            self.left[node] = self.left_at = now
+        forgotten_at = float("-inf")
+        while self.left:
+            node, at = next(iter(self.left.items()))
+            if now - at <= LEFT_SECONDS:
+                break
+            del self.left[node]
+            forgotten_at = at
+        return forgotten_at
+
+    def record_joined(self, joined, at, nodes, now):
+        """Record the time at which nodes joined; forget what is old.
+
+        Parameters
+        ----------
+        joined : collection of tuple
+            Addresses of the nodes that joined.
+        at : float
+            Time at which they may have joined first.
+        nodes : collection of tuple
+            The present list.
+        now : float
+            Seconds of the node's clock.
+        """
+        self.joined = {
+            node: since
+            for node, since in self.joined.items()
+            if node in nodes and now - since <= LEFT_SECONDS
+        }
+        self.joined.update(dict.fromkeys(joined, at))
+
+    def get_listed_seconds(self, node, now):
+        """Return for how long a node that joined is listed; 0 if it did not join."""
+        at = self.joined.get(node)
+        if at is None or now - at > LEFT_SECONDS:
+            return 0.0
+        return max(1e-6, now - at)
+
+    def list_recent(self, now):
+        """Return (address, time) of the nodes that left and may have valid leases."""
+        if now - self.left_at > TAKEOVER_SECONDS:
+            return []
+        return [
+            (node, at) for node, at in self.left.items() if now - at <= TAKEOVER_SECONDS
+        ]
+
+    def find_leaseholders(self, name, weight, nodes, now):
+        """Return the nodes that left and may use leases of which nobody tells.
+
+        Parameters
+        ----------
+        name : str
+            Name of the organisation.
+        weight : int
+            Weight of the present coordinator.
+        nodes : collection of tuple
+            The present list.
+        now : float
+            Seconds of the node's clock.
+
+        Notes
+        -----
+        An earlier coordinator that left alone gave leases to itself only, which end
+        soon. Others may be cut off together with it, and then their leases are renewed
+        until it is no longer confirmed.
+        """
+        left = {node for node, _ in self.list_recent(now) if node not in nodes}
+        if len(left) == 1 and compute_weight(name, next(iter(left))) < weight:
+            return set()
+        return left
+
+    def list_probed(self, nodes):
+        """Return the nodes that left last, of which probes ask."""
+        left = [node for node in reversed(self.left) if node not in nodes]
+        return tuple(left[:MAX_PROBED_LEFT])
+
+    def find_earlier(self, name, weight, nodes):
+        """Return the nodes that left and were before a node as the coordinator."""
+        if not self.left:
+            return frozenset()
+        return frozenset(
+            node
+            for node in self.list_probed(nodes)
+            if compute_weight(name, node) < weight
+        )
+
+
+class NodeContacts(Struct):
+    """Which nodes of the list are alive, as far as is known.
+
+    Attributes
+    ----------
+    heard_at : dict
+        Time of the last message by address.
+    asked_at : dict
+        Times of the first and last question without an answer by address.
+    """
+
+    heard_at: dict = field(default_factory=dict)
+    asked_at: dict = field(default_factory=dict)
+
+    def record_heard(self, node, now):
+        """Record a message of a node."""
+        self.heard_at[node] = now
+        self.asked_at.pop(node, None)
+
+    def forget(self, nodes):
+        """Forget nodes that left the list."""
+        for node in nodes:
+            self.heard_at.pop(node, None)
+            self.asked_at.pop(node, None)
+
+    def is_alive(self, node, now):
+        """Return whether a node answers; None if that is not known yet."""
+        if now - self.heard_at.get(node, float("-inf")) <= HEARD_SECONDS:
+            return True
+        first, _ = self.asked_at.get(node, (now, now))
+        return None if now - first <= ANSWER_SECONDS else False
+
+    def should_ask(self, node, now):
+        """Return whether to ask a node now whether it is alive; record the question."""
+        if self.is_alive(node, now):
+            return False
+        first, last = self.asked_at.get(node, (now, float("-inf")))
+        if now - last <= ASK_INTERVAL_SECONDS:
+            return False
+        self.asked_at[node] = (first, now)
+        return True
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -109,12 +109,13 @@
     listed_seconds : float
         Seconds since the coordinator joined that list; 0 if it was in it when the node
         started, or joined long ago.
-    kept : tuple of int
+    kept, unknown : tuple of int
         Positions in the probe's `left` of the nodes that the list of the answering node
-        has, unless they do not answer.
+        has, and which answer or may do so.
     """
 
     number: int
     is_accepted: bool
     listed_seconds: float = 0.0
     kept: tuple[int, ...] = ()
+    unknown: tuple[int, ...] = ()
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -29,17 +29,23 @@
         Time of the probe, in seconds of the node's clock.
     is_accepted : bool
         Whether the probed node answered that its node list has this node.
-    kept : frozenset of tuple
-        Nodes of its list that left the list of this node, as far as they may answer.
+    kept, unknown : frozenset of tuple
+        Nodes of its list that left the list of this node, and which answer or may do
+        so.
     """
 
     at: float
     is_accepted: bool
     kept: frozenset = frozenset()
+    unknown: frozenset = frozenset()
+
+    def is_known(self, earlier):
+        """Return whether the probed node knows if it accepts this one; see below."""
+        return not self.is_accepted or self.unknown.isdisjoint(earlier)
 
     def is_positive(self, earlier):
         """Return whether the probed node accepts this node in place of others."""
-        return self.is_accepted and self.kept.isdisjoint(earlier)
+        return self.is_accepted and (self.kept | self.unknown).isdisjoint(earlier)
 
 
 class Quorum(Struct):
@@ -150,8 +156,11 @@
         node, at, left = self.pending.get(reply.number, (None, 0.0, ()))
         if node == sender:
             del self.pending[reply.number]
-            kept = frozenset(left[i] for i in reply.kept if i < len(left))
-            self.outcomes[node] = ProbeOutcome(at, reply.is_accepted, kept)
+            kept, unknown = (
+                frozenset(left[i] for i in positions if i < len(left))
+                for positions in (reply.kept, reply.unknown)
+            )
+            self.outcomes[node] = ProbeOutcome(at, reply.is_accepted, kept, unknown)
             if self.is_confirmed(now):
                 self.unconfirmed_since = None
 
@@ -177,7 +186,7 @@
         fresh = [
             outcome.is_positive(earlier)
             for outcome in self.outcomes.values()
-            if now - outcome.at <= VALID_SECONDS
+            if now - outcome.at <= VALID_SECONDS and outcome.is_known(earlier)
         ]
         sample = min(MAX_SAMPLE, len(self.others))
         # All others of a small fleet are probed, and this node counts as well.
--- a/packages/hingesill-node/hingesill_node/quotas/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/datagrams.py
@@ -21,7 +21,7 @@
 KINDS = (QuotaReport, QuotaReply, QuotaProbe, QuotaProbeReply)
 DECODER = Decoder(QuotaReport | QuotaReply | QuotaProbe | QuotaProbeReply)
 NAME = "organisation"
-LISTS = ("left", "kept")
+LISTS = ("left", "kept", "unknown")
 # Nodes that a probe names at most, and the length of their IP numbers.
 MAX_NODES = 64
 MAX_HOST_LENGTH = 64
@@ -89,12 +89,12 @@
 
 def check_lists(message):
     """Raise ValueError if a list of nodes or positions is too long or invalid."""
-    left, kept = (getattr(message, name, ()) for name in LISTS)
-    if max(len(left), len(kept)) > MAX_NODES:
+    left, kept, unknown = (getattr(message, name, ()) for name in LISTS)
+    if max(len(left), len(kept), len(unknown)) > MAX_NODES:
         raise ValueError(f"more than {MAX_NODES} nodes")
     for host, port in left:
         if len(host) > MAX_HOST_LENGTH or not 0 < port <= MAX_PORT:
             raise ValueError(f"{host[:MAX_HOST_LENGTH]}:{port} is not an address")
-    for position in kept:
+    for position in (*kept, *unknown):
         if not 0 <= position < MAX_NODES:
             raise ValueError(f"position {position} is out of range")
--- a/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
@@ -7,7 +7,7 @@
 from msgspec.structs import replace
 
 from hingesill_core.organisations.organisation import Organisation
-from hingesill_core.quotas.fleet import MAX_PROBED_LEFT
+from hingesill_core.quotas.membership import MAX_PROBED_LEFT
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
@@ -36,7 +36,7 @@
     QuotaProbeReply(4, True),
     QuotaProbeReply(0, True, 3.5),
     QuotaProbe(4, "", (("10.0.0.1", 80), ("10.0.0.2", 80))),
-    QuotaProbeReply(4, True, 0.0, (1,)),
+    QuotaProbeReply(4, True, 0.0, (1,), (0,)),
 )
 MAX_DATAGRAM_BYTES = 1400
 
@@ -72,6 +72,9 @@
         for kept in ([-1], [MAX_NODES], ["x"], [0] * (MAX_NODES + 1)):
             with self.subTest(kept), self.assertRaises(ValueError):
                 decode_message(encode_message(QuotaProbeReply(1, True, 0.0, kept)))
+            with self.subTest(unknown=kept), self.assertRaises(ValueError):
+                reply = QuotaProbeReply(1, True, 0.0, (), kept)
+                decode_message(encode_message(reply))
 
     def test_a_probe_with_the_most_nodes_fits_into_a_datagram(self):
         left = (("255.255.255.255", 65535),) * MAX_PROBED_LEFT
