--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -21,12 +21,7 @@
 from hingesill_core.quotas.quorum import REJECTED_SECONDS, Quorum
 from hingesill_core.ratelimits.coordinators import compute_weight
 
-__all__ = [
-    "FleetQuotas",
-    "MAX_WAIT_SECONDS",
-    "QuotaChange",
-    "QuotaUsage",
-]
+__all__ = ["FleetQuotas", "MAX_WAIT_SECONDS", "QuotaChange", "QuotaUsage"]
 
 # Gap between rounds that shows a suspension, in seconds.
 SUSPENDED_SECONDS = 2.5
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -40,11 +40,11 @@
     unknown: frozenset = frozenset()
 
     def is_known(self, earlier):
-        """Return whether the probed node knows if it accepts this one; see below."""
+        """Return whether the probed node knows if it accepts this one in their place."""
         return not self.is_accepted or self.unknown.isdisjoint(earlier)
 
     def is_positive(self, earlier):
-        """Return whether the probed node accepts this node in place of others."""
+        """Return whether the probed node accepts this one in place of earlier ones."""
         return self.is_accepted and (self.kept | self.unknown).isdisjoint(earlier)
 
 
