--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -40,7 +40,7 @@
     unknown: frozenset = frozenset()
 
     def is_known(self, earlier):
-        """Return whether the probed node knows if it accepts this one in their place."""
+        """Return whether the probed node knows if it accepts this one instead."""
         return not self.is_accepted or self.unknown.isdisjoint(earlier)
 
     def is_positive(self, earlier):
