A node that received nothing since a send announces no overdue answer

Cause: found by reading, with forwarding in hingesill's own mode. A node that is cut off from its endpoints finds all their answers overdue and announces them, and other nodes then avoid endpoints that are well.

Change: an overdue answer is announced only if the service has sent something since the request was sent, which shows that this node reaches any endpoint at all.

Ruled out: the reachability verdict, as it comes after the first announcements. A service with one endpoint loses nothing: there is no other to prefer.

Result: test_a_node_that_received_nothing_since_the_send_announces_nothing fails without the check (the endpoint is announced).

--- a/packages/hingesill-node/hingesill_node/datapath/runner.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runner.py
@@ -274,9 +274,17 @@
         return remaining if remaining > 0 else SUSPICION_INTERVAL_SECONDS
 
     def report_suspicion(self, send, now):
-        """Announce an answer that takes far longer than expected to other nodes."""
+        """Announce an answer that takes far longer than expected to other nodes.
+
+        Notes
+        -----
+        A node that has received nothing from the service since the send may be cut off
+        from all its endpoints, and announces nothing.
+        """
         if not self.announcements.is_connected:
             return
+        if self.dispatcher.reachability.heard_at <= send.started:
+            return
         ratio = (now - send.started) / send.expected
         if ratio < self.dispatcher.service_view.get_suspicious_ratio():
             return
