Matrix and soak: nodes are partitioned from endpoints

Change: three kinds of partition in the fault matrix, and four pairs with lost stores, leaving callers, resetting endpoints and paused nodes; in the soak a concurrent fault, from all or half of the endpoints, each seed with its own source.

--- a/matrix/faults.py
+++ b/matrix/faults.py
@@ -155,6 +155,30 @@
             stage.usable.append(stage.second.address)
 
 
+class NodePartitioned(Fault):
+    """Partition of the second node from all endpoints."""
+
+    mode = ""
+
+    def begin(self, stage):
+        """Partition the node."""
+        stage.second.partition.cut(stage.endpoints, self.mode)
+
+    def end(self, stage):
+        """Restore its paths."""
+        stage.second.partition.restore()
+
+
+def register_partition(name, mode):
+    """Register a kind of partition; see `standins.partition.MODES`."""
+    FAULTS.register(name)(type("PartitionOf", (NodePartitioned,), {"mode": mode}))
+
+
+register_partition("node partitioned silently", "silent")
+register_partition("node partitioned with resets", "reset")
+register_partition("node partitioned from new connections", "kept")
+
+
 class StoreFault(Fault):
     """Fault settings of the stand-in store."""
 
@@ -210,3 +234,7 @@
 register_pair("store down", "node killed")
 register_pair("store down", "endpoint drained by itself")
 register_pair("all reset before the answer", "caller gone")
+register_pair("node partitioned silently", "store down")
+register_pair("node partitioned with resets", "caller gone")
+register_pair("node partitioned with resets", "all reset before the answer")
+register_pair("node partitioned with resets", "node frozen and woken")
--- a/matrix/stage.py
+++ b/matrix/stage.py
@@ -53,7 +53,10 @@
         """Start another node."""
         self.number += 1
         return self.fleet.start_node(
-            f"m{self.number}", mutation=self.mutation, balancer_lag_s=0.3
+            f"m{self.number}",
+            mutation=self.mutation,
+            can_cut=True,
+            balancer_lag_s=0.3,
         )
 
     def apply(self):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,6 +5,7 @@
 
 from hingesill_core.registry import Registry
 from soak.proxy import ProxyFault
+from standins.partition import MODES
 
 __all__ = ["CONCURRENT_FAULTS", "FAULTS"]
 
@@ -119,6 +120,20 @@
     return lambda: node.suspension.end(node.process)
 
 
+@CONCURRENT_FAULTS.register("partitions")
+def partition_node(scene, rng):
+    """Cut a node off from all endpoints, or from half of them."""
+    node = scene.choose_healthy_node(rng)
+    addresses = [proxy.address for proxy in scene.endpoint_proxies]
+    if rng.random() < 0.3:
+        addresses = rng.sample(addresses, len(addresses) // 2)
+    mode = rng.choice(MODES)
+    if node is None:
+        return do_nothing
+    node.partition.cut(addresses, mode)
+    return node.partition.restore
+
+
 @CONCURRENT_FAULTS.register("limits")
 def limit_endpoints(scene, rng):
     """Make half of the endpoints report a rate limit."""
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -133,6 +133,7 @@
             store=store,
             mutation=self.mutation,
             can_suspend=self.can_suspend,
+            can_cut=True,
         )
         self.usable.append(node.address)
 
