--- a/packages/hingesill-core/hingesill_core/quotas/membership.py
+++ b/packages/hingesill-core/hingesill_core/quotas/membership.py
@@ -1,4 +1,4 @@
-"""What a node knows of the nodes that joined or left its list, and of their lives."""
+"""Nodes that joined or left the list of nodes, and whether they are alive."""
 
 from msgspec import Struct, field
 
