Forwarding: simulations say data centre

Cause: two simulations used "zone", a word of the users' pages, for what the code calls a data centre everywhere else.

Change: the names in forwarding/tests/test_simulation.py and alternatives.py.

--- a/packages/hingesill-core/hingesill_core/forwarding/tests/alternatives.py
+++ b/packages/hingesill-core/hingesill_core/forwarding/tests/alternatives.py
@@ -18,7 +18,7 @@
 # after an answer, and whether they forward requests.
 WAYS = {"none": (False, False), "leave": (True, False)}
 WAYS |= {"forward": (False, True), "both": (True, True)}
-ZONES = 4
+DATA_CENTRES = 4
 RATE_PER_NODE, WORK_SECONDS = 10.0, 0.1
 TARGET_SECONDS, PATIENCE_SECONDS = 0.3, 0.4
 BELIEF_SECONDS, HOP_SECONDS = 0.08, 0.003
@@ -30,8 +30,9 @@
 CUTS = {
     "one": lambda index, nodes: index == 0,
     "half": lambda index, nodes: index % 2,
-    "most of a data centre": lambda index, nodes: not index % ZONES and index >= ZONES,
-    "a data centre": lambda index, nodes: not index % ZONES,
+    "most of a data centre": lambda index, nodes: not index % DATA_CENTRES
+    and index >= DATA_CENTRES,
+    "a data centre": lambda index, nodes: not index % DATA_CENTRES,
     "all but one": lambda index, nodes: index != 1,
 }
 
@@ -57,14 +58,14 @@
         self.nodes = nodes
         self.is_cut = [bool(cut(index, nodes)) for index in range(nodes)]
         self.rate = load * nodes * RATE_PER_NODE
-        names = {str(i): i % ZONES for i in range(nodes)}
+        names = {str(i): i % DATA_CENTRES for i in range(nodes)}
         records = {
-            name: NodeRecord(name, "10.0.0.1:1", str(zone), forward_port=2)
-            for name, zone in names.items()
+            name: NodeRecord(name, "10.0.0.1:1", str(data_centre), forward_port=2)
+            for name, data_centre in names.items()
         }
         self.tables = [
-            PeerTable(name, str(zone), lambda: records, self.rng)
-            for name, zone in names.items()
+            PeerTable(name, str(data_centre), lambda: records, self.rng)
+            for name, data_centre in names.items()
         ]
         self.out_at = [float("inf")] * nodes
         self.kept = [self.rng.randrange(nodes) for _ in range(8 * nodes)]
@@ -118,8 +119,8 @@
 
     def _balance(self, now):
         """Return the node that gets a new connection, as the balancer chooses it."""
-        zone = self.rng.randrange(min(ZONES, self.nodes))
-        nodes = range(zone, self.nodes, ZONES)
+        data_centre = self.rng.randrange(min(DATA_CENTRES, self.nodes))
+        nodes = range(data_centre, self.nodes, DATA_CENTRES)
         ready = [node for node in nodes if self.out_at[node] > now]
         return self.rng.choice(ready if 2 * len(ready) >= len(nodes) else nodes)
 
--- a/packages/hingesill-core/hingesill_core/forwarding/tests/test_simulation.py
+++ b/packages/hingesill-core/hingesill_core/forwarding/tests/test_simulation.py
@@ -29,10 +29,12 @@
         self.rng = random.Random(54)
         names = {f"n{i}": i % DATA_CENTRES for i in range(nodes)}
         self.records = {
-            name: NodeRecord(name, f"10.0.0.{i}:1", f"z{zone}", forward_port=2)
-            for i, (name, zone) in enumerate(names.items())
+            name: NodeRecord(name, f"10.0.0.{i}:1", f"a{data_centre}", forward_port=2)
+            for i, (name, data_centre) in enumerate(names.items())
         }
-        self.cut = [n for i, (n, zone) in enumerate(names.items()) if cut(i, zone)]
+        self.cut = [
+            n for i, (n, data_centre) in enumerate(names.items()) if cut(i, data_centre)
+        ]
         self.tables = {
             name: PeerTable(
                 name, self.records[name].data_centre, lambda: self.records, self.rng
@@ -107,22 +109,26 @@
             self.assertLess(peak, max_peak, nodes)
 
     def test_one_node(self):
-        self.assert_carried(lambda i, zone: i == 0, max_tries=1.01, max_peak=30.0)
+        self.assert_carried(
+            lambda i, data_centre: i == 0, max_tries=1.01, max_peak=30.0
+        )
 
     def test_most_of_a_data_centre_does_not_load_the_rest_of_it(self):
-        self.assert_carried(lambda i, zone: zone == 0 and i >= DATA_CENTRES)
+        self.assert_carried(
+            lambda i, data_centre: data_centre == 0 and i >= DATA_CENTRES
+        )
 
     def test_half_of_the_nodes(self):
-        self.assert_carried(lambda i, zone: i % 2)
+        self.assert_carried(lambda i, data_centre: i % 2)
 
     def test_all_but_one_node(self):
         for nodes, share in ((18, 0.98), (96, 0.95), (312, 0.9)):
-            served, _, _ = play(nodes, lambda i, zone: i != 5)
+            served, _, _ = play(nodes, lambda i, data_centre: i != 5)
             self.assertGreater(served, share, nodes)
 
     def test_a_fleet_of_one_refuses(self):
-        self.assertEqual(play(1, lambda i, zone: True)[0], 0.0)
+        self.assertEqual(play(1, lambda i, data_centre: True)[0], 0.0)
 
     def test_all_nodes_refuse_without_rings(self):
         for nodes in (18, 96):
-            self.assertEqual(play(nodes, lambda i, zone: True)[0], 0.0, nodes)
+            self.assertEqual(play(nodes, lambda i, data_centre: True)[0], 0.0, nodes)
