Quotas: a coordinator that begins anew queries the nodes for leases once

Cause: a coordinator that was rejected for 0.3 s begins anew with each report until the next round or answer to a probe, and each time asks all nodes for leases. Their answers are reports. Each of them began anew and asked again.

Change: beginning anew restarts the time without a confirmation; the pause between queries is kept by organisation, not in the coordinator that is replaced.

Why this works: of the reports of one moment only the first finds a rejection, and no report causes queries within 0.1 s of others.

Ruled out: the pause alone, as each report would still drop what earlier ones told.

--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -147,7 +147,6 @@
         self.brought = 0.0
         accrued = rate * max(0.0, now - self.normal_from)
         self.pool = TokenBucket(min(self.get_capacity(), accrued), now)
-        self.queried_at = float("-inf")
         self.reported_at = now
 
     def configure(self, rate, burst, extra, now):
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -166,6 +166,8 @@
         self._round_at = None
         self._rejected_at = float("-inf")
         self._contests = {}
+        # Time of the last queries for leases by organisation.
+        self._queried = {}
         # Nodes that left and were before this one as the coordinator, by organisation.
         self._earlier = {}
         self._refreshed_at = float("-inf")
@@ -223,6 +225,7 @@
         self._placements.pop(name, None)
         self._contests.pop(name, None)
         self._earlier.pop(name, None)
+        self._queried.pop(name, None)
 
     def _get_placement(self, name):
         placement = self._placements.get(name)
@@ -526,12 +529,17 @@
         return coordinator
 
     def _query_leases(self, coordinator, now):
-        """Ask the nodes for leases of an earlier coordinator."""
-        if now - coordinator.queried_at < QUERY_SECONDS:
+        """Ask the nodes for leases of an earlier coordinator.
+
+        Notes
+        -----
+        The answers are reports, and may find that this node begins anew once more.
+        """
+        if now - self._queried.get(coordinator.name, float("-inf")) < QUERY_SECONDS:
             return
         nodes = coordinator.list_unknown(now)
         if nodes:
-            coordinator.queried_at = now
+            self._queried[coordinator.name] = now
         for node in nodes:
             self.send(node, QuotaProbe(0, coordinator.name))
 
@@ -603,6 +611,7 @@
         if self.quorum.is_rejected(now):
             self._drop_coordinators(now)
             self._rejected_at = now
+            self.quorum.unconfirmed_since = now
 
     def _detect_absence(self, listed_at, now):
         """Begin anew as a coordinator if this node was out of another node's list.
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_parts.py
@@ -18,7 +18,7 @@
     QuotaReport,
 )
 from hingesill_core.quotas.placement import Placement
-from hingesill_core.quotas.quorum import MAX_SAMPLE, Quorum
+from hingesill_core.quotas.quorum import MAX_SAMPLE, ProbeOutcome, Quorum
 from hingesill_core.ratelimits.coordinators import rank_coordinators
 
 NODES = [(f"10.0.0.{n}", 80) for n in range(40)]
@@ -425,6 +425,25 @@
                 begun_at = coordinator.normal_from - TAKEOVER_SECONDS
                 self.assertAlmostEqual(begun_at, at if is_anew else 0.0, places=5)
 
+    def test_reports_that_find_a_rejection_query_no_leases_again(self):
+        """Each report began anew and queried all nodes, which answer with reports."""
+        name = next(
+            name
+            for name in map(str, range(1000))
+            if rank_coordinators(name, NODES)[0] == NODES[0]
+        )
+        quotas = self.start({name: Organisation(name, rate=5.0)})
+        sent = []
+        quotas.send = lambda node, message: sent.append(message)
+        quotas.quorum.outcomes = {
+            node: ProbeOutcome(1.9, True, 1.9) for node in NODES[1:]
+        }
+        quotas.quorum.unconfirmed_since = 1.0
+        for node in NODES[1:]:
+            quotas.handle_message(QuotaReport(name, 1, 1), node, 2.0)
+        queries = [m for m in sent if isinstance(m, QuotaProbe) and m.organisation]
+        self.assertLess(len(queries), len(NODES))
+
     def test_a_coordinator_that_begins_anew_ends_its_own_lease(self):
         """The new one counted the leases of all other nodes only."""
         name = next(
