Nodes introduce themselves to nodes that may be without the store

What callers saw: a removed key ran on at a node that started alone and lost the store before the others started, for over 12 s, as long as watched; for 1.6 to over 3.5 s where all nodes that it knew were replaced.

Cause: without the store a node queries the nodes of its directory. Nodes that start later have it in theirs, but nothing told it of them. Nodes that had ended were queried again and again, one each 0.3 s, and a silent one delayed the next query.

Evidence: test_lone_nodes has three failures in one run before.

Change: a node introduces itself to up to 32 nodes of its directory when it starts, and to a random one each second. A node without the store queries these while no listed node answers. Who did not answer is queried again after 3 s if others are known.

Why this works: all nodes that are alive and that the lone node does not know started after its last read; they have its entry and reach it, and their first act after the start is to tell it. Its next query is at most 0.3 s away.

Ruled out: waiting longer at the start, as nodes may start at any time; refusing requests at a node that knows nobody, as a single node serves through outages; a secret in entries, as /directory shows entries to whoever reaches a control address. So who introduces itself is queried only where no listed node answers, and believed only if it lists this node.

One datagram a second and node.

--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -21,6 +21,7 @@
 from hingesill_node.datagramport import DatagramPort
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.discovery.follower import Follower
+from hingesill_node.discovery.introductions import IntroductionExchange
 from hingesill_node.discovery.peers import PeerApplication, PeerClient
 from hingesill_node.discovery.profiles import ProfileStore
 from hingesill_node.discovery.registration import Registration
@@ -87,7 +88,12 @@
         )
         source = open_source(settings.directory)
         vm = settings.vm or settings.name
-        peers = PeerClient(vm, settings.data_centre)
+        # The boot-time clock counts time during which the VM is suspended, so that the
+        # age of the directory includes it.
+        self.clock = read_boot_time
+        peers = PeerClient(
+            vm, settings.data_centre, address=self.address, clock=self.clock
+        )
         entry = NodeRecord(
             vm,
             self.address,
@@ -96,9 +102,6 @@
             settings.forward_port,
         )
         choice = RelayChoice(entry, random.Random())
-        # The boot-time clock counts time during which the VM is suspended, so that the
-        # age of the directory includes it.
-        self.clock = read_boot_time
         self.follower = Follower(
             source, peers, self.publish, choice, RelayClient(), self.clock, counters
         )
@@ -168,6 +171,15 @@
             port.start(self.address)
         except OSError as error:
             return f"control_address {self.address}: {error.strerror}"
+        follower = self.follower
+        IntroductionExchange(
+            follower.choice.own,
+            self.list_peers,
+            lambda: follower.is_confirmed and follower.is_store_available,
+            follower.peers.record_introduction,
+            self.counters,
+            self.clock,
+        ).start(port)
         CrashGossip(runners.guard, self.list_peers, self.counters).start(port)
         LimitExchange(
             runners.limits, port, self.list_peers, runners, self.counters
--- a/packages/hingesill-node/hingesill_node/discovery/follower.py
+++ b/packages/hingesill-node/hingesill_node/discovery/follower.py
@@ -61,6 +61,8 @@
 BOOTSTRAP_PAUSE_SECONDS = 0.4
 # Interval at which other nodes are queried while the store is unavailable, in seconds.
 PEER_QUERY_SECONDS = 0.3
+# Queries in progress at a time.
+MAX_PEER_QUERIES = 4
 
 
 class Follower:
@@ -490,10 +492,12 @@
         self.feed.send_heartbeat()
 
     def _query_peers_periodically(self):
+        """Query other nodes during an outage; a silent one does not delay the next."""
+        queries = eventlet.GreenPool(MAX_PEER_QUERIES)
         while True:
             eventlet.sleep(PEER_QUERY_SECONDS * random.uniform(0.8, 1.2))
             if not self.is_store_available:
-                self._query_peer()
+                queries.spawn_n(self._query_peer)
 
     def _query_peer(self):
         """Merge another node's snapshot if it is newer."""
--- a/packages/hingesill-node/hingesill_node/discovery/peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/peers.py
@@ -1,6 +1,7 @@
 """Exchange of directories between nodes, at their start and in outages of the store."""
 
 import random
+import time
 from urllib.parse import parse_qs, urlencode
 
 import eventlet
@@ -31,6 +32,15 @@
 # A running node answers within milliseconds. Unreachable nodes must not delay the start
 # further, since callers are waiting.
 ROUND_TIMEOUT_SECONDS = 0.25
+# Time for which a node that has not answered is queried only if no other one is known,
+# in seconds: several others may have ended at the same time.
+UNANSWERED_SECONDS = 3.0
+# Time without an answer of any listed node after which nodes that introduced themselves
+# are queried as well, in seconds.
+SILENT_SECONDS = 1.0
+# Time for which an introduction counts, in seconds, and the nodes that are remembered.
+INTRODUCED_SECONDS = 120.0
+MAX_INTRODUCED = 64
 
 
 class KnownState(Struct, frozen=True):
@@ -157,22 +167,68 @@
         The node's own data centre, to which at least half of the queries go.
     rng : random.Random
         Chooses the nodes to query.
+    address : str
+        The node's own control address.
+    clock : callable
+        Monotonic seconds.
+
+    Notes
+    -----
+    A node that introduced itself may be any program that can send a datagram. It is
+    queried only while no listed node answers, and its directory counts only if it lists
+    this node.
     """
 
-    def __init__(self, name, data_centre, rng=None):
+    def __init__(self, name, data_centre, rng=None, address="", clock=time.monotonic):
         self.name = name
         self.data_centre = data_centre
         self.rng = rng or random.Random()
+        self.address = address
+        self.clock = clock
+        # Time of the last query without an answer by address.
+        self._unanswered = {}
+        # Time of the last introduction by NodeRecord, the oldest first.
+        self._introduced = {}
+        self._queried_at = float("-inf")
+        # Time of the last answer of a listed node, or of the first query after a pause.
+        self._answered_at = float("-inf")
+
+    def record_introduction(self, node):
+        """Remember a node that introduced itself, for queries in an outage."""
+        if node.name == self.name:
+            return
+        self._introduced.pop(node, None)
+        self._introduced[node] = self.clock()
+        self._unanswered.pop(node.address, None)
+        if len(self._introduced) > MAX_INTRODUCED:
+            del self._introduced[next(iter(self._introduced))]
 
     def fetch_newer(self, directory):
-        """Return the Snapshot of a random node if it is newer, else None."""
+        """Return the Snapshot of another node if it is newer, else None."""
+        now = self.clock()
+        if now - self._queried_at > SILENT_SECONDS:
+            self._answered_at = now
+        self._queried_at = now
         node = self._choose(directory.nodes)
-        answer = (
-            None
-            if node is None
-            else self._query_node(node, build_known_state(directory))
-        )
-        return None if isinstance(answer, UpToDate) else answer
+        if node is None:
+            return None
+        answer = self._query_node(node, build_known_state(directory))
+        if answer is None:
+            return None
+        is_listed = directory.nodes.get(node.name) == node
+        if is_listed:
+            self._answered_at = self.clock()
+        if isinstance(answer, UpToDate):
+            return None
+        if not is_listed and not self._lists_this_node(answer):
+            log_event(Event.INTRODUCTION_REFUSED, peer=node.name, address=node.address)
+            return None
+        return answer
+
+    def _lists_this_node(self, snapshot):
+        """Return whether a Snapshot has the entry of this node."""
+        own = snapshot.nodes.get(self.name)
+        return own is not None and own.address == self.address
 
     def fetch_newer_at_start(self, read):
         """Return newer content of other nodes for a starting node.
@@ -220,9 +276,12 @@
 
     def _query_node(self, node, known):
         """Return a node's Snapshot, UpToDate, or None if it sent neither."""
+        self._unanswered[node.address] = self.clock()
         connection = EndpointConnection(node.address)
         try:
-            return self._call(connection, known)
+            answer = self._call(connection, known)
+            self._unanswered.pop(node.address, None)
+            return answer
         except (ConnectFailed, ValueError, *TRANSPORT_ERRORS) as error:
             log_event(Event.PEER_SILENT, peer=node.name, detail=str(error))
             return None
@@ -230,12 +289,35 @@
             connection.close()
 
     def _choose(self, nodes):
-        others = [node for node in nodes.values() if node.name != self.name]
+        """Return the node to query, or None if none is known."""
+        listed = [node for node in nodes.values() if node.name != self.name]
+        introduced = self._list_introduced(listed)
+        others = self._list_answering(listed)
+        is_silent = self.clock() - self._answered_at > SILENT_SECONDS
+        if introduced and (not others or is_silent and self.rng.random() < 0.5):
+            others = self._list_answering(introduced) or introduced
+        others = others or listed
         local = [node for node in others if node.data_centre == self.data_centre]
         if local and self.rng.random() < 0.5:
             others = local
         return self.rng.choice(others) if others else None
 
+    def _list_introduced(self, listed):
+        """Return the nodes that introduced themselves and are not listed."""
+        oldest = self.clock() - INTRODUCED_SECONDS
+        addresses = {node.address for node in listed}
+        return [
+            node
+            for node, at in self._introduced.items()
+            if at > oldest and node.address not in addresses
+        ]
+
+    def _list_answering(self, nodes):
+        """Return the nodes of which no recent query is without an answer."""
+        oldest = self.clock() - UNANSWERED_SECONDS
+        self._unanswered = {a: at for a, at in self._unanswered.items() if at > oldest}
+        return [node for node in nodes if node.address not in self._unanswered]
+
     def _call(self, connection, known):
         connection.open()
         connection.set_time_limit(RESPONSE_TIMEOUT_SECONDS)
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_peers.py
@@ -154,3 +154,64 @@
         nodes = {"n1": NodeRecord("n1", address, "a")}
         directory.apply_snapshot(replace(directory.build_snapshot(), nodes=nodes), 0.0)
         self.assertIsNone(self.client.fetch_newer(directory))
+
+
+class IntroducedTests(PeerClientCase):
+    """Guards against changes from nodes that are not of the fleet."""
+
+    def setUp(self):
+        super().setUp()
+        self.now = 5.0
+        self.client = PeerClient(
+            "own", "a", random.Random(1), "127.0.0.1:1", lambda: self.now
+        )
+        self.directory = Directory()
+        self.directory.apply_snapshot(build_snapshot(5, 1), 0.0)
+
+    def introduce(self, lists_this_node=True):
+        """Start a node with a newer directory, which introduces itself."""
+        peer = self.start(build_snapshot(12, 8))
+        nodes = self.list_records(peer)
+        if not lists_this_node:
+            del nodes["own"]
+        snapshot = replace(build_snapshot(13, 9), nodes=nodes)
+        peer.directory.apply_snapshot(snapshot, 0.0)
+        self.client.record_introduction(peer.build_record("n0"))
+        return peer
+
+    def set_nodes(self, *peers):
+        nodes = self.list_records(*peers)
+        snapshot = replace(self.directory.build_snapshot(), nodes=nodes)
+        self.directory.apply_snapshot(snapshot, 0.0)
+
+    def fetch(self, rounds=12):
+        """Return the newer snapshots of some queries."""
+        fetched = []
+        for _ in range(rounds):
+            self.now += 0.3
+            fetched.append(self.client.fetch_newer(self.directory))
+        return [snapshot for snapshot in fetched if snapshot is not None]
+
+    def test_a_node_that_knows_no_other_one_queries_who_introduced_itself(self):
+        self.introduce()
+        self.assertEqual(self.fetch()[0].position, Position(0, 13))
+
+    def test_who_does_not_list_this_node_is_not_believed(self):
+        self.introduce(lists_this_node=False)
+        with self.assertLogs("hingesill", "WARNING"):
+            self.assertEqual(self.fetch(), [])
+
+    def test_listed_nodes_that_answer_are_the_only_ones_queried(self):
+        introduced, listed = self.introduce(), self.start(build_snapshot(5, 1))
+        self.set_nodes(listed)
+        self.assertEqual(self.fetch(), [])
+        self.assertEqual(introduced.queries, 0)
+
+    def test_many_listed_nodes_that_have_ended(self):
+        """Each of them was queried again before the one that is alive."""
+        self.introduce()
+        dead = [self.start() for _ in range(40)]
+        self.set_nodes(*dead)
+        for peer in dead:
+            peer.close()
+        self.assertNotEqual(self.fetch(), [])
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -24,6 +24,7 @@
     "datagrams": "Datagrams to the node that nothing takes: failed, unknown.",
     "limits": "Datagrams between nodes on endpoints' limits: told, heard, not valid.",
     "quota": "Tokens of organisations' quotas, by organisation and event.",
+    "introductions": "Datagrams by which nodes introduce themselves to each other.",
     "quota_datagrams": "Datagrams between nodes on quotas: told, heard, not valid.",
     "availability": "Rests that endpoints asked for, and words that they leave.",
     "suspicions": "Overdue answers told to other nodes, and heard of.",
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -70,6 +70,11 @@
         logging.ERROR,
         "an internal error while following the store",
     )
+    INTRODUCTION_REFUSED = (
+        3023,
+        logging.WARNING,
+        "a node that introduced itself does not list this one",
+    )
     NODE_ENTERED = (3010, logging.INFO, "the node is registered in the store")
     NODE_ENTRY_LOST = (3011, logging.WARNING, "the node's registration has expired")
     ENDPOINT_DRAINING = (4001, logging.INFO, "an endpoint is leaving")
