Quotas: a coordinator learns of nodes that only other nodes list

What organisations got: more than their quota, up to 1.80 of the bound, where two parts of a fleet do not reach each other but the rest, and the node that follows the coordinator restarts meanwhile, or an earlier one starts in the other part.

Cause: who reaches both parts is asked only for nodes that left the prober's list. A node that starts during the partition never had the coordinator in its list, and a coordinator never had an earlier node that starts in the other part.

Evidence: SubstituteTests. From 1 s after its restart the substitute is confirmed by all who reach it; 4 s later two nodes grant the whole rate.

Change: probes have checksums of the nodes that the prober knows. Who has another list names nodes that it has had for 2 s and that are missing; the next probes ask of these as of nodes that left. A takeover beside such nodes is 3 s longer and renews no leases.

Why this works: whoever reaches both has both in its list, so it names the one that the other lacks before that one is confirmed; until its life is known it counts for neither.

Ruled out: equal lists as a condition; the coordinator of each organisation in the answers, as organisations are not bounded; nodes that have just joined, as each join would stop the coordinators that have not read it.

--- a/packages/hingesill-core/hingesill_core/quotas/coordinator.py
+++ b/packages/hingesill-core/hingesill_core/quotas/coordinator.py
@@ -5,7 +5,12 @@
 from hingesill_core.quotas.messages import QuotaReply
 from hingesill_core.quotas.tokenbucket import TokenBucket
 
-__all__ = ["LEASE_SECONDS", "QuotaCoordinator", "TAKEOVER_SECONDS"]
+__all__ = [
+    "LEASE_SECONDS",
+    "TAKEOVER_SECONDS",
+    "UNLISTED_SECONDS",
+    "QuotaCoordinator",
+]
 
 # Validity of a lease, in seconds. It has to outlast a change of the coordinator, for
 # which node lists need 1 to 2 s.
@@ -13,6 +18,10 @@
 # Time after which leases of an earlier coordinator have ended: a coordinator that is
 # cut off notices it within 1 s.
 TAKEOVER_SECONDS = LEASE_SECONDS + 1.0
+# Time by which a takeover is longer if other nodes list nodes that this one does not,
+# in seconds. One of these may be the coordinator, which learns of this one 2 s after
+# others have listed it, and notices within 1 s that they don't accept it any more.
+UNLISTED_SECONDS = 3.0
 # Validity of the coordinator's own lease, in seconds. If it is cut off, no other node
 # knows this lease.
 OWN_LEASE_SECONDS = 1.2
@@ -140,6 +149,7 @@
         # Nodes whose list may differ from that of this node.
         self.differing = set(missing or ())
         self.has_others = bool(missing)
+        self.has_unlisted = False
         self.accounts = {}
         self.reserved = 0.0
         self.demand = 0.0
@@ -197,9 +207,9 @@
         unconfirmed = take_unconfirmed(account)
         added = self.pool.take(max(0, report.wanted - unconfirmed))
         tokens = unconfirmed + added
-        share = self._choose_share(account, now)
+        seconds = self._get_lease_seconds(account, node, now)
+        share = self._choose_share(account, now) if seconds > 0 else 0.0
         account.charged += added
-        seconds = OWN_LEASE_SECONDS if node == self.own else LEASE_SECONDS
         until = now + seconds
         account.pending[report.number] = (now, tokens, share, until)
         account.until = max(account.until, until if share else account.until)
@@ -214,6 +224,20 @@
             self._estimate_wait(now) if tokens < report.wanted else 0.0,
         )
 
+    def _get_lease_seconds(self, account, node, now):
+        """Return the validity of a lease that is given now.
+
+        Notes
+        -----
+        A coordinator that is not listed here counts a lease that it gave until the
+        lease ends, and then gives the share to other nodes.
+        """
+        if node == self.own:
+            return OWN_LEASE_SECONDS
+        if self.has_unlisted and self.is_new(now):
+            return min(LEASE_SECONDS, account.until - now)
+        return LEASE_SECONDS
+
     def record_nodes(self, joined, nodes, node_list, now):
         """Record a change of the node list, of which the new one is given as well.
 
@@ -230,6 +254,15 @@
         self.node_list = node_list
         self._end_takeover(now)
 
+    def record_unlisted(self, nodes, now):
+        """Record nodes that only other nodes list, and which may have leases."""
+        if self.missing is None or not self.is_new(now) or not nodes:
+            return
+        if not self.has_unlisted:
+            self.has_unlisted = True
+            self.normal_from += UNLISTED_SECONDS
+        self.missing.update(nodes)
+
     def list_unknown(self, now):
         """Return the nodes that have to be asked for their leases."""
         if self.missing is None or not self.is_new(now):
--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -1,22 +1,32 @@
 """The quotas of all organisations at one node, and their exchange with other nodes."""
 
 from functools import partial
-from zlib import crc32
 
 from msgspec import Struct
 from msgspec.structs import replace
 
 from hingesill_core.quotas.allowance import compute_allowance, compute_extra
 from hingesill_core.quotas.client import MAX_WAIT_SECONDS, QuotaClient
-from hingesill_core.quotas.coordinator import QuotaCoordinator
+from hingesill_core.quotas.coordinator import UNLISTED_SECONDS, QuotaCoordinator
 from hingesill_core.quotas.decision import QuotaDecision, QuotaStatus, QuotaTolerance
-from hingesill_core.quotas.membership import ListHistory, NodeContacts
+from hingesill_core.quotas.membership import (
+    MAX_UNLISTED,
+    SETTLED_SECONDS,
+    ListHistory,
+    NodeContacts,
+)
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
     QuotaReply,
     QuotaReport,
 )
+from hingesill_core.quotas.nodelists import (
+    compute_list_checksum,
+    count_parts,
+    encode_part,
+    find_unlisted,
+)
 from hingesill_core.quotas.placement import Placement
 from hingesill_core.quotas.quorum import REJECTED_SECONDS, Quorum
 from hingesill_core.ratelimits.coordinators import compute_weight
@@ -168,7 +178,8 @@
         self._contests = {}
         # Time of the last queries for leases by organisation.
         self._queried = {}
-        # Nodes that left and were before this one as the coordinator, by organisation.
+        # Nodes that are not listed and come before this one as the coordinator, by
+        # organisation.
         self._earlier = {}
         self._refreshed_at = float("-inf")
         # Time of the list that is being refreshed.
@@ -260,7 +271,7 @@
         before, self.own = self.nodes, own
         self.nodes = frozenset({own, *nodes})
         if self.nodes != before:
-            self.node_list = compute_checksum(self.nodes)
+            self.node_list = compute_list_checksum(self.nodes)
         joined, left = self.nodes - before, before - self.nodes
         if not joined and not left and self._placements:
             return
@@ -278,7 +289,7 @@
             coordinator = self._get_placement(name).coordinator
             if coordinator != own:
                 del self._coordinators[name]
-                self._send_acceptance(coordinator, 0, now)
+                self._send_acceptance(coordinator, now)
             else:
                 self._coordinators[name].record_nodes(
                     joined, self.nodes, self.node_list, now
@@ -303,11 +314,11 @@
             joined = ()
         self._history.record_joined(joined, listed_at, self.nodes, now)
 
-    def _send_acceptance(self, node, number, now, left=()):
+    def _send_acceptance(self, node, now, probe=QuotaProbe(0)):
         """Tell a coordinator whether and since when the node list has it."""
         seconds = self._history.get_listed_seconds(node, now)
         kept, unknown = [], []
-        for position, other in enumerate(left):
+        for position, other in enumerate(probe.left):
             if other not in self.nodes:
                 continue
             is_alive = self._contacts.is_alive(other, now)
@@ -318,10 +329,32 @@
             if self._contacts.should_ask(other, now):
                 self.send(other, QuotaProbe(0))
         reply = QuotaProbeReply(
-            number, node in self.nodes, seconds, tuple(kept), tuple(unknown)
+            probe.number,
+            node in self.nodes,
+            seconds,
+            tuple(kept),
+            tuple(unknown),
+            self._list_unlisted(probe, now),
         )
         self.send(node, reply)
 
+    def _list_unlisted(self, probe, now):
+        """Return the nodes that the sender of a probe should know but does not.
+
+        Notes
+        -----
+        A node that has just joined is not in all lists yet, and the list of a node that
+        has just started may differ for that reason.
+        """
+        is_equal = not probe.listed or probe.node_list == self.node_list
+        if is_equal or now - self._started_at <= SETTLED_SECONDS:
+            return ()
+        settled = self._history.list_settled(self.nodes, now)
+        unlisted = find_unlisted(settled, probe.listed, probe.part, probe.parts)
+        if len(unlisted) > MAX_UNLISTED:
+            unlisted = self.rng.sample(unlisted, MAX_UNLISTED)
+        return tuple(unlisted)
+
     def acquire(self, name, now):
         """Return the QuotaDecision on one arrival at an endpoint.
 
@@ -436,15 +469,28 @@
         elif isinstance(message, QuotaProbe) and message.organisation:
             self._tell_lease(message.organisation, sender, now)
         elif isinstance(message, QuotaProbe):
-            self._send_acceptance(sender, message.number, now, message.left)
+            self._send_acceptance(sender, now, message)
         elif isinstance(message, QuotaProbeReply):
             self._detect_rejection(now)
             if message.listed_seconds:
                 self._detect_absence(now - message.listed_seconds, now)
-            self.quorum.record_answer(message, sender, now)
+            self._record_answer(message, sender, now)
             return self._handle_deferred(now)
         return ()
 
+    def _record_answer(self, reply, sender, now):
+        """Record the answer to a probe, and the nodes that only other lists have."""
+        outcome = self.quorum.record_answer(reply, sender, now)
+        if outcome is None:
+            return
+        learned = outcome.kept | outcome.unknown
+        if not learned or not self._history.record_learned(learned, self.nodes, now):
+            return
+        self._earlier.clear()
+        unlisted = self._history.find_unlisted(self.nodes)
+        for coordinator in self._coordinators.values():
+            coordinator.record_unlisted(unlisted, now)
+
     def _handle_report(self, report, sender, now):
         """Return the reply to a report as the coordinator, or None."""
         name = report.organisation
@@ -468,7 +514,7 @@
         return coordinator.handle_report(report, sender, now)
 
     def _find_earlier(self, name):
-        """Return the nodes that left and were before this one as the coordinator."""
+        """Return the absent nodes that come before this one as the coordinator."""
         earlier = self._earlier.get(name)
         if earlier is None:
             weight = self._get_placement(name).weight
@@ -507,7 +553,10 @@
         if contest is not None and contest.is_certain:
             begin = max(begin, contest.seen_at)
         since = placement.find_since(self._history.left, begin)
-        missing = self.nodes - {self.own}
+        unlisted = self._history.find_unlisted(self.nodes)
+        if unlisted:
+            since += UNLISTED_SECONDS
+        missing = self.nodes.union(unlisted) - {self.own}
         missing |= self._history.find_leaseholders(
             name, placement.weight, self.nodes, now
         )
@@ -524,6 +573,7 @@
             begin + START_SECONDS,
             self.node_list,
         )
+        coordinator.has_unlisted = bool(unlisted)
         self._coordinators[name] = coordinator
         self._query_leases(coordinator, now)
         return coordinator
@@ -545,8 +595,16 @@
 
     def _send_probes(self, now, earlier=frozenset()):
         left = self._history.list_probed(self.nodes)
-        for node, number in self.quorum.start_round(now, left, earlier):
-            self.send(node, QuotaProbe(number, "", left))
+        known = self.nodes.union(left)
+        parts = count_parts(known)
+        encoded = {}
+        for node, number in self.quorum.start_round(now, left, earlier, parts):
+            part = self.quorum.pending[number].part
+            if part not in encoded:
+                encoded[part] = encode_part(known, part, parts)
+            listed = encoded[part]
+            probe = QuotaProbe(number, "", left, self.node_list, listed, part, parts)
+            self.send(node, probe)
 
     def _detect_contest(self, name, now):
         """Begin anew as a coordinator if most nodes have an earlier one in their lists.
@@ -708,12 +766,6 @@
         }
 
 
-def compute_checksum(nodes):
-    """Return a checksum of a list of nodes that is not 0."""
-    text = ",".join(f"{host}:{port}" for host, port in sorted(nodes))
-    return crc32(text.encode()) or 1
-
-
 def has_other_quota(organisation, before):
     """Return whether the quotas of two versions of an organisation differ."""
     return (organisation.rate, organisation.burst) != (before.rate, before.burst)
--- a/packages/hingesill-core/hingesill_core/quotas/membership.py
+++ b/packages/hingesill-core/hingesill_core/quotas/membership.py
@@ -10,8 +10,14 @@
 # Time for which nodes that left are remembered, in seconds: any pool is full after it,
 # or is filled more slowly than it could be.
 LEFT_SECONDS = 120.0
-# Nodes that left, the newest ones, that a probe contains.
+# Nodes of which a probe asks, and nodes of other lists that are remembered.
 MAX_PROBED_LEFT = 32
+MAX_LEARNED = 256
+# Time after which a node is expected to be in all lists, in seconds. Lists differ for 1
+# to 2 s after each change.
+SETTLED_SECONDS = 2.0
+# Nodes that an answer names, which the sender of the probe does not know.
+MAX_UNLISTED = 32
 # Time for which a node counts as alive after a message, after which one that was asked
 # without an answer does not, and interval of further questions, in seconds. Answers
 # take some milliseconds.
@@ -30,10 +36,13 @@
         list again.
     joined : dict
         Time at which a node joined by its address, for nodes of the list.
+    learned : dict
+        Time at which another node's list was last known to have a node, by its address.
     """
 
     left: dict = field(default_factory=dict)
     joined: dict = field(default_factory=dict)
+    learned: dict = field(default_factory=dict)
     left_at: float = float("-inf")
 
     def record_left(self, left, now):
@@ -78,6 +87,36 @@
         }
         self.joined.update(dict.fromkeys(joined, at))
 
+    def record_learned(self, learned, nodes, now):
+        """Record nodes of another list; return whether one of them is new here.
+
+        Parameters
+        ----------
+        learned : iterable of tuple
+            Addresses of the nodes.
+        nodes : collection of tuple
+            The present list.
+        now : float
+            Seconds of the node's clock.
+        """
+        known = self.list_probed(nodes)
+        for node in set(learned) - nodes:
+            self.learned.pop(node, None)
+            self.learned[node] = now
+        for node, at in list(self.learned.items()):
+            is_surplus = len(self.learned) > MAX_LEARNED
+            if is_surplus or node in nodes or now - at > LEFT_SECONDS:
+                del self.learned[node]
+        return self.list_probed(nodes) != known
+
+    def list_settled(self, nodes, now):
+        """Return the nodes that joined long enough ago to be in all lists."""
+        return [
+            node
+            for node in nodes
+            if now - self.joined.get(node, float("-inf")) > SETTLED_SECONDS
+        ]
+
     def get_listed_seconds(self, node, now):
         """Return for how long a node that joined is listed; 0 if it did not join."""
         at = self.joined.get(node)
@@ -118,14 +157,22 @@
             return set()
         return left
 
+    def find_unlisted(self, nodes):
+        """Return the nodes that are in other lists and were not in this one."""
+        return self.learned.keys() - self.left.keys() - nodes
+
+    def list_absent(self, nodes):
+        """Return the nodes that left or are in other lists only, the newest first."""
+        absent = dict.fromkeys([*reversed(self.learned), *reversed(self.left)])
+        return [node for node in absent if node not in nodes]
+
     def list_probed(self, nodes):
-        """Return the nodes that left last, of which probes ask."""
-        left = [node for node in reversed(self.left) if node not in nodes]
-        return tuple(left[:MAX_PROBED_LEFT])
+        """Return the nodes of which probes ask."""
+        return tuple(self.list_absent(nodes)[:MAX_PROBED_LEFT])
 
     def find_earlier(self, name, weight, nodes):
-        """Return the nodes that left and were before a node as the coordinator."""
-        if not self.left:
+        """Return the absent nodes that come before a node as the coordinator."""
+        if not (self.left or self.learned):
             return frozenset()
         return frozenset(
             node
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -89,12 +89,24 @@
         Organisation of which the sender has become the coordinator; the receiver
         answers with a QuotaReport instead of a QuotaProbeReply. Empty otherwise.
     left : tuple of tuple
-        IP numbers and ports of nodes that left the sender's list of nodes.
+        IP numbers and ports of nodes that are not in the sender's list of nodes, of
+        which it asks.
+    node_list : int
+        Checksum of the sender's list of nodes.
+    listed : bytes
+        Checksums of the nodes that the sender knows, in one part of them; see
+        `hingesill_core.quotas.nodelists`.
+    part, parts : int
+        Index of that part and number of parts.
     """
 
     number: int
     organisation: str = ""
     left: tuple[tuple[str, int], ...] = ()
+    node_list: int = 0
+    listed: bytes = b""
+    part: int = 0
+    parts: int = 1
 
 
 class QuotaProbeReply(Struct, frozen=True, array_like=True, tag=4):
@@ -112,6 +124,9 @@
     kept, unknown : tuple of int
         Positions in the probe's `left` of the nodes that the list of the answering node
         has, and which answer or may do so.
+    unlisted : tuple of tuple
+        IP numbers and ports of nodes of that list which the sender of the probe does
+        not know.
     """
 
     number: int
@@ -119,3 +134,4 @@
     listed_seconds: float = 0.0
     kept: tuple[int, ...] = ()
     unknown: tuple[int, ...] = ()
+    unlisted: tuple[tuple[str, int], ...] = ()
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -4,6 +4,8 @@
 
 from msgspec import Struct, field
 
+from hingesill_core.quotas.nodelists import is_in_part
+
 __all__ = ["PROBE_INTERVAL_SECONDS", "REJECTED_SECONDS", "Quorum"]
 
 # Nodes that are probed before anything is granted, and later in each round.
@@ -44,8 +46,12 @@
     sampled_at : float
         Time of the first probe of the node in the present sample.
     kept, unknown : frozenset of tuple
-        Nodes of its list that left the list of this node, and which answer or may do
-        so.
+        Nodes of its list that are not in the list of this node, and which answer or may
+        do so.
+    asked : frozenset of tuple
+        Nodes of which it was asked.
+    part, parts : int
+        Part of the nodes in which the lists were compared, and number of parts.
     """
 
     at: float
@@ -53,16 +59,49 @@
     sampled_at: float
     kept: frozenset = frozenset()
     unknown: frozenset = frozenset()
+    asked: frozenset = frozenset()
+    part: int = 0
+    parts: int = 1
 
     def is_known(self, earlier):
-        """Return whether the probed node knows if it accepts this one instead."""
-        return not self.is_accepted or self.unknown.isdisjoint(earlier)
+        """Return whether it is known if the probed node accepts this one instead."""
+        if not self.is_accepted:
+            return True
+        return self.unknown.isdisjoint(earlier) and all(
+            node in self.asked or is_in_part(node, self.part, self.parts)
+            for node in earlier
+        )
 
     def is_positive(self, earlier):
         """Return whether the probed node accepts this one in place of earlier ones."""
         return self.is_accepted and (self.kept | self.unknown).isdisjoint(earlier)
 
 
+class PendingProbe(Struct, frozen=True):
+    """A probe without an answer.
+
+    Parameters
+    ----------
+    node : tuple
+        Address of the probed node.
+    at : float
+        Time of the probe, in seconds of the node's clock.
+    sampled_at : float
+        See `ProbeOutcome`.
+    left : tuple of tuple
+        Nodes of which it asks.
+    part, parts : int
+        See `ProbeOutcome`.
+    """
+
+    node: tuple
+    at: float
+    sampled_at: float
+    left: tuple = ()
+    part: int = 0
+    parts: int = 1
+
+
 class Tally(Struct, frozen=True):
     """Recent outcomes of probes, as an estimate of the share of accepting nodes.
 
@@ -111,9 +150,10 @@
     coordinator. Both would grant the whole rate. While most answers are positive, the
     number of probes doesn't depend on the size of the fleet.
 
-    Nodes that reach this node may also reach the coordinator that it replaces. So for
-    an organisation, nodes whose lists have one of the `earlier` nodes, which left the
-    list of this node and come before it there, do not confirm it.
+    Nodes that reach this node may also reach the coordinator that it replaces, or one
+    that it never knew. So for an organisation, nodes whose lists have one of the
+    `earlier` nodes, which come before it there and are not in the list of this node, do
+    not confirm it.
 
     Parameters
     ----------
@@ -143,7 +183,7 @@
         known = set(self.others)
         self.outcomes = {n: o for n, o in self.outcomes.items() if n in known}
 
-    def start_round(self, now, left=(), earlier=frozenset()):
+    def start_round(self, now, left=(), earlier=frozenset(), parts=1):
         """Return (node, number) of the probes to send now, if any are due.
 
         Parameters
@@ -151,9 +191,11 @@
         now : float
             Seconds of the node's clock.
         left : tuple of tuple
-            Addresses of nodes that left the node list, which the probes contain.
+            Addresses of nodes that are not in the node list, of which the probes ask.
         earlier : frozenset of tuple
             Those of them in whose place the node wants to be confirmed.
+        parts : int
+            Number of parts of the node list, of which each probe has one.
         """
         self._settle(now)
         tally = self._count(now, earlier)
@@ -175,7 +217,9 @@
         probes = []
         for node, sampled_at in chosen.items():
             self.number += 1
-            self.pending[self.number] = (node, now, sampled_at, left)
+            part = self.rng.randrange(parts) if parts > 1 else 0
+            probe = PendingProbe(node, now, sampled_at, left, part, parts)
+            self.pending[self.number] = probe
             probes.append((node, self.number))
         return probes
 
@@ -213,10 +257,11 @@
 
     def _settle(self, now):
         """Count probes without an answer as negative, and drop old outcomes."""
-        for number, (node, at, sampled_at, _) in list(self.pending.items()):
-            if now - at > PROBE_TIMEOUT_SECONDS:
+        for number, probe in list(self.pending.items()):
+            if now - probe.at > PROBE_TIMEOUT_SECONDS:
                 del self.pending[number]
-                self.outcomes[node] = ProbeOutcome(at, False, sampled_at)
+                outcome = ProbeOutcome(probe.at, False, probe.sampled_at)
+                self.outcomes[probe.node] = outcome
         self.outcomes = {
             node: outcome
             for node, outcome in self.outcomes.items()
@@ -224,19 +269,35 @@
         }
 
     def record_answer(self, reply, sender, now):
-        """Record the QuotaProbeReply of a node."""
-        pending = self.pending.get(reply.number)
-        if pending is None or pending[0] != sender:
-            return
-        node, at, sampled_at, left = self.pending.pop(reply.number)
+        """Record the QuotaProbeReply of a node.
+
+        Returns
+        -------
+        ProbeOutcome or None
+            None if no probe of that number to that node is open.
+        """
+        probe = self.pending.get(reply.number)
+        if probe is None or probe.node != sender:
+            return None
+        del self.pending[reply.number]
         kept, unknown = (
-            frozenset(left[i] for i in positions if i < len(left))
+            frozenset(probe.left[i] for i in positions if i < len(probe.left))
             for positions in (reply.kept, reply.unknown)
         )
-        accepted = reply.is_accepted
-        self.outcomes[node] = ProbeOutcome(at, accepted, sampled_at, kept, unknown)
+        outcome = ProbeOutcome(
+            probe.at,
+            reply.is_accepted,
+            probe.sampled_at,
+            kept,
+            unknown | frozenset(reply.unlisted),
+            frozenset(probe.left),
+            probe.part,
+            probe.parts,
+        )
+        self.outcomes[sender] = outcome
         if self.is_confirmed(now):
             self.unconfirmed_since = None
+        return outcome
 
     def is_rejected(self, now):
         """Return whether most nodes have not accepted this node for some time."""
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_partitions.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_partitions.py
@@ -74,6 +74,21 @@
                     PartitionCase("the substitute restarts", *quota, share)
                 )
 
+    def test_substitute_that_starts_and_is_used_later(self):
+        """Its pool would be full."""
+        for quota in QUOTAS:
+            self.assert_bound_holds(
+                PartitionCase("an idle substitute restarts", *quota, 0.2)
+            )
+
+    def test_earlier_node_that_starts_in_the_other_part(self):
+        """The coordinator never has that node in its list."""
+        for quota in QUOTAS:
+            for share in (0.0, 0.2, 0.3):
+                self.assert_bound_holds(
+                    PartitionCase("an earlier node starts", *quota, share)
+                )
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hingesill-node/hingesill_node/quotas/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/datagrams.py
@@ -21,12 +21,15 @@
 KINDS = (QuotaReport, QuotaReply, QuotaProbe, QuotaProbeReply)
 DECODER = Decoder(QuotaReport | QuotaReply | QuotaProbe | QuotaProbeReply)
 NAME = "organisation"
-LISTS = ("left", "kept", "unknown")
+LISTS = ("left", "kept", "unknown", "unlisted")
+LISTED = "listed"
+# Bytes of checksums in a probe at most.
+MAX_LISTED_BYTES = 1024
 # Nodes that a probe names at most, and the length of their IP numbers.
 MAX_NODES = 64
 MAX_HOST_LENGTH = 64
 MAX_PORT = 65535
-NUMBERS = ("link", "number", "seen", "node_list")
+NUMBERS = ("link", "number", "seen", "node_list", "part", "parts")
 AMOUNTS = ("taken", "held", "share", "demand", "wanted", "tokens")
 TIMES = ("seconds", "retry_after", "listed_seconds")
 FLAGS = ("is_accepted",)
@@ -42,7 +45,8 @@
         **dict.fromkeys(TIMES, MAX_SECONDS),
         **dict.fromkeys(FLAGS, True),
     }
-    names = [name for name in kind.__struct_fields__ if name not in (NAME, *LISTS)]
+    others = (NAME, LISTED, *LISTS)
+    names = [name for name in kind.__struct_fields__ if name not in others]
     return [(name, limits[name]) for name in names]
 
 
@@ -89,12 +93,17 @@
 
 def check_lists(message):
     """Raise ValueError if a list of nodes or positions is too long or invalid."""
-    left, kept, unknown = (getattr(message, name, ()) for name in LISTS)
-    if max(len(left), len(kept), len(unknown)) > MAX_NODES:
+    left, kept, unknown, unlisted = (getattr(message, name, ()) for name in LISTS)
+    if max(len(left), len(kept), len(unknown), len(unlisted)) > MAX_NODES:
         raise ValueError(f"more than {MAX_NODES} nodes")
-    for host, port in left:
+    for host, port in (*left, *unlisted):
         if len(host) > MAX_HOST_LENGTH or not 0 < port <= MAX_PORT:
             raise ValueError(f"{host[:MAX_HOST_LENGTH]}:{port} is not an address")
     for position in (*kept, *unknown):
         if not 0 <= position < MAX_NODES:
             raise ValueError(f"position {position} is out of range")
+    length = len(getattr(message, LISTED, b""))
+    if length > MAX_LISTED_BYTES:
+        raise ValueError(f"{length} bytes of checksums exceed {MAX_LISTED_BYTES}")
+    if getattr(message, "parts", 1) < 1:
+        raise ValueError("a list of nodes has at least one part")
--- a/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
@@ -7,15 +7,17 @@
 from msgspec.structs import replace
 
 from hingesill_core.organisations.organisation import Organisation
-from hingesill_core.quotas.membership import MAX_PROBED_LEFT
+from hingesill_core.quotas.membership import MAX_PROBED_LEFT, MAX_UNLISTED
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
     QuotaReply,
     QuotaReport,
 )
+from hingesill_core.quotas.nodelists import count_parts, encode_part
 from hingesill_core.ratelimits.coordinators import rank_coordinators
 from hingesill_node.quotas.datagrams import (
+    MAX_LISTED_BYTES,
     MAX_NAME_LENGTH,
     MAX_NODES,
     QUOTA_PREFIX,
@@ -37,6 +39,8 @@
     QuotaProbeReply(0, True, 3.5),
     QuotaProbe(4, "", (("10.0.0.1", 80), ("10.0.0.2", 80))),
     QuotaProbeReply(4, True, 0.0, (1,), (0,)),
+    QuotaProbe(4, "", (), 7, b"\x01\x02\x03\x04", 1, 2),
+    QuotaProbeReply(4, True, 0.0, (), (), (("10.0.0.1", 80),)),
 )
 MAX_DATAGRAM_BYTES = 1400
 
@@ -81,6 +85,36 @@
         data = encode_message(QuotaProbe(2**40, "", left))
         self.assertLess(len(data), MAX_DATAGRAM_BYTES)
 
+    def test_messages_that_compare_lists_fit_into_a_datagram(self):
+        node = ("255.255.255.255", 65535)
+        left = (node,) * MAX_PROBED_LEFT
+        for count in (1, 107, 312, 1100):
+            nodes = [(f"10.0.{n // 250}.{n % 250}", 80) for n in range(count)]
+            parts = count_parts(nodes)
+            for part in range(parts):
+                listed = encode_part(nodes, part, parts)
+                probe = QuotaProbe(2**40, "", left, 2**32, listed, part, parts)
+                with self.subTest(nodes=count, part=part):
+                    data = encode_message(probe)
+                    self.assertLess(len(data), MAX_DATAGRAM_BYTES)
+                    self.assertEqual(decode_message(data), probe)
+        positions = tuple(range(MAX_PROBED_LEFT))
+        unlisted = (node,) * MAX_UNLISTED
+        reply = QuotaProbeReply(2**40, True, 3.5, positions, positions, unlisted)
+        self.assertLess(len(encode_message(reply)), MAX_DATAGRAM_BYTES)
+
+    def test_compared_lists(self):
+        for unlisted in ([("10.0.0.1", 0)], [("10.0.0.1", 80)] * (MAX_NODES + 1)):
+            with self.subTest(unlisted), self.assertRaises(ValueError):
+                reply = QuotaProbeReply(1, True, 0.0, (), (), unlisted)
+                decode_message(encode_message(reply))
+        for probe in (
+            QuotaProbe(1, "", (), 7, b"x" * (MAX_LISTED_BYTES + 1)),
+            QuotaProbe(1, "", (), 7, b"", 0, 0),
+        ):
+            with self.subTest(probe), self.assertRaises(ValueError):
+                decode_message(encode_message(probe))
+
     def test_names(self):
         for name in ("", "x" * (MAX_NAME_LENGTH + 1), 5):
             with self.assertRaises(ValueError):
