Quotas: a coordinator near one half goes on until the sample is decisive

Cause: a coordinator went on while more than half of its sample accepted it. At 53 of 105 a sample of 102 may have 51, though all nodes together decide for it.

Change: who grants goes on while the share is at most a standard error below one half. The error is that of a sample without replacement, zero when all nodes are known.

Why this works: in doubt the sample grows to all nodes within 2 s, and these decide exactly.

Ruled out: a fixed lower threshold, which leaves both of two coordinators near one half.

--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -19,8 +19,10 @@
 # Positive answers that are needed at least in fleets larger than the sample.
 MIN_CONFIRMATIONS = 9
 # Standard errors by which the estimated share of positive answers has to exceed one
-# half: to become confirmed, and to be beyond doubt. With the former, 9 of 15 suffice;
-# on the side of a partition with a third of the nodes, that has a probability of 0.03.
+# half: to stay confirmed, to become so, and to be beyond doubt. To become confirmed, 9
+# of 15 suffice; on the side of a partition with a third of the nodes, that has a
+# probability of 0.03.
+HELD_ERRORS = -1.0
 CONFIRMED_ERRORS = 0.75
 CERTAIN_ERRORS = 2.0
 # Share of positive answers below which larger samples are probed.
@@ -316,12 +318,12 @@
         earlier : frozenset of tuple
             Addresses of nodes in whose place they have to accept it.
         was_confirmed : bool
-            Whether the node grants already: then it goes on while more than half of the
-            answers are positive, as a sample may be unlucky.
+            Whether the node grants already: then it goes on while most nodes may accept
+            it, as a sample may be unlucky.
         """
         if not self.others:
             return True
-        errors = 0.0 if was_confirmed else CONFIRMED_ERRORS
+        errors = HELD_ERRORS if was_confirmed else CONFIRMED_ERRORS
         return self._count(now, earlier).exceeds_half(errors)
 
     def _count(self, now, earlier):
