Quotas: nodes that do not reach the coordinator get their tokens through others

Cause: a node that is asked as the coordinator, but is not, dropped the reports.

Change: it sends them to a node that has the coordinator, which passes them on; replies come back the same way. A node that most nodes do not list does so with the node that follows it, through one that does not list it. What is relayed once is not relayed again.

Why this works: the coordinator has the accounts of all nodes, also of those that it does not reach, so the bound holds as in a fleet without a partition.

Ruled out: forwarding of the requests themselves, as their nodes reach endpoints; a second coordinator with a part of the rate, as nobody knows which part is used where.

--- a/packages/hingesill-core/hingesill_core/quotas/fleet.py
+++ b/packages/hingesill-core/hingesill_core/quotas/fleet.py
@@ -18,6 +18,7 @@
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
+    QuotaRelay,
     QuotaReply,
     QuotaReport,
 )
@@ -29,6 +30,7 @@
 )
 from hingesill_core.quotas.placement import Placement
 from hingesill_core.quotas.quorum import REJECTED_SECONDS, Quorum
+from hingesill_core.quotas.relaying import find_next, find_path
 from hingesill_core.ratelimits.coordinators import compute_weight
 
 __all__ = ["FleetQuotas", "MAX_WAIT_SECONDS", "QuotaChange", "QuotaUsage"]
@@ -181,6 +183,8 @@
         # Nodes that are not listed and come before this one as the coordinator, by
         # organisation.
         self._earlier = {}
+        # Nodes that are the coordinator without this one, by organisation.
+        self._following = {}
         self._refreshed_at = float("-inf")
         # Time of the list that is being refreshed.
         self._listed_at = None
@@ -236,6 +240,7 @@
         self._placements.pop(name, None)
         self._contests.pop(name, None)
         self._earlier.pop(name, None)
+        self._following.pop(name, None)
         self._queried.pop(name, None)
 
     def _get_placement(self, name):
@@ -265,6 +270,7 @@
             self._drop_coordinators(now)
             self._placements.clear()
             self._earlier.clear()
+            self._following.clear()
         if own is None:
             self.own, self.nodes = None, frozenset()
             return
@@ -279,6 +285,7 @@
         self._contacts.forget(left)
         forgotten_at = self._history.record_left(left, now)
         self._earlier.clear()
+        self._following.clear()
         self._started_at = max(self._started_at, forgotten_at)
         self._record_joined(joined, listed_at, now)
         for placement in self._placements.values():
@@ -439,7 +446,7 @@
 
         Parameters
         ----------
-        message : QuotaReport, QuotaReply, QuotaProbe or QuotaProbeReply
+        message : QuotaReport, QuotaReply, QuotaProbe, QuotaProbeReply or QuotaRelay
             The decoded message.
         sender : tuple
             IP number and port of the sender.
@@ -457,11 +464,9 @@
         if sender in self.nodes:
             self._contacts.record_heard(sender, now)
         if isinstance(message, QuotaReply):
-            client = self._clients.get(message.organisation)
-            if client is None or sender != client.coordinator:
-                return ()
-            self._run(client, lambda now: client.handle_reply(message, now), now)
-            return (message.organisation,) if client.waiting else ()
+            return self._handle_reply(message, sender, now)
+        if isinstance(message, QuotaRelay):
+            return self._handle_relay(message, sender, now)
         if isinstance(message, QuotaReport):
             reply = self._handle_report(message, sender, now)
             if reply is not None:
@@ -478,6 +483,43 @@
             return self._handle_deferred(now)
         return ()
 
+    def _handle_reply(self, reply, sender, now):
+        """Apply the reply of a coordinator; return the organisations to resume."""
+        client = self._clients.get(reply.organisation)
+        if client is None or sender != client.coordinator:
+            return ()
+        self._run(client, partial(client.handle_reply, reply), now)
+        return (reply.organisation,) if client.waiting else ()
+
+    def _handle_relay(self, relay, sender, now):
+        """Pass on a relayed message, or handle it if this node is the last one.
+
+        Returns
+        -------
+        tuple of str
+            See `handle_message`.
+        """
+        try:
+            following = find_next(relay, sender, self.own)
+        except ValueError:
+            return ()
+        if following is not None:
+            self.send(following, relay)
+            return ()
+        message, origin = relay.message, relay.path[0]
+        if isinstance(message, QuotaReport):
+            # The lists of nodes differ, so the report tells no lease.
+            report = replace(message, node_list=0)
+            if origin in self.nodes:
+                reply = self._handle_report(report, origin, now, is_relayed=True)
+                if reply is not None:
+                    self.send(sender, QuotaRelay(reply, relay.path))
+        elif origin == self.own:
+            return self._handle_reply(message, self.own, now)
+        else:
+            self.send(origin, message)
+        return ()
+
     def _record_answer(self, reply, sender, now):
         """Record the answer to a probe, and the nodes that only other lists have."""
         outcome = self.quorum.record_answer(reply, sender, now)
@@ -491,8 +533,14 @@
         for coordinator in self._coordinators.values():
             coordinator.record_unlisted(unlisted, now)
 
-    def _handle_report(self, report, sender, now):
-        """Return the reply to a report as the coordinator, or None."""
+    def _handle_report(self, report, sender, now, is_relayed=False):
+        """Return the reply to a report as the coordinator, or None.
+
+        Notes
+        -----
+        A node that is not the coordinator, as most nodes have an earlier one, relays
+        the reports of those that do not reach that one.
+        """
         name = report.organisation
         if name not in self._limited:
             return None
@@ -503,9 +551,17 @@
         earlier = self._find_earlier(name)
         if not self.quorum.is_confirmed(now, earlier, name in self._coordinators):
             self._detect_contest(name, now)
-            if len(self._deferred) < MAX_DEFERRED:
-                self._deferred[name, sender] = (report, now)
             self._send_probes(now, earlier)
+            if is_relayed:
+                return None
+            following = self._find_following(name)
+            path = find_path(
+                name, sender, self.own, self.quorum, earlier, following, now
+            )
+            if path is not None:
+                self.send(path[2], QuotaRelay(report, path))
+            elif len(self._deferred) < MAX_DEFERRED:
+                self._deferred[name, sender] = (report, now)
             return None
         coordinator = self._coordinators.get(name)
         if coordinator is None:
@@ -522,6 +578,15 @@
             self._earlier[name] = earlier
         return earlier
 
+    def _find_following(self, name):
+        """Return the node that is the coordinator without this one, or None."""
+        if name not in self._following:
+            others = self.nodes - {self.own}
+            self._following[name] = min(
+                others, key=lambda node: compute_weight(name, node), default=None
+            )
+        return self._following[name]
+
     def _tell_lease(self, name, sender, now):
         """Tell a new coordinator this node's lease, if it is the coordinator here."""
         if name not in self._limited:
--- a/packages/hingesill-core/hingesill_core/quotas/messages.py
+++ b/packages/hingesill-core/hingesill_core/quotas/messages.py
@@ -2,7 +2,13 @@
 
 from msgspec import Struct
 
-__all__ = ["QuotaProbe", "QuotaProbeReply", "QuotaReply", "QuotaReport"]
+__all__ = [
+    "QuotaProbe",
+    "QuotaProbeReply",
+    "QuotaRelay",
+    "QuotaReply",
+    "QuotaReport",
+]
 
 
 class QuotaReport(Struct, frozen=True, array_like=True, tag=1):
@@ -135,3 +141,19 @@
     kept: tuple[int, ...] = ()
     unknown: tuple[int, ...] = ()
     unlisted: tuple[tuple[str, int], ...] = ()
+
+
+class QuotaRelay(Struct, frozen=True, array_like=True, tag=5):
+    """A report to a coordinator that the reporting node does not reach, or its reply.
+
+    Parameters
+    ----------
+    message : QuotaReport or QuotaReply
+        The report or reply.
+    path : tuple of tuple
+        IP numbers and ports of the reporting node, of the node that it takes for the
+        coordinator, of a node that reaches both parts, and of the coordinator.
+    """
+
+    message: QuotaReport | QuotaReply
+    path: tuple[tuple[str, int], ...]
--- a/packages/hingesill-core/hingesill_core/quotas/quorum.py
+++ b/packages/hingesill-core/hingesill_core/quotas/quorum.py
@@ -54,6 +54,8 @@
         Nodes of which it was asked.
     part, parts : int
         Part of the nodes in which the lists were compared, and number of parts.
+    has_answered : bool
+        Whether there was an answer.
     """
 
     at: float
@@ -64,6 +66,7 @@
     asked: frozenset = frozenset()
     part: int = 0
     parts: int = 1
+    has_answered: bool = False
 
     def is_known(self, earlier):
         """Return whether it is known if the probed node accepts this one instead."""
@@ -295,6 +298,7 @@
             frozenset(probe.left),
             probe.part,
             probe.parts,
+            True,
         )
         self.outcomes[sender] = outcome
         if self.is_confirmed(now):
@@ -326,11 +330,19 @@
         errors = HELD_ERRORS if was_confirmed else CONFIRMED_ERRORS
         return self._count(now, earlier).exceeds_half(errors)
 
+    def list_recent(self, now):
+        """Return (node, ProbeOutcome) of the recent outcomes."""
+        return [
+            (node, outcome)
+            for node, outcome in self.outcomes.items()
+            if now - outcome.sampled_at <= VALID_SECONDS
+        ]
+
     def _count(self, now, earlier):
         """Return the Tally of the recent outcomes."""
         known = [
             outcome.is_positive(earlier)
-            for outcome in self.outcomes.values()
-            if now - outcome.sampled_at <= VALID_SECONDS and outcome.is_known(earlier)
+            for _, outcome in self.list_recent(now)
+            if outcome.is_known(earlier)
         ]
         return Tally(sum(known), len(known), len(self.others))
--- a/packages/hingesill-core/hingesill_core/quotas/tests/test_partitions.py
+++ b/packages/hingesill-core/hingesill_core/quotas/tests/test_partitions.py
@@ -3,6 +3,8 @@
 import unittest
 
 from hingesill_core.quotas.coordinator import TAKEOVER_SECONDS
+from hingesill_core.quotas.messages import QuotaRelay, QuotaReply, QuotaReport
+from hingesill_core.quotas.relaying import find_next
 from hingesill_core.quotas.tests.partitions import (
     CHANGED_SECONDS,
     DIFFERENT_SECONDS,
@@ -11,6 +13,7 @@
     PartitionCase,
     run_case,
 )
+from hingesill_core.quotas.tests.quotasimulation import NAME
 
 # As after other faults; see `QuotaCase.assert_recovered` of `test_simulation`.
 MIN_ADMITTED = 0.95
@@ -90,5 +93,41 @@
                 )
 
 
+class RelayTests(PartitionTests):
+    """Guards against refusals inside the quota at nodes that do not reach it."""
+
+    def test_nodes_of_the_other_part_get_their_tokens(self):
+        """The bound was kept by refusing all requests of that part."""
+        for name in ("two parts reach the rest", "the substitute restarts"):
+            for quota in QUOTAS:
+                for share in (0.1, 0.3):
+                    self.assert_admitted(PartitionCase(name, *quota, share, load=0.8))
+
+    def test_nodes_whose_coordinator_is_not_accepted_get_their_tokens(self):
+        for nodes in (18, 107):
+            case = PartitionCase("lists differ", nodes, share=0.2, load=0.8)
+            with self.subTest(case=case):
+                partition = Partition(case)
+                partition.run()
+                self.assertLessEqual(partition.measure_arrivals(), 1.0)
+                since = CHANGED_SECONDS + TAKEOVER_SECONDS + CONTESTED_SECONDS
+                admitted = partition.measure_admitted(since, DIFFERENT_SECONDS)
+                self.assertGreaterEqual(admitted, MIN_ADMITTED)
+
+    def test_relayed_messages_that_left_their_path_are_dropped(self):
+        own, other = ("10.0.0.1", 80), ("10.0.0.2", 80)
+        path = tuple((f"10.0.1.{n}", 80) for n in range(4))
+        report = QuotaReport(NAME, 1, 1)
+        for relay, sender, node in (
+            (QuotaRelay(report, path), other, path[2]),
+            (QuotaRelay(report, path), path[1], own),
+            (QuotaRelay(report, path), path[0], path[1]),
+            (QuotaRelay(report, path[:3]), path[1], path[2]),
+            (QuotaRelay(QuotaReply(NAME, 1, 1), path), path[1], path[2]),
+        ):
+            with self.subTest(relay), self.assertRaises(ValueError):
+                find_next(relay, sender, node)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/packages/hingesill-node/hingesill_node/quotas/datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/datagrams.py
@@ -6,9 +6,11 @@
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
+    QuotaRelay,
     QuotaReply,
     QuotaReport,
 )
+from hingesill_core.quotas.relaying import PATH_LENGTH
 
 __all__ = ["QUOTA_PREFIX", "decode_message", "encode_message"]
 
@@ -19,7 +21,7 @@
 # Maximum validity of a lease and maximum wait for a token, in seconds.
 MAX_SECONDS = 3600.0
 KINDS = (QuotaReport, QuotaReply, QuotaProbe, QuotaProbeReply)
-DECODER = Decoder(QuotaReport | QuotaReply | QuotaProbe | QuotaProbeReply)
+DECODER = Decoder(QuotaReport | QuotaReply | QuotaProbe | QuotaProbeReply | QuotaRelay)
 NAME = "organisation"
 LISTS = ("left", "kept", "unknown", "unlisted")
 LISTED = "listed"
@@ -79,6 +81,11 @@
 
 def check_values(message):
     """Raise ValueError if a value of a message is out of range."""
+    if isinstance(message, QuotaRelay):
+        if len(message.path) != PATH_LENGTH:
+            raise ValueError(f"a path of {len(message.path)} nodes")
+        check_addresses(message.path)
+        message = message.message
     length = len(getattr(message, NAME, ""))
     has_no_name = isinstance(message, (QuotaProbe, QuotaProbeReply))
     if length > MAX_NAME_LENGTH or not (length or has_no_name):
@@ -96,9 +103,7 @@
     left, kept, unknown, unlisted = (getattr(message, name, ()) for name in LISTS)
     if max(len(left), len(kept), len(unknown), len(unlisted)) > MAX_NODES:
         raise ValueError(f"more than {MAX_NODES} nodes")
-    for host, port in (*left, *unlisted):
-        if len(host) > MAX_HOST_LENGTH or not 0 < port <= MAX_PORT:
-            raise ValueError(f"{host[:MAX_HOST_LENGTH]}:{port} is not an address")
+    check_addresses((*left, *unlisted))
     for position in (*kept, *unknown):
         if not 0 <= position < MAX_NODES:
             raise ValueError(f"position {position} is out of range")
@@ -107,3 +112,10 @@
         raise ValueError(f"{length} bytes of checksums exceed {MAX_LISTED_BYTES}")
     if getattr(message, "parts", 1) < 1:
         raise ValueError("a list of nodes has at least one part")
+
+
+def check_addresses(nodes):
+    """Raise ValueError if one of these is not the address of a node."""
+    for host, port in nodes:
+        if len(host) > MAX_HOST_LENGTH or not 0 < port <= MAX_PORT:
+            raise ValueError(f"{host[:MAX_HOST_LENGTH]}:{port} is not an address")
--- a/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
+++ b/packages/hingesill-node/hingesill_node/quotas/tests/test_datagrams.py
@@ -11,6 +11,7 @@
 from hingesill_core.quotas.messages import (
     QuotaProbe,
     QuotaProbeReply,
+    QuotaRelay,
     QuotaReply,
     QuotaReport,
 )
@@ -42,6 +43,8 @@
     QuotaProbe(4, "", (), 7, b"\x01\x02\x03\x04", 1, 2),
     QuotaProbeReply(4, True, 0.0, (), (), (("10.0.0.1", 80),)),
 )
+PATH = tuple((f"10.0.0.{n}", 80) for n in range(4))
+RELAYS = (QuotaRelay(REPORT, PATH), QuotaRelay(REPLY, PATH))
 MAX_DATAGRAM_BYTES = 1400
 
 
@@ -49,12 +52,13 @@
     """Guards against values from the network that break decisions on quotas."""
 
     def test_decoded_message_equals_the_encoded_one(self):
-        for message in MESSAGES:
+        for message in (*MESSAGES, *RELAYS):
             self.assertEqual(decode_message(encode_message(message)), message)
 
     def test_the_longest_name_fits_into_a_datagram(self):
         message = replace(REPORT, organisation="\U0001f600" * MAX_NAME_LENGTH)
-        self.assertLess(len(encode_message(message)), MAX_DATAGRAM_BYTES)
+        relay = QuotaRelay(message, (("255.255.255.255", 65535),) * 4)
+        self.assertLess(len(encode_message(relay)), MAX_DATAGRAM_BYTES)
         self.assertEqual(decode_message(encode_message(message)), message)
 
     def test_each_number_is_checked(self):
@@ -115,6 +119,16 @@
             with self.subTest(probe), self.assertRaises(ValueError):
                 decode_message(encode_message(probe))
 
+    def test_relayed_messages(self):
+        for path in (PATH[:3], (*PATH, PATH[0]), (*PATH[:3], ("10.0.0.1", 0))):
+            with self.subTest(path), self.assertRaises(ValueError):
+                decode_message(encode_message(QuotaRelay(REPORT, path)))
+        for message in (replace(REPORT, wanted=-1), replace(REPLY, organisation="")):
+            with self.subTest(message), self.assertRaises(ValueError):
+                decode_message(encode_message(QuotaRelay(message, PATH)))
+        with self.assertRaises(ValueError):
+            decode_message(encode_message(QuotaRelay(QuotaProbe(1), PATH)))
+
     def test_names(self):
         for name in ("", "x" * (MAX_NAME_LENGTH + 1), 5):
             with self.assertRaises(ValueError):
@@ -125,7 +139,7 @@
     def test_corrupt_bytes_raise_nothing_but_value_error(self):
         rng = random.Random(1)
         for _ in range(3000):
-            data = bytearray(encode_message(rng.choice(MESSAGES)))
+            data = bytearray(encode_message(rng.choice((*MESSAGES, *RELAYS))))
             for _ in range(rng.randint(1, 4)):
                 data[rng.randrange(len(data))] = rng.randrange(256)
             try:
