An introduction counts only at a node that has read the store

A node that restarts in an outage knows nobody, so it queried the first node that introduced itself, and had keys and routes from it while it was to let nobody through.

Change: nodes that introduced themselves are queried only by a node that has a declaration. A node that starts without the store waits for the store or its first answer, as before.

Why this works: the lone node of test_lone_nodes has read the store, a starting one has not.

Ruled out: taking it for an improvement, as a starting node can't tell whose directory it gets, and the entry's test says that it knows no keys then.

--- a/packages/hingesill-node/hingesill_node/discovery/peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/peers.py
@@ -175,8 +175,8 @@
     Notes
     -----
     A node that introduced itself may be any program that can send a datagram. It is
-    queried only while no listed node answers, and its directory counts only if it lists
-    this node.
+    queried only while no listed node answers, by a node that has read the store, and
+    its directory counts only if it lists this node.
     """
 
     def __init__(self, name, data_centre, rng=None, address="", clock=time.monotonic):
@@ -209,7 +209,7 @@
         if now - self._queried_at > SILENT_SECONDS:
             self._answered_at = now
         self._queried_at = now
-        node = self._choose(directory.nodes)
+        node = self._choose(directory)
         if node is None:
             return None
         answer = self._query_node(node, build_known_state(directory))
@@ -288,10 +288,12 @@
         finally:
             connection.close()
 
-    def _choose(self, nodes):
+    def _choose(self, directory):
         """Return the node to query, or None if none is known."""
-        listed = [node for node in nodes.values() if node.name != self.name]
-        introduced = self._list_introduced(listed)
+        nodes = directory.nodes.values()
+        listed = [node for node in nodes if node.name != self.name]
+        has_read = directory.declared is not None
+        introduced = self._list_introduced(listed) if has_read else []
         others = self._list_answering(listed)
         is_silent = self.clock() - self._answered_at > SILENT_SECONDS
         if introduced and (not others or is_silent and self.rng.random() < 0.5):
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_peers.py
@@ -196,6 +196,13 @@
         self.introduce()
         self.assertEqual(self.fetch()[0].position, Position(0, 13))
 
+    def test_a_node_that_starts_without_the_store_believes_no_introduction(self):
+        """It got its first directory from whoever introduced itself."""
+        self.directory = Directory()
+        introduced = self.introduce()
+        self.assertEqual(self.fetch(), [])
+        self.assertEqual(introduced.queries, 0)
+
     def test_who_does_not_list_this_node_is_not_believed(self):
         self.introduce(lists_this_node=False)
         with self.assertLogs("hingesill", "WARNING"):
