--- a/review/standins/link.py
+++ b/review/standins/link.py
@@ -1,9 +1,16 @@
-"""A link between clients and one node: it paces, delays and resets connections."""
+"""A link to one address: it paces, delays and resets connections.
+
+As a process, ``python3 link.py TARGET COUNT`` opens that many links to one address and
+prints theirs as a JSON list. Each line that it reads is a JSON list with the numbers of
+the links that are cut from then on: their connections are reset, new ones too.
+"""
 
 import asyncio
+import json
 import random
 import socket
 import struct
+import sys
 
 __all__ = ["Link"]
 
@@ -20,7 +27,7 @@
     segment_bytes : int
         Largest part that is passed on at once.
     bytes_per_s : float
-        Bandwidth of each connection towards the node.
+        Bandwidth of each connection towards the node; 0 for no limit.
     """
 
     def __init__(self, target, segment_bytes=1460, bytes_per_s=125_000.0):
@@ -28,6 +35,7 @@
         self.segment_bytes = segment_bytes
         self.bytes_per_s = bytes_per_s
         self.connections = {}
+        self.is_cut = False
         self.address = ""
 
     async def start(self):
@@ -38,6 +46,9 @@
 
     async def pass_on(self, reader, writer):
         """Serve one connection."""
+        if self.is_cut:
+            reset_connection(writer)
+            return
         host, port = self.target.split(":")
         try:
             far_reader, far_writer = await asyncio.open_connection(host, int(port))
@@ -66,7 +77,7 @@
             data = await reader.read(self.segment_bytes)
             if not data:
                 break
-            if is_paced:
+            if is_paced and self.bytes_per_s:
                 await asyncio.sleep(len(data) / self.bytes_per_s)
             writer.write(data)
             await writer.drain()
@@ -77,7 +88,35 @@
         count = round(share * len(self.connections))
         for key in rng.sample(list(self.connections), count):
             for side in self.connections[key]:
-                sock = side.get_extra_info("socket")
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-                side.transport.abort()
+                reset_connection(side)
         return count
+
+
+def reset_connection(writer):
+    """Close a connection by a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+    writer.transport.abort()
+
+
+async def main():
+    """Serve until the end of the input."""
+    links = [Link(sys.argv[1], 1 << 16, 0) for _ in range(int(sys.argv[2]))]
+    for link in links:
+        await link.start()
+    print(json.dumps([link.address for link in links]), flush=True)
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    async for line in reader:
+        cut = json.loads(line)
+        for number, link in enumerate(links):
+            link.is_cut = number in cut
+            if link.is_cut:
+                link.reset(1.0)
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -133,7 +133,7 @@
             },
             "fault_tolerance": {"machines": 2, "zones": 0, "regions": 0},
             "platform": {
-                "address": scene.store,
+                "address": scene.store_addresses[number],
                 "form": "kv",
                 "writes_per_s": 400,
                 "reads_per_s": 2000,
@@ -187,9 +187,12 @@
         idle_timeout_ms=15000,
         options=None,
         special=None,
+        tenants=None,
     ):
         self.options = options or {}
         self.special = special or {}
+        self.tenants = tenants
+        self.links = None
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.output = Path(folder)
         self.helpers = []
@@ -225,7 +228,11 @@
                 "idle_timeout_ms": idle_timeout_ms,
             },
         }
+        if self.tenants is not None:
+            document["tenants"] = self.tenants
         self.put("op/config", document)
+        self.links, addresses = self.launch("link.py", self.store, str(nodes))
+        self.store_addresses = json.loads(addresses)
         for number in range(nodes):
             self.nodes.append(Node(self, number))
         until = now() + READY_SECONDS
@@ -251,6 +258,7 @@
         """Start a stand-in; return its process and the address that it prints."""
         process = subprocess.Popen(
             [sys.executable, str(STANDINS / program), *arguments],
+            stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
             text=True,
         )
@@ -266,6 +274,17 @@
         call = Call(f"http://{self.store}/own?key={key}", data, method="PUT")
         urlopen(call, timeout=2.0).read()
 
+    def set_store(self, query):
+        """Take the store down, or bring it back."""
+        urlopen(f"http://{self.store}/state?{query}", timeout=2.0).read()
+        self.note(f"store {query}")
+
+    def cut_from_store(self, numbers):
+        """Cut just these nodes from the store, by resets."""
+        self.links.stdin.write(json.dumps(numbers) + "\n")
+        self.links.stdin.flush()
+        self.note(f"nodes without the store: {numbers}")
+
     async def balance(self):
         """Ask each node each second; two misses take it out of the balance."""
         while True:
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -2,7 +2,8 @@
 
 It prints its address. The operator and the backends write by ``PUT /own?key=K``, with
 ``beat=1`` for an entry that disappears after three silent heartbeats, and remove by
-``DELETE /own?key=K``.
+``DELETE /own?key=K``. ``PUT /state?down=1`` makes it answer 503 to all calls until
+``down=0``; with ``lapse=1`` all leases end at that moment.
 """
 
 import asyncio
@@ -28,6 +29,7 @@
         self.leases = {}
         self.beats = {}
         self.last_lease = 0
+        self.is_down = False
         self.changed = asyncio.Condition()
 
     def put(self, key, value, lease=0):
@@ -83,6 +85,10 @@
         """Answer one call."""
         if request.path == "/own":
             return await self.write_own(request)
+        if request.path == "/state":
+            return await self.set_state(request.query)
+        if self.is_down:
+            return Response(503, {}, b"{}")
         name, _, tail = request.path.removeprefix("/api/kv-").partition("/")
         body = json.loads(request.body or b"{}")
         revision = self.revision
@@ -94,6 +100,15 @@
         data = json.dumps(content).encode()
         return Response(status, {"Content-Type": "application/json"}, data)
 
+    async def set_state(self, query):
+        """Go down or come back; let all leases end."""
+        self.is_down = query.get("down") == "1"
+        if "lapse" in query:
+            for lease in list(self.leases):
+                self.end_lease(lease)
+            await self.notify()
+        return Response(200, {}, b"{}")
+
     async def write_own(self, request):
         """Write or remove a key of the operator or of a backend."""
         key = request.query["key"]
