--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -150,7 +150,7 @@
         """Start the process with the command of the deploy file."""
         environment = {
             "PATH": os.environ["PATH"],
-            "HOME": os.environ.get("HOME", "/tmp"),
+            "HOME": os.environ.get("HOME", tempfile.gettempdir()),
             "LANG": os.environ.get("LANG", "C.UTF-8"),
             "EVENTLET_NO_GREENDNS": "yes",
             "HINGESILL_BUNDLE": "target/start.bundle",
