Heads: a request exists once the parser has seen the end of its head

Cause: the server read lines until an empty one, and the end of a connection is an empty line for readline(). What had arrived was parsed, and method, target and headers were used without asking the parser whether the head was complete.

Change: read_head feeds the strict parser and returns a head only when the parser has reported its end. Otherwise the request is refused with 400, before any application code: incomplete-request if the connection ended or stayed silent, bad-framing if the parser rejects it. Counted in refusals and logged as event 6007 with address, caller and detail, on all four addresses of a node. Silence within the request line shows, too; an idle connection does not. Empty lines before a request are skipped; one was answered with 404 before.

--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -32,6 +32,7 @@
     UNKNOWN_NODE = "unknown-node"
     QUARANTINED = "quarantined"
     BAD_FRAMING = "bad-framing"
+    INCOMPLETE_REQUEST = "incomplete-request"
     BAD_HEADER = "bad-header"
     BODY_TOO_LARGE = "body-too-large"
     CALLER_GONE = "caller-gone"
--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -28,6 +28,7 @@
     RefusalReason.UNAUTHENTICATED: 401,
     RefusalReason.QUOTA_EXCEEDED: 429,
     RefusalReason.BAD_FRAMING: 400,
+    RefusalReason.INCOMPLETE_REQUEST: 400,
     RefusalReason.BAD_HEADER: 400,
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.CALLER_GONE: 499,
@@ -46,6 +47,7 @@
 CLOSING_REASONS = frozenset(
     {
         RefusalReason.BAD_FRAMING,
+        RefusalReason.INCOMPLETE_REQUEST,
         RefusalReason.BODY_TOO_LARGE,
         RefusalReason.CALLER_GONE,
         RefusalReason.INTERNAL,
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -1,29 +1,51 @@
-"""The WSGI server of eventlet for the callers' address."""
+"""The WSGI server of eventlet for the addresses of a node."""
+
+from contextlib import suppress
+from functools import partial
 
 import eventlet
-import httptools
 from eventlet import wsgi
 from eventlet.greenio import GreenSocket
 
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_node.datapath.application import PROTOCOL_KEY
-from hingesill_node.datapath.requests import RequestHead
+from hingesill_node.datapath.headers import HeaderNames
+from hingesill_node.datapath.requests import RequestFault, read_head
 from hingesill_node.listeners import open_listener, pop_early_listener
+from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["CallerProtocol", "listen", "start_server"]
 
 MAX_CONNECTIONS = 10_000
 KEEP_ALIVE_SECONDS = 60
 SOCKET_TIMEOUT_SECONDS = 30
-END_OF_HEAD = (b"\r\n", b"\n", b"")
-BAD_FRAMING_RESPONSE = (
-    b"HTTP/1.1 400 Bad Request\r\n"
-    b"Hingesill-Outcome: not-run\r\nHingesill-Reason: bad-framing\r\n"
-    b"Connection: close\r\nContent-Length: 0\r\n\r\n"
+BAD_HEAD_RESPONSE = (
+    "HTTP/1.1 400 Bad Request\r\n"
+    f"{HeaderNames.OUTCOME}: {Outcome.NOT_RUN.value}\r\n"
+    f"{HeaderNames.REASON}: %s\r\n"
+    "Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
 
 class CallerProtocol(wsgi.HttpProtocol):
-    """HTTP protocol that lets the application close a connection."""
+    """HTTP protocol that serves whole requests only.
+
+    It also lets the application close a connection.
+
+    Parameters
+    ----------
+    listener : str
+        Name of the address, for the log.
+    counters : Counters
+        Counts ``refusals`` and ``requests`` whose heads are incomplete or malformed.
+    conn_state, server
+        See `eventlet.wsgi.HttpProtocol`.
+    """
+
+    def __init__(self, listener, counters, conn_state, server):
+        self.listener = listener
+        self.counters = counters
+        super().__init__(conn_state, server)
 
     def get_environ(self):
         """Return the WSGI environment with this protocol object added."""
@@ -31,23 +53,42 @@
         environ[PROTOCOL_KEY] = self
         return environ
 
+    def _read_request_line(self):
+        """Return the request line; empty if no further request arrives."""
+        # A connection that times out before the first byte of a request is idle.
+        has_begun = self._wait_for_data()
+        try:
+            return super()._read_request_line()
+        except TimeoutError:
+            if has_begun:
+                detail = "no data arrived in time within the request line"
+                reason = RefusalReason.INCOMPLETE_REQUEST
+                self._refuse_head(RequestFault(reason, detail))
+            raise
+
+    def _wait_for_data(self):
+        """Return whether the next request has begun; raise TimeoutError if not."""
+        try:
+            self.connection.settimeout(self.server.keepalive)
+            return bool(self.rfile.peek(1))
+        except TimeoutError:
+            raise
+        except (OSError, ValueError):
+            return False  # Reading the request line meets and handles the same error.
+
     def parse_request(self):
-        """Read and parse the head of a request; reject a malformed one.
+        """Read and parse the head of a request.
 
         Returns
         -------
         bool
-            False if the request was malformed and has been rejected.
+            False if the head is incomplete or malformed and the request was refused.
         """
         self.close_connection = True
-        lines = [self.raw_requestline]
-        while lines[-1] not in END_OF_HEAD:
-            lines.append(self.rfile.readline())
         try:
-            head = RequestHead(lines)
-        except httptools.HttpParserError:
-            self.wfile.write(BAD_FRAMING_RESPONSE)
-            self.wfile.flush()
+            head = read_head(self.raw_requestline, self.rfile)
+        except RequestFault as fault:
+            self._refuse_head(fault)
             return False
         self.headers = head
         self.command = head.method
@@ -57,6 +98,23 @@
         self.close_connection = not head.keep_alive
         return True
 
+    def _refuse_head(self, fault):
+        """Refuse a request whose head was not accepted; the connection is closed."""
+        self.counters.add("refusals", "", fault.reason.value)
+        self.counters.add("requests", "", Outcome.NOT_RUN.value)
+        log_event(
+            Event.REQUEST_NOT_WHOLE,
+            part="head",
+            listener=self.listener,
+            caller=self.client_address[0],
+            reason=fault.reason.value,
+            detail=str(fault),
+        )
+        # The caller is gone unless it has only closed its sending side.
+        with suppress(OSError):
+            self.wfile.write((BAD_HEAD_RESPONSE % fault.reason.value).encode())
+            self.wfile.flush()
+
 
 class NullLog:
     """Drops the log lines of the server, as the application logs events."""
@@ -88,9 +146,20 @@
     )
 
 
-def start_server(sock, application):
+def start_server(sock, application, listener, counters):
     """Serve an application on a listening socket in a green thread.
 
+    Parameters
+    ----------
+    sock : GreenSocket
+        The listening socket.
+    application : callable
+        WSGI application; it gets requests with a whole head only.
+    listener : str
+        Name of the address, for the log.
+    counters : Counters
+        Counts ``refusals`` and ``requests`` that do not reach the application.
+
     Returns
     -------
     GreenThread
@@ -101,7 +170,7 @@
         wsgi.server,
         sock,
         application,
-        protocol=CallerProtocol,
+        protocol=partial(CallerProtocol, listener, counters),
         custom_pool=pool,
         log=NullLog(),
         log_output=False,
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -136,7 +136,7 @@
             runners.merge_report,
             lambda: follower.is_confirmed,
         )
-        start_server(listener, application)
+        start_server(listener, application, "control", self.counters)
         self.follower.start()
         eventlet.spawn(self.registration.run)
         self.profiles = ProfileStore(
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_peers.py
@@ -18,6 +18,7 @@
     PeerClient,
 )
 from hingesill_node.discovery.tests.test_follower import build_declared, build_snapshot
+from hingesill_node.telemetry.counters import Counters
 
 AT_ONCE_SECONDS = 0.2
 
@@ -37,7 +38,7 @@
         application = PeerApplication(
             self.directory, Feed(self.directory), is_confirmed=self._count_query
         )
-        self.server = start_server(self.listener, application)
+        self.server = start_server(self.listener, application, "control", Counters())
 
     def _count_query(self):
         self.queries += 1
@@ -148,7 +149,7 @@
             start_response("200 OK", [])
             return [b"nonsense"]
 
-        server = start_server(listener, answer)
+        server = start_server(listener, answer, "control", Counters())
         self.addCleanup(server.kill)
         address = "127.0.0.1:%d" % listener.getsockname()[1]
         nodes = {"n1": NodeRecord("n1", address, "a")}
--- a/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
+++ b/packages/hingesill-node/hingesill_node/discovery/tests/test_relaying.py
@@ -25,6 +25,7 @@
     ScriptedSource,
     build_snapshot,
 )
+from hingesill_node.telemetry.counters import Counters
 
 
 class Relay:
@@ -44,7 +45,7 @@
         application = PeerApplication(
             self.follower.directory, self.follower.feed, self.reports.append
         )
-        self.server = start_server(listener, application)
+        self.server = start_server(listener, application, "control", Counters())
         self.follower._advance()
 
     def add_nodes(self, snapshot):
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -163,14 +163,14 @@
         error = self._start_forwarding() or self.control.start(self.runners)
         if error:
             return report_bind_error(error)
-        start_server(admin, self._build_admin())
+        start_server(admin, self._build_admin(), "admin", self.counters)
         signal.signal(signal.SIGTERM, self.lifecycle.request_stop)
         signal.signal(signal.SIGINT, self.lifecycle.request_stop)
         reloader = Reloader(self.settings, self.load, self.control.apply)
         signal.signal(signal.SIGHUP, reloader.request_reload)
         eventlet.spawn(reloader.run)
         self._wait_for_configuration()
-        start_server(callers, self.application)
+        start_server(callers, self.application, "callers", self.counters)
         freeze_start_objects()
         log_event(
             Event.NODE_STARTED,
@@ -201,7 +201,7 @@
             self.runners.clock,
         )
         entry = ForwardEntry(self.application, forwarder.peers.is_member)
-        start_server(listener, entry)
+        start_server(listener, entry, "forwarded", self.counters)
         return ""
 
     def _wait_for_configuration(self, clock=time.monotonic):
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -141,6 +141,11 @@
         logging.ERROR,
         "a request failed because of an internal error",
     )
+    REQUEST_NOT_WHOLE = (
+        6007,
+        logging.WARNING,
+        "a request was refused because it is incomplete or malformed",
+    )
     OVER_QUOTA = (7001, logging.WARNING, "an organisation is over its quota")
     WITHIN_QUOTA = (7002, logging.INFO, "an organisation is within its quota again")
     COORDINATOR_LOST = (
