Bodies: chunks are decoded by the strict parser, to the end of the trailers

What callers saw: a caller whose connection ended within the size of a chunk (00, the beginning of 0010) or within the trailers had its request run, with the chunks before it or an empty body, on both addresses and in bodies of any length; of a streamed body the endpoint got a regular end.

Cause: as for heads, the end of a connection ended the line; int(line, 16) took what had arrived for the size. It also takes signs, spaces, 0x and underscores, what follows a chunk's data was skipped up to a line feed, and after a size that could not be read the next line was taken for one.

Bodies with a length were compared with it and did not run.

RequestInput replaces the server's stream for both framings and raises RequestFault, so that incomplete and malformed bodies are refused with 400, close the connection, give their token back, and show in refusals and event 6007 like heads. The event is written at most 50 times a second and address. A streamed body's endpoint sees its connection end before the body, as before; the outcome is unknown and the token used. Stand-in endpoints no longer run bodies shorter than their length.

Ruled out: rules of our own for sizes (the parser has them), reading by lines (a feed for each line of the data).

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -20,6 +20,7 @@
 )
 from hingesill_node.datapath.messages import Body, CallerRequest
 from hingesill_node.datapath.refusals import is_valid_request_id
+from hingesill_node.datapath.requests import RequestFault
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.quotas.requesttokens import NO_TOKENS, RequestTokens
 from hingesill_node.telemetry.events import Event, log_event
@@ -115,6 +116,8 @@
             self.authenticator,
         )
         answer = exchange.run()
+        if request.body.fault is not None:
+            log_body_fault(environ, request_id, request.body.fault)
         self._log_request(request, exchange, answer)
         if isinstance(answer, Refusal):
             return self._refuse(environ, start_response, answer, request_id, service)
@@ -200,6 +203,9 @@
         body = None
         try:
             body = self._read_body(environ)
+        except RequestFault as fault:
+            log_body_fault(environ, request_id, fault)
+            return Refusal(fault.reason, Outcome.NOT_RUN)
         finally:
             if not isinstance(body, Body):
                 tokens.close()
@@ -259,7 +265,7 @@
         return Refusal(RefusalReason.NO_ROUTE, Outcome.NOT_RUN)
 
     def _read_body(self, environ):
-        """Return the Body, or a Refusal if it is too long or incomplete."""
+        """Return the Body, or a Refusal if it is too long; may raise RequestFault."""
         source = environ["wsgi.input"]
         length = environ.get("CONTENT_LENGTH")
         if length is None and "HTTP_TRANSFER_ENCODING" not in environ:
@@ -267,7 +273,7 @@
         if length is not None and int(length) > self.max_body_bytes:
             return Refusal(RefusalReason.BODY_TOO_LARGE, Outcome.NOT_RUN)
         if length is not None and int(length) <= MAX_BUFFERED_BODY_BYTES:
-            return self._read_whole(source, int(length))
+            return Body(source.read(int(length)), int(length))
         return self._read_prefix(source, None if length is None else int(length))
 
     def _read_prefix(self, source, length):
@@ -282,21 +288,14 @@
         limited = LimitedBody(source, self.max_body_bytes)
         try:
             beginning = limited.read(MAX_BUFFERED_BODY_BYTES)
-        except (OSError, ValueError):
+        except RequestFault:
+            raise
+        except OSError:
             return Refusal(RefusalReason.CALLER_GONE, Outcome.NOT_RUN)
         if length is None and len(beginning) < MAX_BUFFERED_BODY_BYTES:
             return Body(beginning, len(beginning))
         return Body(None, length, PrefixedBody(beginning, limited), beginning)
 
-    def _read_whole(self, source, length):
-        try:
-            data = source.read(length)
-        except OSError:
-            data = b""
-        if len(data) < length:
-            return Refusal(RefusalReason.CALLER_GONE, Outcome.NOT_RUN)
-        return Body(data, length)
-
     def _forward_answer(self, environ, start_response, request, exchange, answer):
         headers = list(filter_headers(answer.headers, self.answer_drops))
         headers.extend(self.wire.build_answer_headers(request.request_id))
@@ -355,6 +354,12 @@
         return self._refuse(environ, start_response, refusal, "", "")
 
 
+def log_body_fault(environ, request_id, fault):
+    """Log a request whose body is incomplete or malformed."""
+    caller = environ.get("REMOTE_ADDR", "")
+    environ[PROTOCOL_KEY].fault_log.write("body", fault, caller, request=request_id)
+
+
 def describe_organisation(ticket):
     """Return the log field with the organisation of a request, if it has one."""
     if ticket.organisation is None:
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -217,7 +217,8 @@
         if isinstance(live, SendStatus):
             return live
         if live is None:
-            return Refusal(RefusalReason.CALLER_GONE, self.sends.get_outcome())
+            reason = self.request.body.failure_reason
+            return Refusal(reason, self.sends.get_outcome())
         return self._await_first(live)
 
     def _find_refusal(self):
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -209,7 +209,7 @@
             self._write()
         except BodyFailed:
             self._end("cancelled")
-            return Refusal(RefusalReason.CALLER_GONE, Outcome.UNKNOWN)
+            return Refusal(request.body.failure_reason, Outcome.UNKNOWN)
         except OSError:
             return self._handle_loss(SendStatus.LOST)
         status = self._wait()
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -3,7 +3,7 @@
 from msgspec import Struct, field
 
 from hingesill_core.crashes.fingerprint import describe_request
-from hingesill_core.reasons import Outcome
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Send, Ticket
 from hingesill_node.quotas.requesttokens import NO_TOKENS
 
@@ -23,12 +23,22 @@
         Object with a ``read`` method, used if ``whole`` is None.
     beginning : bytes
         Bytes of an unbuffered body that were read before the first send.
+    fault : RequestFault or None
+        What was wrong with an unbuffered body when it was read.
     """
 
     whole: bytes | None
     length: int | None
     source: object = None
     beginning: bytes = b""
+    fault: object = None
+
+    @property
+    def failure_reason(self):
+        """Reason for which a request is refused whose body could not be read."""
+        if self.fault is None:
+            return RefusalReason.CALLER_GONE
+        return self.fault.reason
 
 
 class CallerRequest(Struct):
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/requestfaultlog.py
@@ -0,0 +1,57 @@
+"""Log of requests that are refused because they are incomplete or malformed."""
+
+import time
+
+from hingesill_node.telemetry.events import Event, log_event
+
+__all__ = ["MAX_LOG_LINES_PER_SECOND", "RequestFaultLog"]
+
+# Leaves most of the node's log lines to other events.
+MAX_LOG_LINES_PER_SECOND = 50
+
+
+class RequestFaultLog:
+    """Logs the faults of requests on one address, at a limited rate.
+
+    Parameters
+    ----------
+    listener : str
+        Name of the address.
+    clock : callable
+        Monotonic seconds.
+    """
+
+    def __init__(self, listener, clock=time.monotonic):
+        self.listener = listener
+        self.clock = clock
+        self._second = 0
+        self._lines = 0
+
+    def write(self, part, fault, caller, **fields):
+        """Log one fault, at most `MAX_LOG_LINES_PER_SECOND` times a second.
+
+        Parameters
+        ----------
+        part : str
+            ``head`` or ``body``.
+        fault : RequestFault
+            What was found.
+        caller : str
+            IP address of the sender.
+        **fields
+            Further fields of the log line.
+        """
+        second = int(self.clock())
+        if second != self._second:
+            self._second, self._lines = second, 0
+        self._lines += 1
+        if self._lines <= MAX_LOG_LINES_PER_SECOND:
+            log_event(
+                Event.REQUEST_NOT_WHOLE,
+                part=part,
+                listener=self.listener,
+                caller=caller,
+                reason=fault.reason.value,
+                detail=str(fault),
+                **fields,
+            )
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -10,9 +10,10 @@
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_node.datapath.application import PROTOCOL_KEY
 from hingesill_node.datapath.headers import HeaderNames
+from hingesill_node.datapath.requestfaultlog import RequestFaultLog
+from hingesill_node.datapath.requestinput import RequestInput
 from hingesill_node.datapath.requests import RequestFault, read_head
 from hingesill_node.listeners import open_listener, pop_early_listener
-from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["CallerProtocol", "listen", "start_server"]
 
@@ -34,23 +35,32 @@
 
     Parameters
     ----------
-    listener : str
-        Name of the address, for the log.
     counters : Counters
         Counts ``refusals`` and ``requests`` whose heads are incomplete or malformed.
+    fault_log : RequestFaultLog
+        Logs these, and incomplete or malformed bodies.
     conn_state, server
         See `eventlet.wsgi.HttpProtocol`.
     """
 
-    def __init__(self, listener, counters, conn_state, server):
-        self.listener = listener
+    def __init__(self, counters, fault_log, conn_state, server):
         self.counters = counters
+        self.fault_log = fault_log
         super().__init__(conn_state, server)
 
     def get_environ(self):
-        """Return the WSGI environment with this protocol object added."""
+        """Return the WSGI environment with this protocol object and a strict input."""
         environ = super().get_environ()
         environ[PROTOCOL_KEY] = self
+        lenient = environ["eventlet.input"]
+        environ["wsgi.input"] = environ["eventlet.input"] = RequestInput(
+            self.rfile,
+            lenient.content_length,
+            self.connection,
+            lenient.wfile,
+            lenient.wfile_line,
+            lenient.chunked_input,
+        )
         return environ
 
     def _read_request_line(self):
@@ -102,14 +112,7 @@
         """Refuse a request whose head was not accepted; the connection is closed."""
         self.counters.add("refusals", "", fault.reason.value)
         self.counters.add("requests", "", Outcome.NOT_RUN.value)
-        log_event(
-            Event.REQUEST_NOT_WHOLE,
-            part="head",
-            listener=self.listener,
-            caller=self.client_address[0],
-            reason=fault.reason.value,
-            detail=str(fault),
-        )
+        self.fault_log.write("head", fault, self.client_address[0])
         # The caller is gone unless it has only closed its sending side.
         with suppress(OSError):
             self.wfile.write((BAD_HEAD_RESPONSE % fault.reason.value).encode())
@@ -166,11 +169,12 @@
         Green thread that ends when the socket is closed.
     """
     pool = eventlet.GreenPool(MAX_CONNECTIONS)
+    fault_log = RequestFaultLog(listener)
     return eventlet.spawn(
         wsgi.server,
         sock,
         application,
-        protocol=partial(CallerProtocol, listener, counters),
+        protocol=partial(CallerProtocol, counters, fault_log),
         custom_pool=pool,
         log=NullLog(),
         log_output=False,
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_incomplete_heads.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_incomplete_heads.py
@@ -4,7 +4,13 @@
 
 import eventlet
 
+from hingesill_core.reasons import RefusalReason
 from hingesill_node.datapath import server
+from hingesill_node.datapath.requestfaultlog import (
+    MAX_LOG_LINES_PER_SECOND,
+    RequestFaultLog,
+)
+from hingesill_node.datapath.requests import RequestFault
 from hingesill_node.datapath.tests.callerservice import (
     BODY,
     CHUNKED_HEAD,
@@ -67,6 +73,17 @@
         self.assertIn(" 99 bytes", record.detail)
         self.assertEqual(self.count(), 1)
 
+    def test_the_log_is_bounded(self):
+        fault = RequestFault(RefusalReason.INCOMPLETE_REQUEST, "cut")
+        now = [1.0]
+        log = RequestFaultLog("callers", lambda: now[0])
+        for _ in range(2):
+            with self.assertLogs("hingesill", "WARNING") as logs:
+                for _ in range(MAX_LOG_LINES_PER_SECOND + 10):
+                    log.write("head", fault, "127.0.0.1")
+            self.assertEqual(len(logs.records), MAX_LOG_LINES_PER_SECOND)
+            now[0] += 1.0
+
     def test_each_way_to_end_is_counted(self):
         for end in ENDS.values():
             self.service.send(GET[:50], end)
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -1,6 +1,7 @@
 """Sending a request to an endpoint and reading the head of its response."""
 
 from hingesill_core.routing.messages import SendResult, SendStatus
+from hingesill_node.datapath.requests import RequestFault
 from hingesill_node.datapath.waits import WaitTimeout
 
 __all__ = [
@@ -21,7 +22,7 @@
 
 
 class BodyFailed(Exception):
-    """The body from the caller was incomplete or too large during streaming."""
+    """The body from the caller could not be read to its end during streaming."""
 
 
 def is_timeout(error):
@@ -120,6 +121,9 @@
     """Return the next chunk of a body, or raise BodyFailed."""
     try:
         return body.source.read(CHUNK_BYTES)
+    except RequestFault as fault:
+        body.fault = fault
+        raise BodyFailed(str(fault)) from fault
     except (OSError, ValueError) as error:
         raise BodyFailed(str(error)) from error
 
--- a/packages/hingesill-node/hingesill_node/discovery/peers.py
+++ b/packages/hingesill-node/hingesill_node/discovery/peers.py
@@ -133,7 +133,7 @@
             return [b""]
         try:
             profile = decode_profile(environ["wsgi.input"].read(int(length)))
-        except ValueError as error:
+        except (OSError, ValueError) as error:
             log_event(Event.REPORT_INVALID, detail=str(error))
             start_response("400 Bad Request", [])
             return [b""]
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -149,7 +149,7 @@
         if faults.get("fail_fast"):
             start_response("500 Internal Server Error", self.list_state_headers())
             return [b"fault\n"]
-        body = environ["wsgi.input"].read()
+        body = read_body(environ)
         arrived = time.monotonic()
         self.running += 1
         self.arrived += 1
@@ -242,6 +242,14 @@
         raise ConnectionResetError
 
 
+def read_body(environ):
+    """Return the body of a request; raise OSError if it is incomplete."""
+    body = environ["wsgi.input"].read()
+    if len(body) < int(environ.get("CONTENT_LENGTH") or 0):
+        raise ConnectionResetError("the request body is incomplete")
+    return body
+
+
 def reset(environ):
     """Reset the connection of a request before its response."""
     sock = environ["eventlet.input"].get_socket().fd
