Consul store: responses count only with their whole head

What callers would see: an operator is told of a conflict though the change may be in force; a key counts as missing, a lease as renewed, by a response of which only a part of the status line arrived.

Cause: as for requests, in the client: the standard library reads head lines and sizes of chunks with readline(), for which the end of the connection ends a line. Without its length a body is empty, and each body but `true` was taken for a refused write.

Evidence: test_cut_responses cuts responses with a length, in chunks and without either after each byte, by a close and a reset. On all five tests fail (VersionConflict, KeyMissing, LeaseGranted, Written, and Value after the last byte of its data).

Change: WholeResponsePoolManager reads heads and chunk sizes in whole lines and fails otherwise; a write was refused only if the store says `false`. Such calls are failures that may have been executed.

Ruled out: the node's own parser of responses, which needs green sockets while this client runs in threads; to require a length, which does not show that the head is whole. The list of VMs and the command line read JSON, which shows a cut.

Result: test_cut_responses 5 of 5, six times; test_conformance passes.

--- a/packages/hingesill-node/hingesill_node/store/consul.py
+++ b/packages/hingesill-node/hingesill_node/store/consul.py
@@ -22,6 +22,7 @@
     Written,
 )
 from hingesill_node.store.registry import STORES
+from hingesill_node.store.wholeresponses import WholeResponsePoolManager
 
 __all__ = ["ConsulStore"]
 
@@ -49,7 +50,7 @@
 
     def __init__(self, url):
         self._url = url.rstrip("/")
-        self._http = urllib3.PoolManager(
+        self._http = WholeResponsePoolManager(
             maxsize=MAX_POOLED_CONNECTIONS, retries=False, block=False, num_pools=2
         )
 
@@ -105,7 +106,10 @@
             return response
         if response.status != 200:
             return StoreFailure(f"status {response.status}")
-        return Written() if response.data.strip() == b"true" else on_refusal
+        outcome = {b"true": Written(), b"false": on_refusal}.get(response.data.strip())
+        if outcome is None:
+            return StoreFailure("the response is neither true nor false", True)
+        return outcome
 
     def delete(self, key):
         """See `hingesill_core.store.Store`."""
