Answers: one that ends early resets the connection of an HTTP/1.0 caller

What callers would see: an answer of over 64 KiB in chunks or without a length that its endpoint ends early arrives at a caller of HTTP/1.0 as a whole one.

Cause: to HTTP/1.0 a body without a length ends with the connection, and the node closed it in the ordinary way.

Change: when a streamed answer ends early, CallerProtocol resets a connection that is not HTTP/1.1; all others are closed as before.

Ruled out: to buffer long answers for these callers (memory without a bound); to reset all callers' connections, which could lose bytes that they can use.

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -304,7 +304,7 @@
         if answer.body is not None:
             return [answer.body]
         environ["eventlet.minimum_write_chunk_size"] = 1
-        return exchange.stream(answer)
+        return stream_answer(environ[PROTOCOL_KEY], exchange, answer)
 
     def _close_if_stopping(self, environ):
         """Close the caller's connection after the response while the node stops."""
@@ -390,6 +390,15 @@
     return {"unanswered": evidence} if evidence else {}
 
 
+def stream_answer(protocol, exchange, answer):
+    """Yield the body of an answer; abort the response if it ends early."""
+    try:
+        yield from exchange.stream(answer)
+    except OSError:
+        protocol.abort()
+        raise
+
+
 def close_after_answer(environ):
     """Make the server close the caller's connection after this response."""
     environ[PROTOCOL_KEY].close_connection = 1
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -1,5 +1,7 @@
 """The WSGI server of eventlet for the addresses of a node."""
 
+import socket
+import struct
 from contextlib import suppress
 from functools import partial
 
@@ -46,6 +48,7 @@
     def __init__(self, counters, fault_log, conn_state, server):
         self.counters = counters
         self.fault_log = fault_log
+        self._was_aborted = False
         super().__init__(conn_state, server)
 
     def get_environ(self):
@@ -108,6 +111,29 @@
         self.close_connection = not head.keep_alive
         return True
 
+    def abort(self):
+        """Make the caller see that the answer being sent is incomplete.
+
+        Notes
+        -----
+        A body in chunks lacks its last one. To a caller of HTTP/1.0, a body without a
+        length ends with the connection, unless that is reset.
+        """
+        self._was_aborted = self.request_version != "HTTP/1.1"
+
+    def finish(self):
+        """Close the connection, or reset it after an aborted answer."""
+        if not self._was_aborted:
+            super().finish()
+            return
+        # Closing with a linger time of 0 seconds resets a connection.
+        linger = struct.pack("ii", 1, 0)
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        with suppress(OSError):
+            self.wfile.close()
+        self.rfile.close()
+        self.connection.close()
+
     def _refuse_head(self, fault):
         """Refuse a request whose head was not accepted; the connection is closed."""
         self.counters.add("refusals", "", fault.reason.value)
--- a/packages/hingesill-node/hingesill_node/datapath/tests/callerservice.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/callerservice.py
@@ -24,6 +24,7 @@
 __all__ = [
     "ENDS",
     "LISTENERS",
+    "AcceptingApplication",
     "CallerService",
     "IncompleteRequestCase",
     "WholeRequestCase",
@@ -98,7 +99,7 @@
     one is answered after all that an earlier one sent has been handled.
     """
 
-    def __init__(self, case):
+    def __init__(self, case, build_application=AcceptingApplication):
         handler = logging.NullHandler()
         logging.getLogger("hingesill").addHandler(handler)
         case.addCleanup(logging.getLogger("hingesill").removeHandler, handler)
@@ -117,7 +118,7 @@
         )
         self.quotas = FakeQuotas(TOKENS)
         gate = build_gate(self.quotas, lambda: 0.0)
-        self.application = AcceptingApplication(
+        self.application = build_application(
             self.blackboard, SimpleNamespace(quotas=gate), self.counters, 1_000_000
         )
         entry = ForwardEntry(self.application, lambda name, address: name == "n2")
