Soak: a caller whose connections end before its requests are whole

Cause: the soak's callers sent whole requests only, so that no seed could show the faults of incomplete heads and bodies.

Change: in each seed one more caller sends beginnings of requests (a GET, bodies with a length, in chunks with trailers, and of 140 kB) to all nodes in use, cut within the head, near the end or anywhere, and closes, resets or half-closes the connection; no endpoint may have run one of them.

Ruled out: cutting whole callers' connections in a proxy, which would cut their answers too and hide which request was whole.

--- a/soak/main.py
+++ b/soak/main.py
@@ -15,6 +15,7 @@
 from matrix.evidence import Evidence, Violation
 from matrix.promises import PROMISES
 from soak.faults import CONCURRENT_FAULTS, FAULTS
+from soak.incompletecaller import check_incomplete
 from soak.organisations import (
     GREEDY,
     KEYS,
@@ -149,14 +150,14 @@
 
 def evaluate(scene, seed, faults):
     """Compare the responses that callers received with the endpoints' records."""
-    for caller in scene.callers:
-        caller.stop()
+    scene.stop_callers()
     calls = [call for caller in scene.callers for call in caller.calls]
     ran = Counter()
     for endpoint in scene.fleet.endpoints:
         ran.update(scene.fleet.read_record(endpoint)["ran"])
     evidence = Evidence(calls=calls, ran=ran)
     violations = [v for name in CHECKED for v in PROMISES.get(name)(evidence)]
+    violations += check_incomplete(scene.incomplete_caller.request_ids, ran)
     violations += check_end(scene)
     requests = scene.fleet.read_requests()
     violations += check_keys(calls, requests)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -7,6 +7,7 @@
 import yaml
 
 from demo.load import Caller
+from soak.incompletecaller import IncompleteCaller
 from soak.organisations import (
     GREEDY,
     KEYS,
@@ -67,6 +68,7 @@
         self.exit_codes = []
         self.endpoint_proxies = []
         self.callers = []
+        self.incomplete_caller = None
         self._number = 0
 
     def start(self):
@@ -89,6 +91,9 @@
             Caller(lambda: self.usable, REQUESTS, pause, key=key).start()
             for key, pause in CALLERS
         ]
+        self.incomplete_caller = IncompleteCaller(
+            lambda: self.usable, KEYS[STEADY], self.seed
+        ).start()
 
     def _write_declarations(self):
         folder = self.fleet.folder / "declarations"
@@ -172,10 +177,16 @@
         self.exit_codes.append(node.process.wait(STOP_SECONDS))
         self.replace(node)
 
-    def close(self):
-        """Stop callers, proxies and processes."""
+    def stop_callers(self):
+        """Stop all callers; further calls do nothing."""
         for caller in self.callers:
             caller.stop()
+        if self.incomplete_caller is not None:
+            self.incomplete_caller.stop()
+
+    def close(self):
+        """Stop callers, proxies and processes."""
+        self.stop_callers()
         for proxy in (self.store_proxy, *self.endpoint_proxies):
             proxy.close()
         self.fleet.close()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,8 +1,10 @@
 """Tests that a soak seed passes and that its checkers detect violated rules."""
 
 import unittest
+from collections import Counter
 
 from demo.load import Call
+from soak.incompletecaller import check_incomplete
 from soak.main import run_seed
 from soak.organisations import KEYS, NO_KEY, UNKNOWN, check_keys
 
@@ -43,6 +45,14 @@
         self.assertTrue(is_detected("lies about not run"))
 
 
+class IncompleteCheckTests(unittest.TestCase):
+    """Guards against a soak that overlooks incomplete requests that ran."""
+
+    def test_an_incomplete_request_that_ran(self):
+        found = check_incomplete(["a", "b"], Counter({"b": 1, "c": 2}))
+        self.assertEqual([violation.place for violation in found], ["b"])
+
+
 class KeyCheckTests(unittest.TestCase):
     """Guards against a soak that overlooks requests under a wrong organisation."""
 
