--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_incomplete_bodies.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_incomplete_bodies.py
@@ -181,6 +181,14 @@
             received = self.service.send(data + GET, end_by_half_close)
             self.check(received, [("POST", LONG_BODY), ("GET", b"")])
 
+    def test_early_answers_to_long_bodies(self):
+        rng = random.Random(64)
+        for data in (LONG_HEAD + LONG_BODY, CHUNKED_HEAD + chunk(rng)):
+            data = data.replace(b"/a/1", b"/unknown", 1)
+            received = self.service.send(data + GET, end_by_half_close)
+            self.assertTrue(received.startswith(b"HTTP/1.1 404 "))
+            self.check(received.replace(b"HTTP/1.1 404", b""), [("GET", b"")])
+
     def test_a_chunked_body_of_a_request_to_upgrade(self):
         head = CHUNKED_HEAD.replace(b"Host: a", b"Connection: Upgrade\r\nUpgrade: h2c")
         data = head + b"4\r\nabcd\r\n0\r\n\r\n"
--- a/tests/test_data_path.py
+++ b/tests/test_data_path.py
@@ -143,6 +143,17 @@
         response = self.request("PUT", "/uploads", body=iter(parts))
         self.assertEqual(json.loads(response.data)["echo"], 1_000_000)
 
+    def test_early_refusals_of_long_bodies(self):
+        self.set_faults(shed_above=-1)
+        data = b"c" * 1_000_000
+        for body in (data, iter([data[:90_000]] * 10)):
+            response = self.request("PUT", "/uploads", body=body)
+            self.assertEqual(response.status, 503)
+            self.assertEqual(response.headers["Hingesill-Outcome"], "not-run")
+        self.set_faults(service_ms=1.0)
+        response = self.request("PUT", "/uploads", body=data)
+        self.assertEqual(json.loads(response.data)["echo"], len(data))
+
     def test_long_response(self):
         self.set_faults(body_bytes=5_000_000)
         response = self.request("GET", "/boards")
