--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_incomplete_bodies.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_incomplete_bodies.py
@@ -1,6 +1,7 @@
 """Tests of requests whose body ends early or is malformed, and of whole bodies."""
 
 import random
+import re
 from unittest.mock import patch
 
 import eventlet
@@ -69,6 +70,14 @@
             cuts = rng.sample(range(len(head), len(data)), 20)
             self.check_cuts(data, [*cuts, len(data) - 6, len(data) - 1])
 
+    def test_the_size_of_a_streamed_chunk(self):
+        data = CHUNKED_HEAD + chunk(random.Random(64))
+        sizes = re.finditer(rb"\r\n0[0-9a-f]{3};a=1\r\n", data)
+        # A size that is cut after its leading zero.
+        cuts = [match.start() + 3 for match in sizes if match.start() > 70_000]
+        self.assertEqual(len(cuts), 9)
+        self.check_cuts(data, cuts)
+
 
 class IncompleteBodyRecordTests(IncompleteRequestCase):
     """Guards against incomplete bodies that operators and callers cannot see."""
