Connections end only when nothing read from them is owed an answer

What callers saw: around planned stops, answers that were cut by a reset, and requests that an endpoint ran although the connection ended without an answer. After an early answer to a long body, a reset while the caller still sent.

Cause, one class of fault: a connection was closed without regard to what the caller had sent and what it had received. (1) A socket closed with unread bytes (requests sent ahead, the rest of a body) is reset, and the kernel drops what the caller has not received. (2) When the callers' address was closed, eventlet's accept loop shut down every connection whose next request line it had not read, also those whose request had arrived; it was read and run afterwards. That loop noticed the closed socket only when its descriptor number was used again, so that the moment varied. (3) Requests that were read into the buffer with an earlier one were dropped by "Connection: close" on the earlier one's answer. (4) A short answer did not count as in flight while it was being written.

Change: an accept loop and a state of each connection of our own (waiting, serving, closing). A stop waits until each is gone, bounded as before: a connection with a request that arrived is served; while requests have been read or, until the address is closed, have arrived, answers do not close it; while stopping, a connection reads one request at a time, so that none is read that can't be answered. After the last answer only the sending side is closed, until the caller has acknowledged everything and closed too (RFC 9112, section 9.6), for 10 s at most. Connections in the accept queue are accepted before the address is closed. A connection without a request is closed in its own green thread, right after a look at the socket; what arrives later is never read. The stop's times count from the signal. Counter hingesill_connections with the ways to end, events 1012, 1013, 6008, 6009.

Ruled out: reading and dropping requests sent ahead (a request that was read is owed an answer); another quiet time (makes it rarer only).

Result: of test_connection_ends' 21 tests 20 fail on (scratch copy, with a stand-in for the new server's methods); three of them only as there is no counter (test_idle_timeout, test_each_end_is_counted, test_connections_at_the_end_of_the_ process). All pass now.

--- a/matrix/mutant.py
+++ b/matrix/mutant.py
@@ -98,7 +98,7 @@
 @MUTATIONS.register("stops at once")
 def stop_at_once():
     """Stop at once on a graceful shutdown, without waiting for requests."""
-    Lifecycle.stop = lambda self, listener: True
+    Lifecycle.stop = lambda self, *servers: True
 
 
 @MUTATIONS.register("probes without pace")
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -307,8 +307,9 @@
         return stream_answer(environ[PROTOCOL_KEY], exchange, answer)
 
     def _close_if_stopping(self, environ):
-        """Close the caller's connection after the response while the node stops."""
-        if self.blackboard.phase is Phase.STOPPING:
+        """Close the caller's connection after its last response if the node stops."""
+        is_stopping = self.blackboard.phase is Phase.STOPPING
+        if is_stopping and not environ[PROTOCOL_KEY].has_next_input():
             close_after_answer(environ)
 
     def _refuse(self, environ, start_response, refusal, request_id, service):
--- a/packages/hingesill-node/hingesill_node/datapath/requestfaultlog.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requestfaultlog.py
@@ -3,6 +3,7 @@
 import time
 
 from hingesill_node.telemetry.events import Event, log_event
+from hingesill_node.telemetry.lograte import LogRate
 
 __all__ = ["MAX_LOG_LINES_PER_SECOND", "RequestFaultLog"]
 
@@ -23,9 +24,7 @@
 
     def __init__(self, listener, clock=time.monotonic):
         self.listener = listener
-        self.clock = clock
-        self._second = 0
-        self._lines = 0
+        self._rate = LogRate(MAX_LOG_LINES_PER_SECOND, clock)
 
     def write(self, part, fault, caller, **fields):
         """Log one fault, at most `MAX_LOG_LINES_PER_SECOND` times a second.
@@ -41,11 +40,7 @@
         **fields
             Further fields of the log line.
         """
-        second = int(self.clock())
-        if second != self._second:
-            self._second, self._lines = second, 0
-        self._lines += 1
-        if self._lines <= MAX_LOG_LINES_PER_SECOND:
+        if self._rate.admit():
             log_event(
                 Event.REQUEST_NOT_WHOLE,
                 part=part,
--- a/packages/hingesill-node/hingesill_node/datapath/requestinput.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requestinput.py
@@ -45,6 +45,11 @@
         """Record the end of the trailers; called by the parser."""
         self._is_complete = True
 
+    @property
+    def is_complete(self):
+        """Whether the end of the trailers was read."""
+        return self._is_complete
+
     def read(self, size=None):
         """Return up to ``size`` bytes, fewer only at the end of the body.
 
@@ -87,6 +92,13 @@
         super().__init__(rfile, *arguments, **options)
         self._chunks = ChunkedBody(rfile) if self.chunked_input else None
 
+    @property
+    def is_whole(self):
+        """Whether the body was read to its end."""
+        if self._chunks is not None:
+            return self._chunks.is_complete
+        return self.position >= (self.content_length or 0)
+
     def read(self, length=None):
         """Return up to ``length`` bytes, fewer only at the end of the body.
 
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -1,158 +1,153 @@
-"""The WSGI server of eventlet for the addresses of a node."""
+"""The WSGI server for the addresses of a node, based on that of eventlet."""
 
-import socket
-import struct
 from contextlib import suppress
-from functools import partial
 
 import eventlet
 from eventlet import wsgi
 from eventlet.greenio import GreenSocket
-
-from hingesill_core.reasons import Outcome, RefusalReason
-from hingesill_node.datapath.application import PROTOCOL_KEY
-from hingesill_node.datapath.headers import HeaderNames
+from eventlet.hubs import notify_opened
+
+from hingesill_node.datapath.callerprotocol import CallerProtocol
+from hingesill_node.datapath.connectionlog import ConnectionLog
+from hingesill_node.datapath.connectionstate import (
+    ConnectionEnd,
+    ConnectionPhase,
+    ConnectionState,
+)
 from hingesill_node.datapath.requestfaultlog import RequestFaultLog
-from hingesill_node.datapath.requestinput import RequestInput
-from hingesill_node.datapath.requests import RequestFault, read_head
 from hingesill_node.listeners import open_listener, pop_early_listener
+from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["CallerProtocol", "listen", "start_server"]
+__all__ = ["CallerServer", "listen", "start_server"]
 
 MAX_CONNECTIONS = 10_000
 KEEP_ALIVE_SECONDS = 60
 SOCKET_TIMEOUT_SECONDS = 30
-BAD_HEAD_RESPONSE = (
-    "HTTP/1.1 400 Bad Request\r\n"
-    f"{HeaderNames.OUTCOME}: {Outcome.NOT_RUN.value}\r\n"
-    f"{HeaderNames.REASON}: %s\r\n"
-    "Connection: close\r\nContent-Length: 0\r\n\r\n"
-)
-
+# Pause after an error such as a lack of file descriptors.
+ACCEPT_PAUSE_SECONDS = 0.05
 
-class CallerProtocol(wsgi.HttpProtocol):
-    """HTTP protocol that serves whole requests only.
 
-    It also lets the application close a connection.
+class CallerServer(wsgi.Server):
+    """Serves the connections of one address, each in a green thread.
 
     Parameters
     ----------
+    sock : GreenSocket
+        The listening socket.
+    application : callable
+        WSGI application; it gets requests with a whole head only.
+    listener : str
+        Name of the address, for logs and counters.
     counters : Counters
-        Counts ``refusals`` and ``requests`` whose heads are incomplete or malformed.
-    fault_log : RequestFaultLog
-        Logs these, and incomplete or malformed bodies.
-    conn_state, server
-        See `eventlet.wsgi.HttpProtocol`.
+        Counts requests that do not reach the application, and ended connections.
+
+    Attributes
+    ----------
+    is_accepting : bool
+        Whether the address is open.
+    reads_ahead : bool
+        Whether a connection may read more than one request at a time.
     """
 
-    def __init__(self, counters, fault_log, conn_state, server):
-        self.counters = counters
-        self.fault_log = fault_log
-        self._was_aborted = False
-        super().__init__(conn_state, server)
-
-    def get_environ(self):
-        """Return the WSGI environment with this protocol object and a strict input."""
-        environ = super().get_environ()
-        environ[PROTOCOL_KEY] = self
-        lenient = environ["eventlet.input"]
-        environ["wsgi.input"] = environ["eventlet.input"] = RequestInput(
-            self.rfile,
-            lenient.content_length,
-            self.connection,
-            lenient.wfile,
-            lenient.wfile_line,
-            lenient.chunked_input,
+    def __init__(self, sock, application, listener, counters):
+        super().__init__(
+            sock,
+            sock.getsockname(),
+            application,
+            max_http_version=wsgi.DEFAULT_MAX_HTTP_VERSION,
+            keepalive=KEEP_ALIVE_SECONDS,
+            log_output=False,
+            debug=False,
+            socket_timeout=SOCKET_TIMEOUT_SECONDS,
         )
-        return environ
-
-    def _read_request_line(self):
-        """Return the request line; empty if no further request arrives."""
-        # A connection that times out before the first byte of a request is idle.
-        has_begun = self._wait_for_data()
+        self.is_accepting = True
+        self.reads_ahead = True
+        self._counters = counters
+        self._fault_log = RequestFaultLog(listener)
+        self._connection_log = ConnectionLog(listener, counters)
+        self._states = set()
+        self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
+        self._thread = None
+
+    def start(self):
+        """Accept connections in a green thread."""
+        self._thread = eventlet.spawn(self._accept)
+
+    def _accept(self):
+        """Accept connections until the thread is killed or the socket is closed."""
+        while True:
+            try:
+                accepted = self.socket.accept()
+            except OSError as error:
+                if self.socket.fileno() < 0:
+                    return
+                log_event(Event.ACCEPT_FAILED, error=str(error))
+                eventlet.sleep(ACCEPT_PAUSE_SECONDS)
+                continue
+            self._add(*accepted)
+
+    def _add(self, sock, address):
+        """Serve a connection in a green thread."""
+        state = ConnectionState(sock, address)
+        self._states.add(state)
+        self._pool.spawn_n(self._serve, state)
+
+    def _serve(self, state):
         try:
-            return super()._read_request_line()
-        except TimeoutError:
-            if has_begun:
-                detail = "no data arrived in time within the request line"
-                reason = RefusalReason.INCOMPLETE_REQUEST
-                self._refuse_head(RequestFault(reason, detail))
-            raise
-
-    def _wait_for_data(self):
-        """Return whether the next request has begun; raise TimeoutError if not."""
-        try:
-            self.connection.settimeout(self.server.keepalive)
-            return bool(self.rfile.peek(1))
-        except TimeoutError:
-            raise
-        except (OSError, ValueError):
-            return False  # Reading the request line meets and handles the same error.
-
-    def parse_request(self):
-        """Read and parse the head of a request.
-
-        Returns
-        -------
-        bool
-            False if the head is incomplete or malformed and the request was refused.
-        """
-        self.close_connection = True
-        try:
-            head = read_head(self.raw_requestline, self.rfile)
-        except RequestFault as fault:
-            self._refuse_head(fault)
-            return False
-        self.headers = head
-        self.command = head.method
-        self.path = head.target.decode("latin-1")
-        self.request_version = f"HTTP/{head.version}"
-        self.requestline = f"{self.command} {self.path} {self.request_version}"
-        self.close_connection = not head.keep_alive
-        return True
-
-    def abort(self):
-        """Make the caller see that the answer being sent is incomplete.
-
-        Notes
-        -----
-        A body in chunks lacks its last one. To a caller of HTTP/1.0, a body without a
-        length ends with the connection, unless that is reset.
-        """
-        self._was_aborted = self.request_version != "HTTP/1.1"
-
-    def finish(self):
-        """Close the connection, or reset it after an aborted answer."""
-        if not self._was_aborted:
-            super().finish()
+            CallerProtocol(state, self._counters, self._fault_log, self)
+        except Exception as error:
+            state.end = ConnectionEnd.CUT
+            log_event(Event.REQUEST_FAULT, error=repr(error))
+        finally:
+            state.sock.close()
+            self._states.discard(state)
+            self._connection_log.record(state)
+
+    def begin_stop(self):
+        """Let each connection read one request at a time from now on."""
+        self.reads_ahead = False
+
+    def close_address(self):
+        """Accept the connections that are complete, then close the address."""
+        if not self.is_accepting:
             return
-        # Closing with a linger time of 0 seconds resets a connection.
-        linger = struct.pack("ii", 1, 0)
-        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        with suppress(OSError):
-            self.wfile.close()
-        self.rfile.close()
-        self.connection.close()
-
-    def _refuse_head(self, fault):
-        """Refuse a request whose head was not accepted; the connection is closed."""
-        self.counters.add("refusals", "", fault.reason.value)
-        self.counters.add("requests", "", Outcome.NOT_RUN.value)
-        self.fault_log.write("head", fault, self.client_address[0])
-        # The caller is gone unless it has only closed its sending side.
+        self.is_accepting = False
+        self._thread.kill()
         with suppress(OSError):
-            self.wfile.write((BAD_HEAD_RESPONSE % fault.reason.value).encode())
-            self.wfile.flush()
-
-
-class NullLog:
-    """Drops the log lines of the server, as the application logs events."""
-
-    def info(self, message, *arguments):
-        """Drop a log line."""
-
-    debug = info
-    error = info
+            while True:
+                sock, address = self.socket.fd.accept()
+                notify_opened(sock.fileno())
+                self._add(GreenSocket(sock), address)
+        self.socket.close()
+
+    def close_idle(self):
+        """Close the connections from which no request has arrived."""
+        for state in list(self._states):
+            state.end_wait()
+
+    def count_owed(self):
+        """Return the number of connections that still receive an answer."""
+        waiting = ConnectionPhase.WAITING
+        return sum(state.phase is not waiting for state in self._states)
+
+    def count_serving(self):
+        """Return the number of connections with a request that is not answered."""
+        serving = ConnectionPhase.SERVING
+        return sum(state.phase is serving for state in self._states)
+
+    def has_connections(self):
+        """Return whether a connection is open."""
+        return bool(self._states)
+
+    def record_process_end(self):
+        """Count and log the connections that are still open."""
+        self._connection_log.record_process_end(self._states)
+
+    def kill(self):
+        """Close the address and the connections that wait for a request."""
+        self.is_accepting = False
+        self._thread.kill()
+        self.close_idle()
 
 
 def listen(address, reuse_port):
@@ -176,35 +171,13 @@
 
 
 def start_server(sock, application, listener, counters):
-    """Serve an application on a listening socket in a green thread.
-
-    Parameters
-    ----------
-    sock : GreenSocket
-        The listening socket.
-    application : callable
-        WSGI application; it gets requests with a whole head only.
-    listener : str
-        Name of the address, for the log.
-    counters : Counters
-        Counts ``refusals`` and ``requests`` that do not reach the application.
+    """Serve an application on a listening socket in green threads.
 
     Returns
     -------
-    GreenThread
-        Green thread that ends when the socket is closed.
+    CallerServer
+        The server; see there for parameters.
     """
-    pool = eventlet.GreenPool(MAX_CONNECTIONS)
-    fault_log = RequestFaultLog(listener)
-    return eventlet.spawn(
-        wsgi.server,
-        sock,
-        application,
-        protocol=partial(CallerProtocol, counters, fault_log),
-        custom_pool=pool,
-        log=NullLog(),
-        log_output=False,
-        keepalive=KEEP_ALIVE_SECONDS,
-        socket_timeout=SOCKET_TIMEOUT_SECONDS,
-        debug=False,
-    )
+    server = CallerServer(sock, application, listener, counters)
+    server.start()
+    return server
--- a/packages/hingesill-node/hingesill_node/datapath/waits.py
+++ b/packages/hingesill-node/hingesill_node/datapath/waits.py
@@ -3,7 +3,7 @@
 import greenlet
 from eventlet import hubs
 
-__all__ = ["WaitTimeout", "receive", "wait_any"]
+__all__ = ["Wake", "WaitTimeout", "receive", "wait_any"]
 
 
 class WaitTimeout(Exception):
@@ -70,7 +70,7 @@
             )
 
 
-def wait_any(sockets, seconds):
+def wait_any(sockets, seconds, wake=None):
     """Return the first of the sockets that can be read, or None.
 
     Parameters
@@ -79,13 +79,15 @@
         No other green thread may wait to read one of them.
     seconds : float
         Maximum wait; 0 or less checks once without waiting.
+    wake : Wake or None
+        Made by this green thread; its ``switch`` ends the wait early.
 
     Notes
     -----
     A socket that was closed or reset by the peer counts as readable.
     """
     hub = hubs.get_hub()
-    wake = Wake()
+    wake = wake or Wake()
     by_fd = {sock.fileno(): sock for sock in sockets}
     listeners = [hub.add(hub.READ, fd, wake.switch, wake.throw, ignore) for fd in by_fd]
     timer = hub.schedule_call_global(max(0.0, seconds), wake.switch)
--- a/packages/hingesill-node/hingesill_node/lifecycle.py
+++ b/packages/hingesill-node/hingesill_node/lifecycle.py
@@ -35,11 +35,15 @@
         self.control = control
         self.clock = clock
         self.stop_requested = False
+        self.stop_requested_at = clock()
+        self.servers = ()
         self._connected_at = clock()
 
     def request_stop(self, *_):
         """Request a planned stop; a signal handler."""
-        self.stop_requested = True
+        if not self.stop_requested:
+            self.stop_requested = True
+            self.stop_requested_at = self.clock()
 
     def run_until_stop(self):
         """Update the phase until a stop is requested."""
@@ -69,45 +73,77 @@
             self._connected_at = now
         return now - self._connected_at > self.settings.isolation_s
 
-    def stop(self, listener):
+    def stop(self, callers, *others):
         """Stop serving without dropping requests.
 
         Parameters
         ----------
-        listener : socket
-            Closed after the time that the platform's balancer needs to notice
-            ``/ready``.
+        callers : CallerServer
+            Its address is closed after the time that the platform's balancer needs to
+            notice ``/ready``.
+        *others : CallerServer
+            Servers whose addresses are closed at the end.
 
         Returns
         -------
         bool
             False if requests were still in flight at the timeout.
         """
+        self.servers = (callers, *others)
         self.blackboard.write("phase", Phase.STOPPING)
+        for server in self.servers:
+            server.begin_stop()
         log_event(Event.STOP_BEGUN, in_flight=self.blackboard.in_flight)
         self.control.leave()
-        eventlet.sleep(self.settings.balancer_lag_s)
-        listener.close()
+        lag_ends_at = self.stop_requested_at + self.settings.balancer_lag_s
+        eventlet.sleep(max(0.0, lag_ends_at - self.clock()))
+        callers.close_address()
         is_quiet = self._wait_until_quiet()
         event = Event.STOP_ENDED if is_quiet else Event.STOP_BOUND_REACHED
         log_event(event, in_flight=self.blackboard.in_flight)
+        for server in self.servers:
+            server.record_process_end()
         return is_quiet
 
     def _wait_until_quiet(self):
-        """Return whether `QUIET_SECONDS` passed without requests before the timeout.
+        """Wait until all connections have ended, or until the timeout.
+
+        Returns
+        -------
+        bool
+            Whether no request was in flight at the end.
 
         Notes
         -----
-        The count of requests in flight is checked last, and no other green thread runs
-        between that check and the return, so that a request read before the end is
-        still waited for.
+        Connections without a request are closed after `QUIET_SECONDS` without any
+        request, so that few callers meet the end of a connection with a request on
+        its way.
         """
-        deadline = self.clock() + self.settings.stop_bound_s
+        settings = self.settings
+        bound = settings.balancer_lag_s + settings.stop_bound_s
+        deadline = self.stop_requested_at + bound
         quiet_since = self.clock()
         while self.clock() <= deadline:
             eventlet.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
-            if self.blackboard.in_flight:
+            if self._is_serving():
                 quiet_since = self.clock()
             elif self.clock() - quiet_since >= QUIET_SECONDS:
-                return True
-        return False
+                self._close_idle()
+                if not any(server.has_connections() for server in self.servers):
+                    return not self._is_serving()
+        self._close_idle()
+        eventlet.sleep(0)
+        return not self._is_serving()
+
+    def _is_serving(self):
+        """Return whether a request has no answer yet, or one that is being written."""
+        return bool(
+            self.blackboard.in_flight
+            or any(server.count_serving() for server in self.servers)
+        )
+
+    def _close_idle(self):
+        """Close all addresses, and the connections without a request."""
+        for server in self.servers:
+            server.close_address()
+            server.close_idle()
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -120,6 +120,7 @@
         )
         self.runners.enable_load_queries(wire or OwnFormat(), self.counters)
         self.wire = wire or OwnFormat()
+        self._forward_servers = []
         self.lifecycle = Lifecycle(self.blackboard, settings, self.control)
         self.application = Application(
             self.blackboard,
@@ -170,7 +171,7 @@
         signal.signal(signal.SIGHUP, reloader.request_reload)
         eventlet.spawn(reloader.run)
         self._wait_for_configuration()
-        start_server(callers, self.application, "callers", self.counters)
+        server = start_server(callers, self.application, "callers", self.counters)
         freeze_start_objects()
         log_event(
             Event.NODE_STARTED,
@@ -179,7 +180,7 @@
             admin=format_address(admin),
         )
         self.lifecycle.run_until_stop()
-        is_clean = self.lifecycle.stop(callers)
+        is_clean = self.lifecycle.stop(server, *self._forward_servers)
         self.control.stop()
         return 0 if is_clean else EXIT_STOP_BOUND
 
@@ -201,7 +202,8 @@
             self.runners.clock,
         )
         entry = ForwardEntry(self.application, forwarder.peers.is_member)
-        start_server(listener, entry, "forwarded", self.counters)
+        server = start_server(listener, entry, "forwarded", self.counters)
+        self._forward_servers.append(server)
         return ""
 
     def _wait_for_configuration(self, clock=time.monotonic):
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -12,6 +12,7 @@
 COUNTER_TEXTS = {
     "requests": "Requests by service and outcome.",
     "refusals": "Requests refused by the node, by service and reason.",
+    "connections": "Connections that ended, by address and how they ended.",
     "retries": "Requests sent again, or not, by service and reason.",
     "sends": "Sends to endpoints by service.",
     "forwards": "Requests forwarded to other nodes, by service and result.",
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -28,6 +28,12 @@
         logging.WARNING,
         "requests were in flight at the stop timeout",
     )
+    CONNECTIONS_LEFT = (
+        1012,
+        logging.WARNING,
+        "connections were open at the end of the process",
+    )
+    ACCEPT_FAILED = (1013, logging.ERROR, "connections cannot be accepted")
     RELOADED = (1009, logging.INFO, "the settings were reloaded")
     RELOAD_REFUSED = (1010, logging.ERROR, "changed settings are not valid")
     PORT_UNAVAILABLE = (1008, logging.ERROR, "the node cannot listen on an address")
@@ -146,6 +152,16 @@
         logging.WARNING,
         "a request was refused because it is incomplete or malformed",
     )
+    CONNECTION_UNREAD = (
+        6008,
+        logging.INFO,
+        "a connection was closed with unread requests",
+    )
+    ANSWER_CUT = (
+        6009,
+        logging.WARNING,
+        "a connection ended before the caller had received the answer",
+    )
     OVER_QUOTA = (7001, logging.WARNING, "an organisation is over its quota")
     WITHIN_QUOTA = (7002, logging.INFO, "an organisation is within its quota again")
     COORDINATOR_LOST = (
