Forwarding: a silent node is given up only if another one can be asked

Cause: at half of a repeatable request's time, a node that had answered nothing meanwhile counted as silent, and the request as lost, also when no retry was allowed or no further node was there.

Change: the request waits on until its deadline unless it can be sent again: sends and time are left, the retry budget has a token, and another node is usable.

Ruled out: dropping the check for silence, which serves callers when a node dies.

--- a/packages/hingesill-core/hingesill_core/forwarding/peers.py
+++ b/packages/hingesill-core/hingesill_core/forwarding/peers.py
@@ -162,6 +162,13 @@
             self._is_usable(node.name, service, now) for node in self._list_peers(now)
         )
 
+    def has_other(self, node, service, now):
+        """Return whether requests of a service may go to a node other than this."""
+        return any(
+            peer.name != node.name and self._is_usable(peer.name, service, now)
+            for peer in self._list_peers(now)
+        )
+
     def list_known(self, service, now):
         """Return the names of a few nodes that serve a service."""
         known = [
--- a/packages/hingesill-core/hingesill_core/retries/budget.py
+++ b/packages/hingesill-core/hingesill_core/retries/budget.py
@@ -48,11 +48,15 @@
         reserve : float
             Tokens reserved for more important sends.
         """
-        if self.tokens < 1.0 + reserve:
+        if not self.can_spend(reserve):
             return False
         self.tokens -= 1.0
         return True
 
+    def can_spend(self, reserve=0.0):
+        """Return whether a token is available; see `spend`."""
+        return self.tokens >= 1.0 + reserve
+
     def refund(self):
         """Return the token of a send that was not made."""
         self.tokens = min(self.burst, self.tokens + 1.0)
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -247,7 +247,8 @@
         -------
         SendStatus or None
             None if the response has begun; LATE if the time has passed, LOST if the
-            node is silent, CANCELLED if the caller of a repeatable request has left.
+            node is silent and another one can be asked, CANCELLED if the caller of a
+            repeatable request has left.
         """
         exchange, ticket = self.exchange, self.exchange.ticket
         clock = self.forwarder.clock
@@ -266,12 +267,30 @@
                 return SendStatus.LATE
             if ready is None:
                 check_at = until
-                if self.forwarder.peers.get_heard_at(self.node) < began:
+                is_silent = self.forwarder.peers.get_heard_at(self.node) < began
+                if is_silent and self._has_alternative():
                     return SendStatus.LOST
             elif self._has_caller_left():
                 self._end("caller-gone")
                 return SendStatus.CANCELLED
 
+    def _has_alternative(self):
+        """Return whether the request may be sent again, through another node.
+
+        Notes
+        -----
+        Otherwise a request that an endpoint may be running would be given up.
+        """
+        exchange, ticket = self.exchange, self.exchange.ticket
+        dispatcher, now = exchange.runner.dispatcher, self.forwarder.clock()
+        p10 = dispatcher.get_latency(ticket.route).p10
+        return (
+            ticket.sends + 1 < ticket.route.most_sends
+            and find_denial(ticket, SendStatus.LOST, now, p10) is None
+            and dispatcher.retries.can_spend()
+            and self.forwarder.peers.has_other(self.node, exchange.service, now)
+        )
+
     def _has_caller_left(self):
         """Return whether the caller left and the request may be cancelled."""
         exchange = self.exchange
