Answers of endpoints without end, or that stop, end with the deadline

What callers saw: a request whose endpoint sends a part of a head or of a short body and then stops, or trickles on, was held past its deadline, 30 s a read; the extension of a chunk or trailers without end were read for ever (trailers also kept); a body that arrives faster than it is read let no other request run.

Cause: each read had a time limit of its own; bytes after the head that hold no body counted for no limit; a read that finds data does not yield to other green threads.

Change: the head and a short body are read within the request's remaining time, of a forwarded request too, and of probes and load queries within theirs; then the request ends as late (504), not as lost. 64 KiB of framing without body bytes is malformed. A reader yields after each MiB.

Ruled out: heads without end (limited to 64 KiB already: passes before), answers cut at each byte of the status line and closed (no success before either).

--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -92,9 +92,9 @@
         self.close()
         self.sock = sock
 
-    def read_head(self, is_own=None):
-        """Return the EndpointResponse with its head read."""
-        response = EndpointResponse(self.sock, self.method, is_own)
+    def read_head(self, is_own=None, seconds=None):
+        """Return the EndpointResponse with its head read; see there for parameters."""
+        response = EndpointResponse(self.sock, self.method, is_own, seconds)
         response.read_head()
         return response
 
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -25,7 +25,7 @@
 from hingesill_node.datapath.requesttimeline import RequestTimeline, StepKind
 from hingesill_node.datapath.sends import RequestSends
 from hingesill_node.datapath.transport import TRANSPORT_ERRORS, read_result
-from hingesill_node.datapath.waits import wait_any
+from hingesill_node.datapath.waits import WaitTimeout, wait_any
 
 __all__ = ["Exchange"]
 
@@ -373,9 +373,14 @@
         connection = live.connection
         connection.set_time_limit(READ_TIMEOUT_SECONDS)
         try:
-            in_flight = self.runner.count_in_flight(live.send.endpoint)
+            now = self.clock()
             result = read_result(
-                live, self.clock(), in_flight, self.wire, self.request.request_id
+                live,
+                now,
+                self.runner.count_in_flight(live.send.endpoint),
+                self.wire,
+                self.request.request_id,
+                self.ticket.deadline - now,
             )
             self.runner.record_head(live.send, result)
             if result.end is SendStatus.REFUSED:
@@ -386,7 +391,9 @@
                 self._save_fault_answer(answer)
                 return SendStatus.FAULT
             return answer
-        except TRANSPORT_ERRORS:
+        except WaitTimeout:
+            return self.sends.end(live, SendResult(SendStatus.LATE))
+        except OSError:
             return self.sends.end(live, SendResult(SendStatus.LOST))
 
     def _save_fault_answer(self, answer):
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -24,7 +24,7 @@
     BodyFailed,
     write_request,
 )
-from hingesill_node.datapath.waits import wait_any
+from hingesill_node.datapath.waits import WaitTimeout, wait_any
 
 __all__ = ["Forwarder", "Hop"]
 
@@ -219,7 +219,9 @@
             return self._handle_loss(status)
         try:
             return self._read()
-        except TRANSPORT_ERRORS:
+        except WaitTimeout:
+            return self._handle_loss(SendStatus.LATE)
+        except OSError:
             return self._handle_loss(SendStatus.LOST)
 
     def _write(self):
@@ -307,7 +309,8 @@
         connection.set_time_limit(READ_TIMEOUT_SECONDS)
         wire = self.forwarder.wire
         self.response = response = connection.read_head(
-            lambda received: wire.is_own_answer(received, request.request_id)
+            lambda received: wire.is_own_answer(received, request.request_id),
+            request.ticket.deadline - self.forwarder.clock(),
         )
         self.forwarder.peers.record_heard(self.node, self.forwarder.clock())
         body = response.read_short(MAX_BUFFERED_BODY_BYTES)
--- a/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
@@ -165,7 +165,7 @@
         connection.endheaders()
         sent_at = self.runner.clock()
         connection.flush()
-        response = connection.read_head()
+        response = connection.read_head(seconds=REPLY_TIMEOUT_SECONDS)
         self.runner.dispatcher.reachability.record_heard(self.runner.clock())
         response.read_short(MAX_BODY_BYTES)
         if not self.wire.is_answer_of(response, endpoint):
--- a/packages/hingesill-node/hingesill_node/datapath/prober.py
+++ b/packages/hingesill-node/hingesill_node/datapath/prober.py
@@ -103,4 +103,6 @@
         self.counters.add("probes", name)
         in_flight = runner.count_in_flight(address) + 1
         live = LiveSend(None, None, connection)
-        return read_result(live, runner.clock(), in_flight, self.wire, "")
+        return read_result(
+            live, runner.clock(), in_flight, self.wire, "", RESPONSE_TIMEOUT_SECONDS
+        )
--- a/packages/hingesill-node/hingesill_node/datapath/responses.py
+++ b/packages/hingesill-node/hingesill_node/datapath/responses.py
@@ -5,15 +5,22 @@
 """
 
 import re
+import time
 
+import eventlet
 import httptools
 
-from hingesill_node.datapath.waits import receive
+from hingesill_node.datapath.waits import WaitTimeout, receive
 
 __all__ = ["EndpointResponse", "MalformedResponse", "IncompleteResponse"]
 
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes after a head that hold no body, such as extensions of chunks and trailers.
+MAX_FRAMING_BYTES = 64 * 1024
+# Bytes after which other green threads run, as a fast endpoint leaves nothing to wait
+# for.
+BYTES_PER_TURN = 1024 * 1024
 FIRST_FINAL_STATUS = 200
 IDLE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -40,6 +47,9 @@
         Returns whether a head belongs to this request. An endpoint may first send a
         late response to an earlier request on the connection; such a response is
         read and dropped, and the connection is not reused.
+    seconds : float or None
+        Maximum time until the head, and a short body, are read; if None, only each
+        read is limited.
 
     Attributes
     ----------
@@ -55,13 +65,16 @@
         Whether the response was read completely.
     """
 
-    def __init__(self, sock, method, is_own=None):
+    def __init__(self, sock, method, is_own=None, seconds=None):
         self._sock = sock
         self._method = method
         self._is_own = is_own
         self._parser = httptools.HttpResponseParser(self)
         self._chunks = []
         self._received = 0
+        self._framing = 0
+        self._turn = 0
+        self._until = None if seconds is None else time.monotonic() + seconds
         self._head_done = False
         self._must_close = False
         self._unsolicited = False
@@ -165,6 +178,8 @@
         ------
         OSError
             MalformedResponse, IncompleteResponse or an error of the socket.
+        WaitTimeout
+            If the head did not arrive in time.
         """
         while not self._head_done:
             self._receive()
@@ -173,11 +188,45 @@
 
     def _receive(self):
         """Read once from the socket and parse the data."""
-        data = receive(self._sock, RECEIVE_BYTES)
+        self._yield_turn()
+        data = receive(self._sock, RECEIVE_BYTES, self._get_remaining())
         if not data:
             self._handle_eof()
             return
         self._received += len(data)
+        self._turn += len(data)
+        parts = len(self._chunks)
+        self._parse(data)
+        if self._head_done and not self.complete:
+            self._framing = (
+                self._framing + len(data) if parts == len(self._chunks) else 0
+            )
+            if self._framing > MAX_FRAMING_BYTES:
+                raise MalformedResponse("the framing of the body is too long")
+
+    def _yield_turn(self):
+        """Let other green threads run if this one has not waited for long."""
+        if self._turn >= BYTES_PER_TURN:
+            self._turn = 0
+            eventlet.sleep(0)
+
+    def _get_remaining(self):
+        """Return the seconds until the response must be read, None if not limited.
+
+        Raises
+        ------
+        WaitTimeout
+            If the time has passed.
+        """
+        if self._until is None:
+            return None
+        remaining = self._until - time.monotonic()
+        if remaining <= 0 and self._received:
+            raise WaitTimeout
+        return remaining
+
+    def _parse(self, data):
+        """Parse received data."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -195,13 +244,14 @@
         self.complete = True
 
     def read_body(self):
-        """Yield the parts of the body as they are received.
+        """Yield the parts of the body as they are received, without a limit in all.
 
         Raises
         ------
         OSError
             See `read_head`.
         """
+        self._until = None
         while True:
             chunks, self._chunks = self._chunks, []
             yield from chunks
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_forwarding.py
@@ -32,8 +32,8 @@
         case.addCleanup(thread.kill)
 
     def answer(self, sock, address):
-        while b"\r\n\r\n" not in sock.recv(65536):
-            pass
+        if not sock.recv(65536):
+            return
         self.received += 1
         eventlet.sleep(self.seconds)
         with suppress(OSError):
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -128,7 +128,7 @@
         raise BodyFailed(str(error)) from error
 
 
-def read_result(live, now, own_in_flight, wire, request_id):
+def read_result(live, now, own_in_flight, wire, request_id, seconds=None):
     """Read the head of a response and the endpoint state that it reports.
 
     Parameters
@@ -143,6 +143,8 @@
         The HTTP dialect.
     request_id : str
         Id of the request; responses to other requests are skipped.
+    seconds : float or None
+        Maximum time for the head and a short body; see `EndpointResponse`.
 
     Returns
     -------
@@ -153,9 +155,11 @@
     ------
     OSError
         If the response was lost.
+    WaitTimeout
+        If it did not arrive in time.
     """
     response = live.response = live.connection.read_head(
-        lambda received: wire.is_own_answer(received, request_id)
+        lambda received: wire.is_own_answer(received, request_id), seconds
     )
     signals = wire.read_signals(response, now, own_in_flight - 1)
     return SendResult(
--- a/packages/hingesill-node/hingesill_node/datapath/waits.py
+++ b/packages/hingesill-node/hingesill_node/datapath/waits.py
@@ -40,20 +40,22 @@
     """Do nothing on close: the waiting code closes its sockets itself."""
 
 
-def receive(sock, size):
+def receive(sock, size, seconds=None):
     """Return bytes of a green socket; empty if the peer has closed it.
 
     Parameters
     ----------
     sock : GreenSocket
-        Its timeout limits the wait.
+        The socket.
     size : int
         Maximum number of bytes to return.
+    seconds : float or None
+        Maximum wait; the socket's timeout if None.
 
     Raises
     ------
     WaitTimeout
-        If no data arrives within the socket's timeout.
+        If no data arrives in time.
     OSError
         If the connection was reset, or closed on this side. eventlet's own ``recv``
         treats a reset as the end of the stream, and so a truncated answer as whole.
@@ -65,7 +67,7 @@
             hubs.trampoline(
                 sock.fileno(),
                 read=True,
-                timeout=sock.gettimeout(),
+                timeout=sock.gettimeout() if seconds is None else max(0.0, seconds),
                 timeout_exc=WaitTimeout,
             )
 
