--- a/packages/hingesill-node/hingesill_node/datagramport.py
+++ b/packages/hingesill-node/hingesill_node/datagramport.py
@@ -52,14 +52,17 @@
         eventlet.spawn(self._listen)
 
     def send(self, data, peer):
-        """Send a datagram; raise OSError if that would block.
+        """Send a datagram; raise OSError if that would block or there is no such port.
 
         Notes
         -----
         Decisions send datagrams while they change state. A wait here would let another
         green thread see that state half updated.
         """
-        self._sock.fd.sendto(data, peer)
+        try:
+            self._sock.fd.sendto(data, peer)
+        except OverflowError as error:
+            raise OSError(str(error)) from error
 
     def _listen(self):
         while True:
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -53,7 +53,7 @@
             self.sock = green_socket.create_connection(
                 (self.host, self.port), timeout=self.connect_timeout
             )
-        except OSError as error:
+        except (OSError, OverflowError) as error:  # OverflowError: no such port.
             raise ConnectFailed(f"{self.address}: {error}") from error
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
@@ -87,7 +87,7 @@
     collect = flush = endheaders = lambda self: None
     begin = putheader = lambda self, name, value: None
 
-    def read_head(self):
+    def read_head(self, seconds):
         return self.response
 
 
