--- a/packages/hingesill-core/hingesill_core/configuration/log.py
+++ b/packages/hingesill-core/hingesill_core/configuration/log.py
@@ -11,6 +11,8 @@
 
 from msgspec import Struct
 
+from hingesill_core.validation import parse_json
+
 __all__ = [
     "EMPTY_CHAIN",
     "ORGANISATION_PREFIX",
@@ -77,7 +79,7 @@
         If the bytes contain no entry.
     """
     try:
-        revision, previous, operation_id, author, changes = json.loads(encoded)
+        revision, previous, operation_id, author, changes = parse_json(encoded)
         return Entry(
             int(revision),
             str(previous),
--- a/packages/hingesill-core/hingesill_core/configuration/snapshots.py
+++ b/packages/hingesill-core/hingesill_core/configuration/snapshots.py
@@ -11,6 +11,7 @@
     encode_difference,
 )
 from hingesill_core.store import StoreFailure, Value, VersionConflict, Written
+from hingesill_core.validation import parse_json
 
 __all__ = ["SNAPSHOT_PART_BYTES", "Snapshot", "Snapshots"]
 
@@ -110,5 +111,5 @@
     """Return the Snapshot in the head key; an empty one if there is none."""
     if not isinstance(head, Value):
         return Snapshot()
-    revision, parts, folder = json.loads(head.data)
+    revision, parts, folder = parse_json(head.data)
     return Snapshot(revision, parts, folder)
--- a/packages/hingesill-core/hingesill_core/configuration/state.py
+++ b/packages/hingesill-core/hingesill_core/configuration/state.py
@@ -8,6 +8,7 @@
 from msgspec import Struct, field
 
 from hingesill_core.configuration.log import EMPTY_CHAIN, is_organisation
+from hingesill_core.validation import parse_json
 
 __all__ = [
     "Applied",
@@ -203,7 +204,7 @@
         If the data contain no difference.
     """
     try:
-        since, revision, chain, encoded_services = json.loads(zlib.decompress(encoded))
+        since, revision, chain, encoded_services = parse_json(zlib.decompress(encoded))
         services = {name: Versioned(*item) for name, item in encoded_services.items()}
         return Difference(int(since), int(revision), str(chain), services)
     except (zlib.error, TypeError, ValueError, AttributeError) as error:
--- a/packages/hingesill-core/hingesill_core/configuration/tail.py
+++ b/packages/hingesill-core/hingesill_core/configuration/tail.py
@@ -9,6 +9,7 @@
     decode_entry,
     encode_entry,
 )
+from hingesill_core.validation import parse_json
 
 __all__ = ["Tail", "decode_tail", "encode_tail"]
 
@@ -50,7 +51,7 @@
 def decode_tail(data, version):
     """Return the Tail in a value; raise ValueError if there is none."""
     try:
-        base, chain, segment, entries = json.loads(data)
+        base, chain, segment, entries = parse_json(data)
         decoded = tuple(decode_entry(json.dumps(entry)) for entry in entries)
         return Tail(int(base), str(chain), str(segment), decoded, version)
     except (TypeError, ValueError) as error:
--- a/packages/hingesill-core/hingesill_core/tests/test_validation.py
+++ b/packages/hingesill-core/hingesill_core/tests/test_validation.py
@@ -1,13 +1,21 @@
 """Tests of model validation: every fault is reported with its path."""
 
 import unittest
+import zlib
 from typing import Annotated
 
 from msgspec import Meta, Struct
 from msgspec.json import Decoder
 
+from hingesill_core.configuration.log import decode_entry
+from hingesill_core.configuration.snapshots import decode_snapshot
+from hingesill_core.configuration.state import decode_difference
+from hingesill_core.configuration.tail import decode_tail
 from hingesill_core.findings import Findings
-from hingesill_core.validation import build_model, decode_model
+from hingesill_core.store import Value
+from hingesill_core.validation import build_model, decode_model, parse_json
+
+NESTED = b"[" * 60_000 + b"]" * 60_000
 
 
 class Inner(Struct, frozen=True):
@@ -85,3 +93,18 @@
         for data in (b"", b"{", b"[]", b"3", b"\xff"):
             with self.subTest(data=data), self.assertRaises(ValueError):
                 decode_model(self.decoder, data)
+
+
+class NestedDocumentTests(unittest.TestCase):
+    """Guards against documents nested so deeply that what reads them ends."""
+
+    def test_a_document_of_the_change_log(self):
+        for decode in (
+            parse_json,
+            decode_entry,
+            lambda data: decode_tail(data, 1),
+            lambda data: decode_snapshot(Value(data, 1)),
+            lambda data: decode_difference(zlib.compress(data)),
+        ):
+            with self.assertRaises(ValueError):
+                decode(NESTED)
--- a/packages/hingesill-core/hingesill_core/validation.py
+++ b/packages/hingesill-core/hingesill_core/validation.py
@@ -1,11 +1,13 @@
 """Validated models of inputs: every fault is reported with its place."""
 
+import json as standard_json
+
 from msgspec import Struct, ValidationError, convert, json
 from msgspec.structs import fields
 
 from hingesill_core.findings import Findings
 
-__all__ = ["build_model", "decode_model"]
+__all__ = ["build_model", "decode_model", "parse_json"]
 
 NO_CHECKS = {}
 
@@ -92,3 +94,17 @@
         if isinstance(found, Findings):
             raise ValueError("; ".join(str(item) for item in found)) from error
         raise
+
+
+def parse_json(data):
+    """Return the content of a JSON document of any form.
+
+    Raises
+    ------
+    ValueError
+        If it is no JSON document, or nested too deeply.
+    """
+    try:
+        return standard_json.loads(data)
+    except RecursionError as error:
+        raise ValueError("the document is nested too deeply") from error
--- a/packages/hingesill-node/hingesill_node/control/tests/test_vmlist.py
+++ b/packages/hingesill-node/hingesill_node/control/tests/test_vmlist.py
@@ -1,8 +1,9 @@
 """The platform's list of VMs."""
 
+import tempfile
 import unittest
 
-from hingesill_node.control.vmlist import parse_list
+from hingesill_node.control.vmlist import parse_list, read_file
 
 NODE = {
     "name": "n1",
@@ -26,3 +27,14 @@
         for port in (-1, 65536, "8083", 1.5, True, None):
             with self.subTest(port), self.assertRaisesRegex(ValueError, "forward_port"):
                 parse_list([{**NODE, "forward_port": port}])
+
+
+class NestedListTests(unittest.TestCase):
+    """Guards against a list nested so deeply that its reader ends."""
+
+    def test_a_nested_list_is_invalid(self):
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write("[" * 60_000)
+            file.flush()
+            with self.assertRaisesRegex(ValueError, "nested"):
+                read_file(f"file://{file.name}")
--- a/packages/hingesill-node/hingesill_node/control/vmlist.py
+++ b/packages/hingesill-node/hingesill_node/control/vmlist.py
@@ -1,7 +1,6 @@
 """Reading of the list of VMs of the platform, with a registry of sources."""
 
 import asyncio
-import json
 import random
 import time
 from pathlib import Path
@@ -12,6 +11,7 @@
 from hingesill_core.membership.drainnotices import DrainNotice
 from hingesill_core.membership.vms import Vm, VmState
 from hingesill_core.registry import Registry
+from hingesill_core.validation import parse_json
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["LISTS", "VmListReader", "parse_list"]
@@ -32,13 +32,13 @@
     response = urllib3.request("GET", url, timeout=READ_TIMEOUT_SECONDS, retries=False)
     if response.status != 200:
         raise ValueError(f"status {response.status}")
-    return json.loads(response.data)
+    return parse_json(response.data)
 
 
 @LISTS.register("file")
 def read_file(url):
     """Return the list in a file."""
-    return json.loads(Path(urlsplit(url).path).read_text())
+    return parse_json(Path(urlsplit(url).path).read_text())
 
 
 def parse_list(items):
--- a/packages/hingesill-node/hingesill_node/store/consul.py
+++ b/packages/hingesill-node/hingesill_node/store/consul.py
@@ -21,6 +21,7 @@
     VersionConflict,
     Written,
 )
+from hingesill_core.validation import parse_json
 from hingesill_node.store.registry import STORES
 from hingesill_node.store.wholeresponses import WholeResponsePoolManager
 
@@ -88,7 +89,7 @@
         if response.status == STATUS_NOT_FOUND:
             return KeyMissing()
         try:
-            item = json.loads(response.data)[0]
+            item = parse_json(response.data)[0]
             return Value(
                 base64.b64decode(item["Value"] or ""), int(item["ModifyIndex"])
             )
@@ -136,7 +137,7 @@
         if isinstance(response, StoreFailure):
             return response
         try:
-            lease = json.loads(response.data)["ID"]
+            lease = parse_json(response.data)["ID"]
         except (ValueError, LookupError, TypeError) as error:
             return StoreFailure(f"cannot decode the response: {error}")
         path = f"kv/{quote(key)}?acquire={lease}"
--- a/packages/hingesill-node/hingesill_node/store/tests/test_cut_responses.py
+++ b/packages/hingesill-node/hingesill_node/store/tests/test_cut_responses.py
@@ -103,6 +103,11 @@
     def test_a_value(self):
         self.check(lambda: self.store.get("a"), b"200 OK", ITEM, Value)
 
+    def test_a_value_nested_too_deeply(self):
+        body = b"[" * 60_000 + b"]" * 60_000
+        self.server.response = next(frame(b"200 OK", body))
+        self.assertIsInstance(self.store.get("a"), StoreFailure)
+
     def test_a_missing_key(self):
         self.check(lambda: self.store.get("a"), b"404 Not Found", b"", KeyMissing)
 
