Soak: callers that send ahead, idle connections, and nodes stopped in series

Change: eight callers send up to three requests ahead, most with an 8 kB receive buffer. Judged: no answer is cut by a reset, and nothing runs whose connection had ended, but at nodes that were killed or cut off.

Ruled out: polling on kept connections.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 from soak.proxy import ProxyFault
 from standins.partition import MODES
 
-__all__ = ["CONCURRENT_FAULTS", "FAULTS"]
+__all__ = ["CONCURRENT_FAULTS", "FAULTS", "stop_nodes_in_series"]
 
 # A fault is a function of a Scene and a random source that starts the fault and
 # returns the function that ends it.
@@ -15,6 +15,11 @@
 # Faults started concurrently with these, each with its own random source.
 CONCURRENT_FAULTS = Registry("concurrent soak fault")
 
+# Answers and service time of endpoints while nodes are stopped in series.
+ANSWER_BYTES = (400, 60_000, 300_000)
+SERVICE_MS = 30.0
+# The nodes' setting `balancer_lag_s`.
+BALANCER_LAG_SECONDS = 0.5
 # Time in seconds until an endpoint has crashed, or serves after its restart.
 RESTART_SECONDS = 0.1
 
@@ -192,13 +197,35 @@
     node = scene.choose_healthy_node(rng)
     if node is None:
         return do_nothing
+    begin_stop(scene, node)
+    return lambda: scene.finish_stop(node)
+
+
+def begin_stop(scene, node):
+    """Send a node the stop signal; return the monotonic time of the signal."""
     scene.leaving.add(node.name)
     node.process.terminate()
-    deadline = time.monotonic() + 3.0
-    while node.is_ready() and time.monotonic() < deadline:
+    signalled_at = time.monotonic()
+    while node.is_ready() and time.monotonic() < signalled_at + 3.0:
         time.sleep(0.02)
     scene.stop_using(node)
-    return lambda: scene.finish_stop(node)
+    return signalled_at
+
+
+def stop_nodes_in_series(scene, rng):
+    """Stop each node in turn while answers are long and idle connections are used."""
+    for endpoint in scene.fleet.endpoints:
+        size = rng.choice(ANSWER_BYTES)
+        scene.fleet.set_faults(endpoint, service_ms=SERVICE_MS, body_bytes=size)
+    for node in list(scene.fleet.nodes.values()):
+        connections = scene.open_idle_connections(node, rng)
+        node.process.send_signal(signal.SIGHUP)
+        lag_ends_at = begin_stop(scene, node) + BALANCER_LAG_SECONDS
+        connections.send_around(lag_ends_at, lag_ends_at + 0.3, node.admin)
+        scene.finish_stop(node)
+        connections.close()
+    for endpoint in scene.fleet.endpoints:
+        scene.fleet.set_faults(endpoint, service_ms=4.0)
 
 
 @FAULTS.register("settings signal")
--- a/soak/main.py
+++ b/soak/main.py
@@ -14,7 +14,8 @@
 from demo.load import Caller
 from matrix.evidence import Evidence, Violation
 from matrix.promises import PROMISES
-from soak.faults import CONCURRENT_FAULTS, FAULTS
+from soak.aheadcallers import check_sent
+from soak.faults import CONCURRENT_FAULTS, FAULTS, stop_nodes_in_series
 from soak.incompletecaller import check_incomplete
 from soak.organisations import (
     GREEDY,
@@ -63,7 +64,7 @@
 REGRESSION_FAULTS = ("limits",)
 
 
-def run_seed(seed, mutation="", names=None, is_calm_judged=True):
+def run_seed(seed, mutation="", names=None, is_calm_judged=True, has_stops=True):
     """Run one seed, optionally with a mutation; return its Finding.
 
     Parameters
@@ -76,6 +77,8 @@
         Faults to choose from; all if None.
     is_calm_judged : bool
         Whether quotas and keys are judged for a time without faults as well.
+    has_stops : bool
+        Whether all nodes are stopped in turn after the faults.
     """
     rng = random.Random(seed)
     with tempfile.TemporaryDirectory() as folder:
@@ -85,6 +88,9 @@
             scene.start()
             time.sleep(INITIAL_PAUSE_SECONDS)
             faults = run_faults(scene, rng, names or FAULTS.list_names(), concurrent)
+            if has_stops:
+                faults.append("nodes stopped in series")
+                stop_nodes_in_series(scene, random.Random(f"stops of {seed}"))
             time.sleep(RECOVERY_SECONDS)
             calm_since = time.monotonic() + QUOTA_RECOVERY_SECONDS
             if is_calm_judged:
@@ -158,6 +164,8 @@
     evidence = Evidence(calls=calls, ran=ran)
     violations = [v for name in CHECKED for v in PROMISES.get(name)(evidence)]
     violations += check_incomplete(scene.incomplete_caller.request_ids, ran)
+    unplanned = {address for address, _ in scene.unplanned}
+    violations += check_sent(scene.list_sent(), ran, unplanned)
     violations += check_end(scene)
     requests = scene.fleet.read_requests()
     violations += check_keys(calls, requests)
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -7,6 +7,7 @@
 import yaml
 
 from demo.load import Caller
+from soak.aheadcallers import AheadCaller, IdleConnections
 from soak.incompletecaller import IncompleteCaller
 from soak.organisations import (
     GREEDY,
@@ -38,6 +39,15 @@
 CALLERS = [(KEYS[STEADY], 0.02)] * 4 + [(KEYS[GREEDY], 0.02)] * 2
 CALLERS += [(KEYS[MODEST], 0.1), (KEYS[LEAVING], 0.1), (UNKNOWN, 0.1), (NO_KEY, 0.1)]
 STOP_SECONDS = 15.0
+AHEAD_CALLERS = 8
+IDLE_CONNECTIONS = 150
+READ = (
+    "GET /arena/boards/7 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\n"
+    "Hingesill-Request-Id: {id}\r\n\r\n"
+)
+MOVE = READ.replace("GET /arena/boards/7", "POST /ledger/moves").replace(
+    "\r\n\r\n", "\r\nContent-Length: 4\r\n\r\ne2e4"
+)
 
 
 class Scene:
@@ -69,6 +79,8 @@
         self.endpoint_proxies = []
         self.callers = []
         self.incomplete_caller = None
+        self.ahead_callers = []
+        self.idle_connections = []
         self._number = 0
 
     def start(self):
@@ -94,6 +106,23 @@
         self.incomplete_caller = IncompleteCaller(
             lambda: self.usable, KEYS[STEADY], self.seed
         ).start()
+        self.ahead_callers = [
+            AheadCaller(lambda: self.usable, build_read, f"{number} of {self.seed}")
+            for number in range(AHEAD_CALLERS)
+        ]
+        for caller in self.ahead_callers:
+            caller.start()
+
+    def open_idle_connections(self, node, rng):
+        """Return connections to a node that have been used once."""
+        connections = IdleConnections(node.address, build_move, rng, IDLE_CONNECTIONS)
+        self.idle_connections.append(connections)
+        return connections
+
+    def list_sent(self):
+        """Return the requests that were sent ahead or on idle connections."""
+        callers = [*self.ahead_callers, *self.idle_connections]
+        return [sent for caller in callers for sent in caller.sent]
 
     def _write_declarations(self):
         folder = self.fleet.folder / "declarations"
@@ -181,6 +210,8 @@
         """Stop all callers; further calls do nothing."""
         for caller in self.callers:
             caller.stop()
+        for caller in self.ahead_callers:
+            caller.stop()
         if self.incomplete_caller is not None:
             self.incomplete_caller.stop()
 
@@ -190,3 +221,13 @@
         for proxy in (self.store_proxy, *self.endpoint_proxies):
             proxy.close()
         self.fleet.close()
+
+
+def build_read(request_id):
+    """Return the bytes of a repeatable request."""
+    return READ.format(id=request_id, key=KEYS[STEADY]).encode()
+
+
+def build_move(request_id):
+    """Return the bytes of a request that must not be repeated."""
+    return MOVE.format(id=request_id, key=KEYS[STEADY]).encode()
