Stops: connections without a request are closed with the address

A request that was sent 5.46 s after the signal was taken and cut at the stop's bound of 5.6 s.

Change: once the address is closed, connections without a request are closed at once, after the look at the socket as before; those that become idle later, too. A request that has arrived by then is still served.

Ruled out: a shorter quiet time, which makes it rarer only.

--- a/packages/hingesill-node/hingesill_node/lifecycle.py
+++ b/packages/hingesill-node/hingesill_node/lifecycle.py
@@ -73,23 +73,21 @@
             self._connected_at = now
         return now - self._connected_at > self.settings.isolation_s
 
-    def stop(self, callers, *others):
+    def stop(self, *servers):
         """Stop serving without dropping requests.
 
         Parameters
         ----------
-        callers : CallerServer
-            Its address is closed after the time that the platform's balancer needs to
-            notice ``/ready``.
-        *others : CallerServer
-            Servers whose addresses are closed at the end.
+        *servers : CallerServer
+            Their addresses are closed after the time that the platform's balancer needs
+            to notice ``/ready``.
 
         Returns
         -------
         bool
             False if requests were still in flight at the timeout.
         """
-        self.servers = (callers, *others)
+        self.servers = servers
         self.blackboard.write("phase", Phase.STOPPING)
         for server in self.servers:
             server.begin_stop()
@@ -97,7 +95,8 @@
         self.control.leave()
         lag_ends_at = self.stop_requested_at + self.settings.balancer_lag_s
         eventlet.sleep(max(0.0, lag_ends_at - self.clock()))
-        callers.close_address()
+        for server in self.servers:
+            server.close_address()
         is_quiet = self._wait_until_quiet()
         event = Event.STOP_ENDED if is_quiet else Event.STOP_BOUND_REACHED
         log_event(event, in_flight=self.blackboard.in_flight)
@@ -115,24 +114,23 @@
 
         Notes
         -----
-        Connections without a request are closed after `QUIET_SECONDS` without any
-        request, so that few callers meet the end of a connection with a request on
-        its way.
+        Connections without a request are closed from now on: a request that is taken
+        late might not be answered before the timeout.
         """
         settings = self.settings
         bound = settings.balancer_lag_s + settings.stop_bound_s
         deadline = self.stop_requested_at + bound
         quiet_since = self.clock()
         while self.clock() <= deadline:
+            for server in self.servers:
+                server.close_idle()
             eventlet.sleep(DRAIN_CHECK_INTERVAL_SECONDS)
             if self._is_serving():
                 quiet_since = self.clock()
-            elif self.clock() - quiet_since >= QUIET_SECONDS:
-                self._close_idle()
-                if not any(server.has_connections() for server in self.servers):
-                    return not self._is_serving()
-        self._close_idle()
-        eventlet.sleep(0)
+            elif self.clock() - quiet_since < QUIET_SECONDS:
+                continue
+            elif not any(server.has_connections() for server in self.servers):
+                return True
         return not self._is_serving()
 
     def _is_serving(self):
@@ -141,9 +139,3 @@
             self.blackboard.in_flight
             or any(server.count_serving() for server in self.servers)
         )
-
-    def _close_idle(self):
-        """Close all addresses, and the connections without a request."""
-        for server in self.servers:
-            server.close_address()
-            server.close_idle()
