Connections: checks of callers that do not close become rarer

Change: the interval doubles from 10 to 250 ms. The soak's callers that send ahead stop before the time without faults, whose judge counts the requests of the others.

Ruled out: waiting for events: a socket with unread bytes is always readable.

Result: test_callers_that_never_close_cost_few_checks fails with a fixed interval and passes now.

--- a/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
@@ -16,9 +16,10 @@
 
 __all__ = ["ConnectionEnd", "ConnectionPhase", "ConnectionState"]
 
-# Interval of checks whether a caller has received an answer while requests that it sent
-# ahead lie unread, so that the socket is always readable.
-CHECK_INTERVAL_SECONDS = 0.02
+# Intervals of checks whether a caller has received an answer while requests that it
+# sent ahead lie unread, so that the socket is always readable; each is twice the last.
+MIN_CHECK_INTERVAL_SECONDS = 0.01
+MAX_CHECK_INTERVAL_SECONDS = 0.25
 PEER_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 DEAD_EVENTS = select.POLLHUP | select.POLLERR
 
@@ -177,6 +178,7 @@
 
     def _wait_until_received(self, until):
         """Wait until the caller received everything and closed, or until a time."""
+        pause = MIN_CHECK_INTERVAL_SECONDS
         while (seconds := until - self._clock()) > 0:
             events = self._poll()
             has_input = self.has_input()
@@ -185,7 +187,8 @@
             if events and not self._count_unsent():
                 return
             if events or has_input:
-                eventlet.sleep(min(seconds, CHECK_INTERVAL_SECONDS))
+                eventlet.sleep(min(seconds, pause))
+                pause = min(2 * pause, MAX_CHECK_INTERVAL_SECONDS)
             else:
                 wait_any([self.sock], seconds)
 
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
@@ -10,6 +10,7 @@
 
 from hingesill_node.blackboard import Phase
 from hingesill_node.datapath import callerprotocol
+from hingesill_node.datapath.connectionstate import ConnectionState
 from hingesill_node.datapath.messages import Answer
 from hingesill_node.datapath.tests.callerservice import (
     CHUNKED_HEAD,
@@ -218,6 +219,18 @@
         self.assertEqual(record.listener, "callers")
         self.assertGreater(record.unsent_bytes, 0)
 
+    def test_callers_that_never_close_cost_few_checks(self):
+        sock = self.send_first()
+        self.stop()
+        self.service.close_address("callers")
+        sock.sendall(GET)
+        with mock.patch.object(
+            ConnectionState, "_poll", autospec=True, side_effect=ConnectionState._poll
+        ) as poll:
+            self.application.gate.send()
+            eventlet.sleep(1.0)
+        self.assertLess(poll.call_count, 12)
+
 
 class ClosedAddressTests(ConnectionEndCase):
     """Guards against requests that run without an answer when the address is closed."""
--- a/soak/aheadcallers.py
+++ b/soak/aheadcallers.py
@@ -146,8 +146,12 @@
         self._thread.start()
         return self
 
+    def request_stop(self):
+        """Stop after the answers that are due, without waiting."""
+        self._stopped.set()
+
     def stop(self):
-        """Stop after the connection in use."""
+        """Stop after the answers that are due."""
         self._stopped.set()
         self._thread.join(3 * TIMEOUT_SECONDS)
 
--- a/soak/main.py
+++ b/soak/main.py
@@ -91,6 +91,8 @@
             if has_stops:
                 faults.append("nodes stopped in series")
                 stop_nodes_in_series(scene, random.Random(f"stops of {seed}"))
+            # The time without faults is judged by the rates of the other callers.
+            scene.stop_ahead_callers()
             time.sleep(RECOVERY_SECONDS)
             calm_since = time.monotonic() + QUOTA_RECOVERY_SECONDS
             if is_calm_judged:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -206,12 +206,18 @@
         self.exit_codes.append(node.process.wait(STOP_SECONDS))
         self.replace(node)
 
+    def stop_ahead_callers(self):
+        """Stop the callers that send ahead; further calls do nothing."""
+        for caller in self.ahead_callers:
+            caller.request_stop()
+        for caller in self.ahead_callers:
+            caller.stop()
+
     def stop_callers(self):
         """Stop all callers; further calls do nothing."""
         for caller in self.callers:
             caller.stop()
-        for caller in self.ahead_callers:
-            caller.stop()
+        self.stop_ahead_callers()
         if self.incomplete_caller is not None:
             self.incomplete_caller.stop()
 
