Connections: an empty line after a body is no request; a cut answer stays cut

Cause: some callers send an empty line after a body. In the buffer, it counted as a request that was read, so that the answer of a stopping node did not say Connection: close and the stop lasted to its bound. A cut answer with requests unread behind it was counted as unread.

Change: line ends alone are no input; the end of a cut answer is not changed.

Ruled out: nothing; both were found by reading the change again.

Result: test_an_empty_line_after_a_body_is_no_request is new; the 62 tests of ends of connections, heads and bodies pass.

--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -20,6 +20,8 @@
 # Maximum time for a caller to receive the last answer and to close its connection.
 CLOSING_SECONDS = 10.0
 DISCARD_BYTES = 16 * 1024
+# Some callers send an empty line after a body.
+LINE_ENDS = b"\r\n"
 BAD_HEAD_RESPONSE = (
     "HTTP/1.1 400 Bad Request\r\n"
     f"{HeaderNames.OUTCOME}: {Outcome.NOT_RUN.value}\r\n"
@@ -82,7 +84,7 @@
         environ[PROTOCOL_KEY] = self
         lenient = environ["eventlet.input"]
         if lenient.content_length and not self._stream.reads_ahead:
-            buffered = self._count_buffered()
+            buffered = len(self._peek_buffered())
             self._stream.expect_body(lenient.content_length - buffered)
         self.request_input = RequestInput(
             self.rfile,
@@ -103,7 +105,7 @@
         These are the rest of its request, and requests that were sent ahead. Once the
         address is closed, only requests count that were read with an earlier one.
         """
-        if not self.request_input.is_whole or self._count_buffered():
+        if not self.request_input.is_whole or self._peek_buffered().strip(LINE_ENDS):
             return True
         return self.server.is_accepting and self.state.has_input()
 
@@ -177,15 +179,15 @@
 
     def _wait_for_request(self):
         """Return whether the next request has begun, or the caller has closed."""
-        if self._count_buffered():
+        if self._peek_buffered():
             return True
         return self.state.wait_for_input(self.server.keepalive)
 
-    def _count_buffered(self):
-        """Return the number of bytes that were read but not used."""
+    def _peek_buffered(self):
+        """Return the bytes that were read but not used."""
         self._stream.is_paused = True
         try:
-            return len(self.rfile.peek(1))
+            return self.rfile.peek(1)
         finally:
             self._stream.is_paused = False
 
--- a/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
@@ -173,7 +173,7 @@
         if self.unsent:
             is_broken = self._is_broken or self._poll() & select.POLLERR
             self.end = ConnectionEnd.CALLER_LEFT if is_broken else ConnectionEnd.CUT
-        elif self.has_input():
+        elif self.end is not ConnectionEnd.CUT and self.has_input():
             self.end = ConnectionEnd.UNREAD
 
     def _wait_until_received(self, until):
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
@@ -172,6 +172,14 @@
             self.application.gate.send()
             self.check_answers(read_slowly(sock), 1 + ahead)
 
+    def test_an_empty_line_after_a_body_is_no_request(self):
+        sock = self.connect()
+        sock.sendall(POST + b"\r\n")
+        self.application.begun.wait()
+        self.stop()
+        self.application.gate.send()
+        self.check_answers(read_slowly(sock), 1)
+
     def test_a_caller_that_never_stops_sending_ahead(self):
         sock = self.send_first()
         self.stop()
