Stand-ins: a partition is in force when the call that begins it returns

Cause: a cut process reads the partition's file at most every 10 ms, so that the cut may begin while the test's first request is on its way: its load query is answered, and the request is then written to a silenced connection. The node did nothing wrong; the test did not control the order.

Shown: with the request 4 to 10 ms after the file was last read, 10 of 60 requests got 504, each with the steps "sent i-0", "1500 ms ended i-0 late", "denied-not-repeatable". Ruled out: the change of forwarding in (such requests are not forwarded at all); load (40 of 40 at load 20 passed, 24 of 24 at load 14).

Change: the stand-in waits for the 10 ms; no check changes.

--- a/standins/partition.py
+++ b/standins/partition.py
@@ -47,7 +47,7 @@
         return [__file__, str(self.file), program]
 
     def cut(self, addresses, mode="silent"):
-        """Cut the process off from addresses."""
+        """Cut the process off from addresses; it is in force on return."""
         if mode not in MODES:
             raise ValueError(f"mode {mode!r} is not one of {', '.join(MODES)}")
         self._write({"mode": mode, "addresses": list(addresses)})
@@ -60,6 +60,8 @@
         replacement = self.file.with_suffix(".new")
         replacement.write_text(json.dumps(content))
         replacement.replace(self.file)
+        # Otherwise a request that is sent next may be cut off midway.
+        time.sleep(CHECK_SECONDS)
 
 
 class Partition:
