--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -102,8 +102,8 @@
 
         Notes
         -----
-        These are the rest of its request, and requests that were sent ahead. Once the
-        address is closed, only requests count that were read with an earlier one.
+        These are the rest of its request, and pipelined requests. Once the address is
+        closed, only requests count that were read with an earlier one.
         """
         if not self.request_input.is_whole or self._peek_buffered().strip(LINE_ENDS):
             return True
--- a/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
@@ -16,8 +16,8 @@
 
 __all__ = ["ConnectionEnd", "ConnectionPhase", "ConnectionState"]
 
-# Intervals of checks whether a caller has received an answer while requests that it
-# sent ahead lie unread, so that the socket is always readable; each is twice the last.
+# Intervals of checks whether a caller has received an answer while its pipelined
+# requests lie unread, so that the socket is always readable; each is twice the last.
 MIN_CHECK_INTERVAL_SECONDS = 0.01
 MAX_CHECK_INTERVAL_SECONDS = 0.25
 PEER_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -138,8 +138,8 @@
         -----
         Closing a socket with unread bytes resets the connection, which drops what the
         caller has not received yet. So only the sending side is closed until the caller
-        closes the connection, too (RFC 9112, section 9.6). Requests that were sent
-        ahead are not read: a request that is read has to be answered.
+        closes the connection, too (RFC 9112, section 9.6). Pipelined requests are
+        not read: a request that is read has to be answered.
         """
         self.phase = ConnectionPhase.CLOSING
         try:
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
@@ -126,7 +126,7 @@
         return self.application.size
 
 
-class RequestsAheadTests(ConnectionEndCase):
+class PipelinedRequestTests(ConnectionEndCase):
     """Guards against answers that are cut because requests lie unread behind them."""
 
     def send_first(self):
@@ -139,13 +139,13 @@
     def test_long_answers_at_a_stop_while_requests_arrive(self):
         for _ in range(5):
             self.start()
-            ahead = self.rng.randint(1, 3)
+            pipelined = self.rng.randint(1, 3)
             self.application.size = self.rng.choice((3_000, 60_000, 300_000))
             sock = self.send_first()
-            sock.sendall(GET * ahead)
+            sock.sendall(GET * pipelined)
             self.stop()
             self.application.gate.send()
-            self.check_answers(read_slowly(sock), 1 + ahead)
+            self.check_answers(read_slowly(sock), 1 + pipelined)
 
     def test_requests_that_arrive_after_the_address_is_closed(self):
         for size in (400, 3_000, 60_000, 300_000):
@@ -162,15 +162,15 @@
             self.wait_for_ends(unread=1)
 
     def test_requests_that_were_read_with_an_earlier_one(self):
-        for ahead in (1, 3):
+        for pipelined in (1, 3):
             self.start()
             sock = self.connect()
-            sock.sendall(GET * (1 + ahead))
+            sock.sendall(GET * (1 + pipelined))
             self.application.begun.wait()
             self.stop()
             self.service.close_address("callers")
             self.application.gate.send()
-            self.check_answers(read_slowly(sock), 1 + ahead)
+            self.check_answers(read_slowly(sock), 1 + pipelined)
 
     def test_an_empty_line_after_a_body_is_no_request(self):
         sock = self.connect()
@@ -180,7 +180,7 @@
         self.application.gate.send()
         self.check_answers(read_slowly(sock), 1)
 
-    def test_a_caller_that_never_stops_sending_ahead(self):
+    def test_a_caller_that_never_stops_pipelining(self):
         sock = self.send_first()
         self.stop()
         sock.sendall(GET * 2)
--- a/soak/main.py
+++ b/soak/main.py
@@ -14,7 +14,6 @@
 from demo.load import Caller
 from matrix.evidence import Evidence, Violation
 from matrix.promises import PROMISES
-from soak.aheadcallers import check_sent
 from soak.faults import CONCURRENT_FAULTS, FAULTS, stop_nodes_in_series
 from soak.incompletecaller import check_incomplete
 from soak.organisations import (
@@ -26,6 +25,7 @@
     STEADY,
     check_keys,
 )
+from soak.pipelining import check_sent
 from soak.quotajudges import (
     UNAUTHENTICATED,
     check_bounds,
@@ -92,7 +92,7 @@
                 faults.append("nodes stopped in series")
                 stop_nodes_in_series(scene, random.Random(f"stops of {seed}"))
             # The time without faults is judged by the rates of the other callers.
-            scene.stop_ahead_callers()
+            scene.stop_pipelining_callers()
             time.sleep(RECOVERY_SECONDS)
             calm_since = time.monotonic() + QUOTA_RECOVERY_SECONDS
             if is_calm_judged:
--- a/soak/aheadcallers.py
+++ b/soak/pipelining.py
@@ -1,6 +1,6 @@
 """Callers that use their connections until the node closes them.
 
-Some send requests ahead and read slowly; others leave connections idle and use them
+Some pipeline requests and read slowly; others leave connections idle and use them
 when a node that stops closes its address.
 """
 
@@ -13,7 +13,7 @@
 
 from matrix.evidence import Violation
 
-__all__ = ["AheadCaller", "IdleConnections", "SentRequest", "check_sent"]
+__all__ = ["PipeliningCaller", "IdleConnections", "SentRequest", "check_sent"]
 
 TIMEOUT_SECONDS = 5.0
 RECEIVE_BUFFER_BYTES = 8 * 1024
@@ -23,7 +23,7 @@
 POLL_PAUSE_SECONDS = 0.002
 BURSTS = 15
 BURST_SECONDS = 0.004
-MAX_AHEAD = 3
+MAX_PIPELINED = 3
 MAX_ROUNDS = 8
 MAX_IDLE_SECONDS = 0.15
 NARROW_SHARE = 0.6
@@ -115,8 +115,8 @@
     return sock
 
 
-class AheadCaller:
-    """A thread that sends requests ahead until it is stopped.
+class PipeliningCaller:
+    """A thread that pipelines requests until it is stopped.
 
     Parameters
     ----------
@@ -169,7 +169,7 @@
         with connect(address, is_narrow) as sock:
             reader = AnswerReader(sock, is_narrow)
             for _ in range(self._rng.randint(1, MAX_ROUNDS)):
-                if self._stopped.is_set() or not self._send_ahead(reader, address):
+                if self._stopped.is_set() or not self._send_pipelined(reader, address):
                     return
                 time.sleep(
                     self._rng.choice((0, self._rng.uniform(0, MAX_IDLE_SECONDS)))
@@ -179,10 +179,10 @@
         """Return seconds for which the connection is idle."""
         return self._rng.choice((0, self._rng.uniform(0, MAX_IDLE_SECONDS)))
 
-    def _send_ahead(self, reader, address):
+    def _send_pipelined(self, reader, address):
         """Send some requests and read the answers; return whether all were answered."""
         requests = []
-        for _ in range(1 + self._rng.randint(0, MAX_AHEAD)):
+        for _ in range(1 + self._rng.randint(0, MAX_PIPELINED)):
             requests.append(SentRequest(uuid.uuid4().hex, address, time.monotonic()))
         self.sent.extend(requests)
         try:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -7,7 +7,6 @@
 import yaml
 
 from demo.load import Caller
-from soak.aheadcallers import AheadCaller, IdleConnections
 from soak.incompletecaller import IncompleteCaller
 from soak.organisations import (
     GREEDY,
@@ -19,6 +18,7 @@
     UNKNOWN,
     build_documents,
 )
+from soak.pipelining import IdleConnections, PipeliningCaller
 from soak.proxy import Proxy
 from standins.fleet import EXAMPLES, Fleet
 
@@ -39,7 +39,7 @@
 CALLERS = [(KEYS[STEADY], 0.02)] * 4 + [(KEYS[GREEDY], 0.02)] * 2
 CALLERS += [(KEYS[MODEST], 0.1), (KEYS[LEAVING], 0.1), (UNKNOWN, 0.1), (NO_KEY, 0.1)]
 STOP_SECONDS = 15.0
-AHEAD_CALLERS = 8
+PIPELINING_CALLERS = 8
 IDLE_CONNECTIONS = 150
 READ = (
     "GET /arena/boards/7 HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {key}\r\n"
@@ -79,7 +79,7 @@
         self.endpoint_proxies = []
         self.callers = []
         self.incomplete_caller = None
-        self.ahead_callers = []
+        self.pipelining_callers = []
         self.idle_connections = []
         self._number = 0
 
@@ -106,11 +106,13 @@
         self.incomplete_caller = IncompleteCaller(
             lambda: self.usable, KEYS[STEADY], self.seed
         ).start()
-        self.ahead_callers = [
-            AheadCaller(lambda: self.usable, build_read, f"{number} of {self.seed}")
-            for number in range(AHEAD_CALLERS)
+        self.pipelining_callers = [
+            PipeliningCaller(
+                lambda: self.usable, build_read, f"{number} of {self.seed}"
+            )
+            for number in range(PIPELINING_CALLERS)
         ]
-        for caller in self.ahead_callers:
+        for caller in self.pipelining_callers:
             caller.start()
 
     def open_idle_connections(self, node, rng):
@@ -120,8 +122,8 @@
         return connections
 
     def list_sent(self):
-        """Return the requests that were sent ahead or on idle connections."""
-        callers = [*self.ahead_callers, *self.idle_connections]
+        """Return the requests that were pipelined or sent on idle connections."""
+        callers = [*self.pipelining_callers, *self.idle_connections]
         return [sent for caller in callers for sent in caller.sent]
 
     def _write_declarations(self):
@@ -206,18 +208,18 @@
         self.exit_codes.append(node.process.wait(STOP_SECONDS))
         self.replace(node)
 
-    def stop_ahead_callers(self):
-        """Stop the callers that send ahead; further calls do nothing."""
-        for caller in self.ahead_callers:
+    def stop_pipelining_callers(self):
+        """Stop the callers that pipeline; further calls do nothing."""
+        for caller in self.pipelining_callers:
             caller.request_stop()
-        for caller in self.ahead_callers:
+        for caller in self.pipelining_callers:
             caller.stop()
 
     def stop_callers(self):
         """Stop all callers; further calls do nothing."""
         for caller in self.callers:
             caller.stop()
-        self.stop_ahead_callers()
+        self.stop_pipelining_callers()
         if self.incomplete_caller is not None:
             self.incomplete_caller.stop()
 
