Connections: test a request that arrives at the idle timeout

The postmortem's table said "served if it has arrived"; no test showed it. The test's order is controlled: the wait times out after the request was sent.

--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
@@ -9,7 +9,7 @@
 from eventlet.event import Event as GreenEvent
 
 from hingesill_node.blackboard import Phase
-from hingesill_node.datapath import callerprotocol
+from hingesill_node.datapath import callerprotocol, connectionstate
 from hingesill_node.datapath.connectionstate import ConnectionState
 from hingesill_node.datapath.messages import Answer
 from hingesill_node.datapath.tests.callerservice import (
@@ -306,6 +306,16 @@
             self.assertEqual(read_slowly(sock), b"")
         self.wait_for_ends(idle=1)
 
+    def test_a_request_that_arrives_at_the_idle_timeout(self):
+        def time_out(sockets, seconds, wake=None):
+            sock.sendall(GET)
+
+        self.stop()
+        with mock.patch.object(connectionstate, "wait_any", time_out):
+            sock = self.connect()
+            eventlet.sleep(0.05)
+        self.check_served(sock)
+
 
 class EarlyAnswerTests(ConnectionEndCase):
     """Guards against early answers that are lost while the caller still sends."""
