--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -44,13 +44,13 @@
 UNKNOWN_STATUS = 502
 # Required in each response with status 401 (RFC 9110, section 15.5.2).
 CHALLENGE = ("WWW-Authenticate", "Bearer")
+# Reasons for which the end of the request is not known, or not read. With any other
+# one, requests that were read with the refused one are answered.
 CLOSING_REASONS = frozenset(
     {
         RefusalReason.BAD_FRAMING,
         RefusalReason.INCOMPLETE_REQUEST,
         RefusalReason.BODY_TOO_LARGE,
-        RefusalReason.CALLER_GONE,
-        RefusalReason.INTERNAL,
     }
 )
 
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connection_ends.py
@@ -172,6 +172,21 @@
             self.application.gate.send()
             self.check_answers(read_slowly(sock), 1 + pipelined)
 
+    def test_requests_that_were_read_with_one_that_caused_an_internal_error(self):
+        self.application.gate.send()
+        identify = self.application.authenticator.identify
+        calls = mock.Mock(side_effect=[RuntimeError("a fault"), identify])
+        with mock.patch.object(
+            self.application.authenticator,
+            "identify",
+            lambda *arguments: calls()(*arguments),
+        ):
+            sock = self.connect()
+            sock.sendall(POST + GET.replace(b"Host", b"Connection: close\r\nHost"))
+            answers = split_answers(read_slowly(sock))
+        self.assertIn(b" 500 ", answers[0][0])
+        self.assertEqual([len(body) for _, body in answers[1:]], [self.size])
+
     def test_an_empty_line_after_a_body_is_no_request(self):
         sock = self.connect()
         sock.sendall(POST + b"\r\n")
