Soak: requests that their caller gave up are not lost ones

Cause: the soak's judge. Node n2 was suspended from 04:28:54.2 to 04:29:00.3; a pipelining caller waits for 5 s, then closes. Its first request was "waiting" (given up), but those behind it were marked "unanswered", as if the node had ended the connection. The node's log has both ids as caller-gone at 04:29:00.3.

Change: requests behind one that was given up are given up as well. The judge of pipelined requests has tests of its verdicts now; the new one of given-up requests failed before. The tests that a soak detects violated rules leave the stops out, which have no part in them (test_soak had become longer by them).

Ruled out: a longer timeout of the caller (a suspension may last longer still).

--- a/soak/pipelining.py
+++ b/soak/pipelining.py
@@ -171,9 +171,7 @@
             for _ in range(self._rng.randint(1, MAX_ROUNDS)):
                 if self._stopped.is_set() or not self._send_pipelined(reader, address):
                     return
-                time.sleep(
-                    self._rng.choice((0, self._rng.uniform(0, MAX_IDLE_SECONDS)))
-                )
+                time.sleep(self._choose_pause())
 
     def _choose_pause(self):
         """Return seconds for which the connection is idle."""
@@ -272,8 +270,9 @@
     """Read the answers to requests; return whether the connection can be used again."""
     for number, sent in enumerate(requests):
         if not reader.read(sent):
+            has_given_up = sent.outcome == "waiting"
             for later in requests[number + 1 :]:
-                later.outcome = "unanswered"
+                later.outcome = "waiting" if has_given_up else "unanswered"
             return False
     return True
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """Tests that a soak seed passes and that its checkers detect violated rules."""
 
+import socket
 import unittest
 from collections import Counter
 
@@ -7,7 +8,9 @@
 from soak.incompletecaller import check_incomplete
 from soak.main import run_seed
 from soak.organisations import KEYS, NO_KEY, UNKNOWN, check_keys
+from soak.pipelining import AnswerReader, SentRequest, check_sent, read_answers
 
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 # Faults: endpoint cut, silent and slow; store delayed; node killed.
 SEED = 1
 
@@ -21,14 +24,16 @@
 def is_detected(mutation):
     """Return whether one of the seeds detects a mutation."""
     return any(
-        run_seed(seed, mutation, RESPONSE_FAULTS, is_calm_judged=False).violations
+        run_seed(
+            seed, mutation, RESPONSE_FAULTS, is_calm_judged=False, has_stops=False
+        ).violations
         for seed in SEEDS
     )
 
 
 def list_violations(mutation, is_calm_judged=False):
     """Return the texts of the violations of a mutation in one seed."""
-    finding = run_seed(SEED, mutation, RESPONSE_FAULTS, is_calm_judged)
+    finding = run_seed(SEED, mutation, RESPONSE_FAULTS, is_calm_judged, has_stops=False)
     return [violation.what for violation in finding.violations]
 
 
@@ -53,6 +58,34 @@
         self.assertEqual([violation.place for violation in found], ["b"])
 
 
+class PipelinedCheckTests(unittest.TestCase):
+    """Guards against lost requests that are missed, and abandoned ones that count."""
+
+    def check(self, received, closes=True):
+        """Return the violations of two requests that both ran."""
+        node, caller = socket.socketpair()
+        self.addCleanup(node.close)
+        self.addCleanup(caller.close)
+        caller.settimeout(0.01)
+        node.sendall(received)
+        if closes:
+            node.close()
+        requests = [SentRequest(request_id, "n1", 0.0) for request_id in "ab"]
+        read_answers(AnswerReader(caller, False), requests)
+        violations = check_sent(requests, Counter("ab"))
+        return [violation.place for violation in violations]
+
+    def test_requests_whose_connection_ended(self):
+        self.assertEqual(self.check(b""), ["a", "b"])
+        self.assertEqual(self.check(ANSWER), ["b"])
+
+    def test_answered_requests(self):
+        self.assertEqual(self.check(2 * ANSWER), [])
+
+    def test_requests_behind_one_that_the_caller_gave_up(self):
+        self.assertEqual(self.check(b"", closes=False), [])
+
+
 class KeyCheckTests(unittest.TestCase):
     """Guards against a soak that overlooks requests under a wrong organisation."""
 
