Soak: a node that does not stop or start in time fails its seed

The run ended, the seeds after them were not played, and no logs were kept.

Change: such a timeout is a violation; its logs are kept and the next seed is run. With a mutation it is raised as before, since it would count as detected.

--- a/soak/main.py
+++ b/soak/main.py
@@ -8,6 +8,7 @@
 import time
 from collections import Counter
 from pathlib import Path
+from subprocess import TimeoutExpired
 
 import fire
 
@@ -84,6 +85,7 @@
     with tempfile.TemporaryDirectory() as folder:
         concurrent = {} if names else create_random_sources(seed)
         scene = Scene(folder, seed, mutation, "suspensions" in concurrent)
+        faults = []
         try:
             scene.start()
             time.sleep(INITIAL_PAUSE_SECONDS)
@@ -104,6 +106,11 @@
             if finding.violations and not mutation:
                 keep_logs(scene, seed)
             return finding
+        except (TimeoutError, TimeoutExpired) as error:
+            if mutation:
+                raise
+            keep_logs(scene, seed)
+            return Finding(seed, faults, 0, [Violation("fleet", str(error))])
         finally:
             scene.close()
 
