Quotas: a test's stand-in admits a waiting request once

Cause: the test's stand-in admitted a request at each call of `resume`. If a request waits for its full 12.5 ms, both the wait and the loop call it; the second admission has no waiting request, and the gate gives its token back, as it should. The node keeps count of the requests that wait, so that a decision is delivered once.

Change: the test uses the decisions of FakeQuotas, one for its one request. What it checks is unchanged.

--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_quotas.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_quotas.py
@@ -216,10 +216,12 @@
         self.keys.organisation = ZENITH
         self.quotas.tokens["zenith"] = 0
         self.quotas.waits = True
+        self.quotas.decisions.append(QuotaDecision(QuotaStatus.ADMITTED))
+        admit = self.quotas.resume
 
         def resume(name, now):
             self.keys.organisation = ACME
-            return [QuotaDecision(QuotaStatus.ADMITTED)] * (name == "zenith")
+            return admit(name, now)
 
         with patch.object(self.quotas, "resume", resume):
             live = self.execute()
