Heads: header fields take about their size in memory, and are freed at once

What callers saw: a node whose memory grew by 1.1 MB for each legal head of 2,600 short lines, until its process was ended for lack of memory; the memory was not given back when these callers had left, or had read their answers.

Cause: (1) each header line was kept as a tuple and two strings, up to four times (pairs, values by name, environment, headers to forward), and equal names were joined one by one. (2) A head and its parser, a chunked body and its parser, an answer and its parser, an environment and its protocol object, and an exchange and its sends referred to each other, so that only the garbage collector freed them, and its thresholds are high. (3) Lines of an unfinished head were kept one by one.

Change: HeaderFields keeps the fields of a message as one text; requests, answers and forwarded requests use it, and it is written to endpoints as a whole. The environment looks header fields up instead of copying them. Parsers call back an object that does not refer to them. An answer's buffer exists only while it is written.

Ruled out: a limit on the number of lines (a head of 16,384 bytes in short lines is inside the limits); lower thresholds of the garbage collector (every request would pay for it, and it frees late).

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -12,6 +12,7 @@
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.forwardentry import FORWARD_KEY
 from hingesill_node.datapath.framing import find_framing_fault
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.datapath.headers import (
     FORWARD_DROPS,
     HOP_BY_HOP,
@@ -171,7 +172,7 @@
 
     def _build_request(self, environ, request_id):
         """Return the CallerRequest, or a Refusal if the request is not acceptable."""
-        if find_framing_fault(environ) is not None:
+        if find_framing_fault(environ["headers_raw"]) is not None:
             return Refusal(RefusalReason.BAD_FRAMING, Outcome.NOT_RUN)
         configuration = self.blackboard.configuration
         path = environ["RAW_PATH_INFO"]
@@ -179,8 +180,8 @@
         route = configuration.routes.find(environ["REQUEST_METHOD"], path, host)
         if route is None:
             return self._refuse_unrouted(configuration)
-        pairs = environ["headers_raw"]
-        identity = self.authenticator.identify(pairs, route, request_id)
+        fields = environ["headers_raw"]
+        identity = self.authenticator.identify(fields, route, request_id)
         if isinstance(identity, Refusal):
             return identity
         try:
@@ -193,7 +194,7 @@
         if limit == 0:
             return Refusal(RefusalReason.DEADLINE_PASSED, Outcome.NOT_RUN)
         # The configuration may change while the body is read.
-        headers = self._filter_headers(pairs, route)
+        headers = self._filter_headers(fields, route)
         forwarded = environ.get(FORWARD_KEY)
         arrived = self.clock()
         has_token = forwarded is not None and forwarded.has_token
@@ -239,15 +240,15 @@
             environ.get("REMOTE_ADDR", ""),
             configuration.keys,
             tokens,
-            pairs,
+            fields,
             forwarded,
         )
 
-    def _filter_headers(self, pairs, route):
-        """Return the headers of a request that its endpoint receives."""
-        dropped = self.authenticator.list_dropped_headers(pairs, route)
+    def _filter_headers(self, fields, route):
+        """Return the HeaderFields of a request that its endpoint receives."""
+        dropped = self.authenticator.list_dropped_headers(fields, route)
         drops = self.request_drops | dropped if dropped else self.request_drops
-        return list(filter_headers(pairs, drops))
+        return HeaderFields(filter_headers(fields, drops))
 
     def _get_tokens(self, organisation, request_id, has_token):
         """Return the tokens of a request, or the Refusal of one beyond its quota."""
--- a/packages/hingesill-node/hingesill_node/datapath/authentication.py
+++ b/packages/hingesill-node/hingesill_node/datapath/authentication.py
@@ -8,6 +8,7 @@
 from hingesill_core.organisations.organisation import Organisation, digest_key
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Refusal
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.datapath.headers import filter_headers
 from hingesill_node.datapath.refusals import is_valid_request_id
 from hingesill_node.telemetry.events import Event, log_event
@@ -133,7 +134,7 @@
                 return Refusal(RefusalReason.UNAUTHENTICATED, outcome)
             ticket.organisation = organisation
             drops = self.list_dropped_headers(request.headers, route)
-            request.headers = list(filter_headers(request.headers, drops))
+            request.headers = HeaderFields(filter_headers(request.headers, drops))
         request.keys = keys
         return None
 
--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -4,16 +4,21 @@
 import time
 from contextlib import suppress
 from io import BufferedReader
+from urllib.parse import unquote
 
 from eventlet import wsgi
+from eventlet.wsgi import BROKEN_SOCK
 
-from hingesill_core.reasons import Outcome, RefusalReason
+from hingesill_core.reasons import Outcome
 from hingesill_node.datapath.application import PROTOCOL_KEY
+from hingesill_node.datapath.calleroutput import CallerOutput
 from hingesill_node.datapath.callerstream import CallerStream
 from hingesill_node.datapath.connectionstate import ConnectionEnd, ConnectionPhase
+from hingesill_node.datapath.environment import RequestEnvironment
 from hingesill_node.datapath.headers import HeaderNames
+from hingesill_node.datapath.refusals import REASON_PHRASES, STATUSES
 from hingesill_node.datapath.requestinput import RequestInput
-from hingesill_node.datapath.requests import RequestFault, read_head
+from hingesill_node.datapath.requests import RequestFault, parse_head, receive_head
 
 __all__ = ["CallerProtocol"]
 
@@ -22,10 +27,12 @@
 DISCARD_BYTES = 16 * 1024
 # Some callers send an empty line after a body.
 LINE_ENDS = b"\r\n"
-BAD_HEAD_RESPONSE = (
-    "HTTP/1.1 400 Bad Request\r\n"
+CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
+DEFAULT_CONTENT_TYPE = "text/plain"
+HEAD_REFUSAL = (
+    "HTTP/1.1 {status} {phrase}\r\n"
     f"{HeaderNames.OUTCOME}: {Outcome.NOT_RUN.value}\r\n"
-    f"{HeaderNames.REASON}: %s\r\n"
+    f"{HeaderNames.REASON}: {{reason}}\r\n"
     "Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
 
@@ -68,7 +75,7 @@
             self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, True)
         self._stream = CallerStream(self.connection)
         self.rfile = BufferedReader(self._stream)
-        self.wfile = self.connection.makefile("wb", self.wbufsize)
+        self.wfile = CallerOutput(self.connection)
 
     def handle(self):
         """Serve requests until the connection is to be closed."""
@@ -78,24 +85,73 @@
             self.request_input = None
             self.handle_one_request()
 
+    def handle_one_request(self):
+        """Serve the next request, or refuse it if its head is not accepted."""
+        self.protocol_version = self.server.max_http_version
+        self.close_connection = True
+        head = self._receive_head()
+        if head is None:
+            return
+        self.headers = head.fields
+        self.command = head.method
+        self.path = head.target
+        self.request_version = head.version
+        self.requestline = f"{head.method} {head.target} {head.version}"
+        self.close_connection = not head.keep_alive
+        self.environ = self.get_environ()
+        self.application = self.server.app
+        try:
+            self.handle_one_response()
+        except OSError as error:
+            if error.errno not in BROKEN_SOCK:
+                raise
+        finally:
+            # The environment refers to this object.
+            self.environ = None
+
     def get_environ(self):
-        """Return the WSGI environment with this protocol object and a strict input."""
-        environ = super().get_environ()
+        """Return the WSGI environment of the request, with this protocol object."""
+        path, _, query = self.path.partition("?")
+        length = self.headers.get("Content-Length")
+        environ = RequestEnvironment(self.headers, self.server.get_environ())
+        environ.update(
+            REQUEST_METHOD=self.command,
+            SCRIPT_NAME="",
+            RAW_PATH_INFO=path,
+            PATH_INFO=unquote(path, encoding="latin-1"),
+            CONTENT_TYPE=self.headers.get("Content-Type", DEFAULT_CONTENT_TYPE),
+            SERVER_PROTOCOL="HTTP/1.0",
+            SERVER_NAME=self.server.address[0],
+            SERVER_PORT=str(self.server.address[1]),
+            REMOTE_ADDR=self.client_address[0],
+            REMOTE_PORT=str(self.client_address[1]),
+            GATEWAY_INTERFACE="CGI/1.1",
+        )
+        if query:
+            environ["QUERY_STRING"] = query
+        if length is not None:
+            environ["CONTENT_LENGTH"] = length
         environ[PROTOCOL_KEY] = self
-        lenient = environ["eventlet.input"]
-        if lenient.content_length and not self._stream.reads_ahead:
-            buffered = len(self._peek_buffered())
-            self._stream.expect_body(lenient.content_length - buffered)
-        self.request_input = RequestInput(
+        environ["eventlet.posthooks"] = []
+        self.request_input = self._build_input(environ, length)
+        environ["wsgi.input"] = environ["eventlet.input"] = self.request_input
+        return environ
+
+    def _build_input(self, environ, length):
+        """Return the input stream of the request's body."""
+        has_chunks = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+        size = None if has_chunks else int(length or 0)
+        if size and not self._stream.reads_ahead:
+            self._stream.expect_body(size - len(self._peek_buffered()))
+        is_expected = environ.get("HTTP_EXPECT", "").lower() == "100-continue"
+        return RequestInput(
             self.rfile,
-            lenient.content_length,
+            size,
             self.connection,
-            lenient.wfile,
-            lenient.wfile_line,
-            lenient.chunked_input,
+            self.wfile if is_expected else None,
+            CONTINUE_LINE if is_expected else None,
+            has_chunks,
         )
-        environ["wsgi.input"] = environ["eventlet.input"] = self.request_input
-        return environ
 
     def has_next_input(self):
         """Return whether bytes after the current answer have to be read.
@@ -155,27 +211,22 @@
                 if not read():
                     return
 
-    def _read_request_line(self):
-        """Return the request line; empty if no further request arrives."""
+    def _receive_head(self):
+        """Return the next RequestHead, or None if there is none or it was refused."""
         if not self._wait_for_request():
-            return b""
+            return None
         self.state.phase = ConnectionPhase.SERVING
         self.connection.settimeout(self.server.socket_timeout)
         self._stream.reads_ahead = self.server.reads_ahead
         try:
-            line = self.rfile.readline(self.server.url_length_limit)
-        except TimeoutError:
-            detail = "no data arrived in time within the request line"
-            fault = RequestFault(RefusalReason.INCOMPLETE_REQUEST, detail)
+            data = receive_head(self.rfile, self.server.limits.head_bytes)
+            self.state.end = ConnectionEnd.ANSWERED if data else ConnectionEnd.CALLER
+            return parse_head(data) if data else None
+        except RequestFault as fault:
             self._refuse_head(fault)
-            return b""
         except OSError:
-            return b""
-        if line:
-            self.state.end = ConnectionEnd.ANSWERED
-        else:
-            self.state.end = ConnectionEnd.CALLER
-        return line
+            pass  # The caller has reset the connection.
+        return None
 
     def _wait_for_request(self):
         """Return whether the next request has begun, or the caller has closed."""
@@ -191,35 +242,17 @@
         finally:
             self._stream.is_paused = False
 
-    def parse_request(self):
-        """Read and parse the head of a request.
-
-        Returns
-        -------
-        bool
-            False if the head is incomplete or malformed and the request was refused.
-        """
-        self.close_connection = True
-        try:
-            head = read_head(self.raw_requestline, self.rfile)
-        except RequestFault as fault:
-            self._refuse_head(fault)
-            return False
-        self.headers = head
-        self.command = head.method
-        self.path = head.target.decode("latin-1")
-        self.request_version = f"HTTP/{head.version}"
-        self.requestline = f"{self.command} {self.path} {self.request_version}"
-        self.close_connection = not head.keep_alive
-        return True
-
     def _refuse_head(self, fault):
         """Refuse a request whose head was not accepted; the connection is closed."""
         self.state.end = ConnectionEnd.ANSWERED
         self.counters.add("refusals", "", fault.reason.value)
         self.counters.add("requests", "", Outcome.NOT_RUN.value)
         self.fault_log.write("head", fault, self.client_address[0])
+        status = STATUSES[fault.reason]
+        text = HEAD_REFUSAL.format(
+            status=status, phrase=REASON_PHRASES[status], reason=fault.reason.value
+        )
         # The caller is gone unless it has only closed its sending side.
         with suppress(OSError):
-            self.wfile.write((BAD_HEAD_RESPONSE % fault.reason.value).encode())
+            self.wfile.write(text.encode())
             self.wfile.flush()
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -46,6 +46,7 @@
         self.used = False
         self.method = ""
         self._collected = None
+        self._response = None
 
     def open(self):
         """Connect, or raise ConnectFailed on a failure or timeout."""
@@ -80,6 +81,12 @@
         self.reset_state()
         self.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
 
+    def put_fields(self, fields):
+        """Add all header fields of a message; see `HeaderFields`."""
+        if len(fields):
+            # The base class joins the parts of the head with line ends.
+            self._buffer.append(fields.encode().removesuffix(b"\r\n"))
+
     def reset_state(self):
         """Return to the idle state, as the base class does not read the responses.
 
@@ -92,11 +99,22 @@
         self.close()
         self.sock = sock
 
+    def close(self):
+        """Close the connection, after which nothing more of its response is read."""
+        super().close()
+        self.release_response()
+
+    def release_response(self):
+        """Free the last response's parser."""
+        response, self._response = self._response, None
+        if response is not None:
+            response.release()
+
     def read_head(self, is_own=None, seconds=None):
         """Return the EndpointResponse with its head read; see there for parameters."""
-        response = EndpointResponse(self.sock, self.method, is_own, seconds)
-        response.read_head()
-        return response
+        self._response = EndpointResponse(self.sock, self.method, is_own, seconds)
+        self._response.read_head()
+        return self._response
 
     def set_time_limit(self, seconds):
         """Set the timeout of each later read and write."""
@@ -194,6 +212,7 @@
         idle_seconds : float or None
             Keep-alive timeout set by the endpoint, or None.
         """
+        connection.release_response()
         keep_seconds = IDLE_SECONDS
         if idle_seconds is not None:
             keep_seconds = max(0.0, idle_seconds - IDLE_MARGIN_SECONDS)
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -4,6 +4,7 @@
 """
 
 import time
+from functools import partial
 
 import eventlet
 
@@ -75,7 +76,6 @@
         self.ticket = request.ticket
         self.counters = counters
         self.wire = wire
-        self.authenticator = authenticator
         self.clock = clock
         self.service = runner.dispatcher.service.name
         self.guard = runner.guard
@@ -86,8 +86,11 @@
         self.quota_refusal = None
         self.pending_result = None
         self.timeline = RequestTimeline(self.ticket.arrived)
+        # A method of this object would keep both alive until a garbage collection.
+        check_key = partial(check_key_again, authenticator, request)
+        self.check_key = check_key
         self.sends = RequestSends(
-            runner, request, counters, wire, clock, self.timeline, self.check_key
+            runner, request, counters, wire, clock, self.timeline, check_key
         )
         self.caller_watched = request.caller_socket is not None
 
@@ -241,12 +244,6 @@
             if not self.has_token():
                 return self.fault_answer or self.refuse_by_quota(SendStatus.LOST)
 
-    def check_key(self):
-        """Return the Refusal of a request whose key is no longer valid, or None."""
-        if self.authenticator is None:
-            return None
-        return self.authenticator.check_again(self.request)
-
     def _await_first(self, live):
         """Wait for an answer, and start a hedge once it is overdue.
 
@@ -461,3 +458,10 @@
         """Cancel the hedge and all sends in flight, whose answers are not needed."""
         self._cancel_hedge()
         self.sends.end_all(self.sends.live_sends, SendStatus.CANCELLED)
+
+
+def check_key_again(authenticator, request):
+    """Return the Refusal of a request whose key is no longer valid, or None."""
+    if authenticator is None:
+        return None
+    return authenticator.check_again(request)
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -11,6 +11,7 @@
 from hingesill_core.routing.messages import Refusal, SendStatus
 from hingesill_node.datapath.callers import is_caller_gone
 from hingesill_node.datapath.connections import ConnectFailed, Pool
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.datapath.headers import (
     FORWARD_DROPS,
     HOP_BY_HOP,
@@ -227,9 +228,9 @@
     def _write(self):
         request, wire = self.exchange.request, self.forwarder.wire
         remaining = request.ticket.deadline - self.forwarder.clock()
-        headers = [
-            # The caller's key is among them; the other node checks it itself.
-            *filter_headers(request.received_headers, self.forwarder.drops),
+        # The caller's key is among them; the other node checks it itself.
+        passed = filter_headers(request.received_headers, self.forwarder.drops)
+        added = [
             *wire.build_hop_headers(
                 request.request_id, remaining - RETURN_MARGIN_SECONDS
             ),
@@ -239,8 +240,8 @@
             (ForwardHeaders.SENDS, str(request.ticket.sends)),
         ]
         if self._token is not None:
-            headers.append((ForwardHeaders.TOKEN, "1"))
-        write_request(self._connection, request, headers)
+            added.append((ForwardHeaders.TOKEN, "1"))
+        write_request(self._connection, request, HeaderFields(passed), added)
 
     def _wait(self):
         """Wait for the response.
--- a/packages/hingesill-node/hingesill_node/datapath/framing.py
+++ b/packages/hingesill-node/hingesill_node/datapath/framing.py
@@ -5,40 +5,23 @@
 __all__ = ["find_framing_fault"]
 
 
-def find_framing_fault(environ):
+def find_framing_fault(fields):
     """Return a Finding on the framing of a request, or None if it is valid.
 
     Parameters
     ----------
-    environ : dict
-        The environment from eventlet's WSGI server.
-
-    Notes
-    -----
-    The server itself rejects a Content-Length together with a Transfer-Encoding
-    and a Content-Length that is negative or not a number.
+    fields : HeaderFields
+        The request's header fields. The parser has rejected names that are empty or
+        contain white space.
     """
-    lengths = 0
-    codings = 0
-    for name, value in environ["headers_raw"]:
-        lowered = name.lower()
-        if lowered == "content-length":
-            lengths += 1
-            if not value.isascii() or not value.isdigit():
-                return Finding("Content-Length", "is not a decimal number")
-        elif lowered == "transfer-encoding":
-            codings += 1
-            if value.strip().lower() != "chunked":
-                return Finding("Transfer-Encoding", "must be chunked")
-        elif is_invalid_header_name(name):
-            return Finding("a header name", "is empty or contains white space")
-    if lengths > 1:
+    lengths = fields.get_all("Content-Length")
+    codings = fields.get_all("Transfer-Encoding")
+    if not all(value.isascii() and value.isdigit() for value in lengths):
+        return Finding("Content-Length", "is not a decimal number")
+    if not all(value.strip().lower() == "chunked" for value in codings):
+        return Finding("Transfer-Encoding", "must be chunked")
+    if len(lengths) > 1:
         return Finding("Content-Length", "is repeated")
-    if codings > 1 or (codings and lengths):
+    if len(codings) > 1 or (codings and lengths):
         return Finding("Transfer-Encoding", "conflicts with other headers")
     return None
-
-
-def is_invalid_header_name(name):
-    """Return whether a header name is empty or has white space that parsers skip."""
-    return not name or name != name.strip() or " " in name or "\t" in name
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -5,10 +5,13 @@
 from hingesill_core.crashes.fingerprint import describe_request
 from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_core.routing.messages import Send, Ticket
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.quotas.requesttokens import NO_TOKENS
 
 __all__ = ["Answer", "Body", "CallerRequest", "LiveSend", "QueryResult"]
 
+NO_FIELDS = HeaderFields()
+
 
 class Body(Struct):
     """A request's body, buffered if it is small, else read while it is sent.
@@ -50,7 +53,7 @@
         Identifier of this attempt of the caller.
     method, target, host : str
         As received from the caller.
-    headers : list of tuple
+    headers : HeaderFields
         The forwarded headers.
     body : Body
         The request's body.
@@ -64,7 +67,7 @@
         The keys in force when its own key was last checked and its headers filtered.
     tokens : RequestTokens or NoTokens
         Its tokens under the quota of its organisation.
-    received_headers : list of tuple
+    received_headers : HeaderFields
         The headers as received from the caller.
     forwarded : ForwardedFrom or None
         The node that forwarded it, if one did.
@@ -73,7 +76,7 @@
     request_id: str
     method: str
     target: str
-    headers: list
+    headers: HeaderFields
     body: Body
     ticket: Ticket
     caller_socket: object = None
@@ -81,7 +84,7 @@
     caller: str = ""
     keys: object = None
     tokens: object = NO_TOKENS
-    received_headers: list = field(default_factory=list)
+    received_headers: HeaderFields = NO_FIELDS
     forwarded: object = None
     _fingerprints: tuple = ()
 
@@ -105,7 +108,7 @@
         The status code.
     reason : str
         The reason phrase.
-    headers : list of tuple
+    headers : HeaderFields
         As received from the endpoint.
     body : bytes or None
         The whole body, or None if it is still to be read from ``live``.
@@ -118,7 +121,7 @@
 
     status: int
     reason: str
-    headers: list
+    headers: HeaderFields
     body: bytes | None
     live: object = None
     refusal: Outcome | None = None
--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -17,6 +17,7 @@
     404: "Not Found",
     413: "Content Too Large",
     429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
     499: "Caller Gone",
     500: "Internal Server Error",
     502: "Bad Gateway",
@@ -30,6 +31,7 @@
     RefusalReason.BAD_FRAMING: 400,
     RefusalReason.INCOMPLETE_REQUEST: 400,
     RefusalReason.BAD_HEADER: 400,
+    RefusalReason.HEAD_TOO_LARGE: 431,
     RefusalReason.BODY_TOO_LARGE: 413,
     RefusalReason.CALLER_GONE: 499,
     RefusalReason.ANSWER_LOST: 502,
@@ -51,6 +53,7 @@
         RefusalReason.BAD_FRAMING,
         RefusalReason.INCOMPLETE_REQUEST,
         RefusalReason.BODY_TOO_LARGE,
+        RefusalReason.HEAD_TOO_LARGE,
     }
 )
 
--- a/packages/hingesill-node/hingesill_node/datapath/requestinput.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requestinput.py
@@ -20,6 +20,22 @@
 EMPTY_LINE = b"\n\r\n"
 
 
+class DecodedChunks:
+    """Callbacks of the parser, with what it has decoded."""
+
+    def __init__(self):
+        self.data = bytearray()
+        self.is_complete = False
+
+    def on_body(self, data):
+        """Add decoded bytes."""
+        self.data += data
+
+    def on_message_complete(self):
+        """Record the end of the trailers."""
+        self.is_complete = True
+
+
 class ChunkedBody:
     """A chunked body, decoded by the strict parser.
 
@@ -31,24 +47,15 @@
 
     def __init__(self, source):
         self._source = source
-        self._parser = httptools.HttpRequestParser(self)
+        self._decoded = DecodedChunks()
+        self._parser = httptools.HttpRequestParser(self._decoded)
         self._parser.feed_data(CHUNKED_HEAD)
-        self._decoded = bytearray()
         self._last_bytes = b""
-        self._is_complete = False
-
-    def on_body(self, data):
-        """Add decoded bytes; called by the parser."""
-        self._decoded += data
-
-    def on_message_complete(self):
-        """Record the end of the trailers; called by the parser."""
-        self._is_complete = True
 
     @property
     def is_complete(self):
         """Whether the end of the trailers was read."""
-        return self._is_complete
+        return self._decoded.is_complete
 
     def read(self, size=None):
         """Return up to ``size`` bytes, fewer only at the end of the body.
@@ -58,10 +65,11 @@
         RequestFault
             If the connection ends before the body, or the parser rejects it.
         """
-        while not self._is_complete and (size is None or len(self._decoded) < size):
+        decoded = self._decoded
+        while not decoded.is_complete and (size is None or len(decoded.data) < size):
             self._receive()
-        data = bytes(self._decoded[:size])
-        del self._decoded[:size]
+        data = bytes(decoded.data[:size])
+        del decoded.data[:size]
         return data
 
     def _receive(self):
--- a/packages/hingesill-node/hingesill_node/datapath/requests.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requests.py
@@ -1,17 +1,24 @@
-"""Parsing request heads of callers with httptools in the server of eventlet."""
+"""Receiving and parsing request heads of callers with httptools."""
+
+import re
 
 import httptools
+from msgspec import Struct
 
 from hingesill_core.reasons import RefusalReason
+from hingesill_node.datapath.headerfields import HeaderFields
 
-__all__ = ["RequestFault", "RequestHead", "read_head"]
+__all__ = ["RequestFault", "RequestHead", "parse_head", "receive_head"]
 
-# Results of reading a line after which there is no further line of the head.
-LAST_LINES = frozenset({b"\r\n", b"\n", b""})
+EMPTY_LINE = re.compile(rb"\n\r?\n")
+# Bytes of an empty line that an earlier read may have ended with.
+MAX_SPLIT_BYTES = 2
+LINE_ENDS = b"\r\n"
+WHITE_SPACE = " \t\r\n"
 
 
 class RequestFault(OSError):
-    """A request is incomplete or malformed.
+    """A request is incomplete, malformed or beyond a limit.
 
     Parameters
     ----------
@@ -26,131 +33,143 @@
         self.reason = reason
 
 
-class RequestHead:
-    """The head of a request, with the interface that eventlet's server expects.
+class RequestHead(Struct):
+    """The head of a request.
 
-    Attributes
+    Parameters
     ----------
-    is_complete : bool
-        Whether the parser has seen the end of the head.
+    method, target, version : str
+        Parts of the request line.
+    keep_alive : bool
+        Whether the caller keeps the connection.
+    fields : HeaderFields
+        The header fields.
+    """
+
+    method: str
+    target: str
+    version: str
+    keep_alive: bool
+    fields: HeaderFields
+
+
+class HeadParser:
+    """Callbacks of the parser.
 
     Notes
     -----
-    eventlet's server uses ``_headers`` and ``get_content_type`` of the message
-    class of the standard library.
+    The object has no reference to its parser, so that both are freed without the
+    garbage collector.
     """
 
     def __init__(self):
-        self._headers = []
-        self._values = {}
-        self._parser = httptools.HttpRequestParser(self)
         self.target = b""
+        self.pairs = []
         self.is_complete = False
 
-    def feed(self, data):
-        """Parse received bytes, none of them beyond the end of the head.
-
-        Raises
-        ------
-        httptools.HttpParserError
-            If the strict parser rejects the head.
-        """
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            pass  # Upgrades are not forwarded; handle as a plain request.
-
-    @property
-    def method(self):
-        """The method, once the head is complete."""
-        return self._parser.get_method().decode("ascii")
-
-    @property
-    def version(self):
-        """The HTTP version, once the head is complete."""
-        return self._parser.get_http_version()
-
-    @property
-    def keep_alive(self):
-        """Whether the caller keeps the connection, once the head is complete."""
-        return self._parser.should_keep_alive()
-
-    # Callbacks of the parser.
-
     def on_url(self, url):
         """Append a part of the target."""
         self.target += url
 
     def on_header(self, name, value):
         """Add a header."""
-        pair = (name.decode("latin-1"), value.decode("latin-1"))
-        self._headers.append(pair)
-        self._values.setdefault(pair[0].lower(), pair[1])
+        if b"\n" in value:
+            raise ValueError("a header value has a line feed")
+        text = value.decode("latin-1").strip(WHITE_SPACE)
+        self.pairs.append((name.decode("latin-1"), text))
 
     def on_headers_complete(self):
         """Record the end of the head."""
         self.is_complete = True
 
-    # Methods for the server.
-
-    def get(self, name, default=None):
-        """Return the first value of a header."""
-        return self._values.get(name.lower(), default)
 
-    def get_content_type(self):
-        """Return the default content type."""
-        return "text/plain"
+def parse_head(data):
+    """Return the RequestHead of bytes that end with an empty line.
 
-
-def read_head(first_line, source):
-    """Read the head of a request.
+    Raises
+    ------
+    RequestFault
+        If the strict parser rejects the head.
+    """
+    collected = HeadParser()
+    parser = httptools.HttpRequestParser(collected)
+    try:
+        parser.feed_data(data)
+    except httptools.HttpParserUpgrade:
+        pass  # Upgrades are not forwarded; handle as a plain request.
+    except httptools.HttpParserError as error:
+        raise RequestFault(RefusalReason.BAD_FRAMING, str(error)) from error
+    if not collected.is_complete:
+        raise RequestFault(
+            RefusalReason.BAD_FRAMING, "the head has no end that the parser accepts"
+        )
+    return RequestHead(
+        parser.get_method().decode("ascii"),
+        collected.target.decode("latin-1"),
+        f"HTTP/{parser.get_http_version()}",
+        parser.should_keep_alive(),
+        HeaderFields(collected.pairs),
+    )
+
+
+def receive_head(source, limit):
+    """Return the bytes of a request's head, with its empty line.
 
     Parameters
     ----------
-    first_line : bytes
-        The line that was read already.
-    source : file
-        Its ``readline`` returns empty bytes at the end of the connection.
+    source : BufferedReader
+        The connection; bytes after the head are left in it.
+    limit : int
+        Maximum number of bytes, including empty lines before the head, which are
+        skipped (RFC 9112, section 2.2).
 
     Returns
     -------
-    RequestHead
-        A complete head.
+    bytes
+        Empty if the connection ended before the first byte.
 
     Raises
     ------
     RequestFault
-        If the connection ends or times out within the head, or the strict parser
-        rejects it.
+        If the connection ends or times out within the head, or the head is longer than
+        the limit.
+    """
+    head = bytearray()
+    received = searched = 0
+    while EMPTY_LINE.search(head, searched) is None:
+        searched = max(0, len(head) - MAX_SPLIT_BYTES)
+        data = read_part(source, bytes(head[-MAX_SPLIT_BYTES:]), received)
+        if not data and not received:
+            return b""
+        if not data:
+            detail = f"the connection ended after {received} bytes of the head"
+            raise RequestFault(RefusalReason.INCOMPLETE_REQUEST, detail)
+        received += len(data)
+        if received > limit:
+            detail = f"the head is longer than {limit} bytes"
+            raise RequestFault(RefusalReason.HEAD_TOO_LARGE, detail)
+        head += data if head else data.lstrip(LINE_ENDS)
+    return bytes(head)
+
+
+def read_part(source, before, received):
+    """Return bytes that have arrived, none of them beyond the end of the head.
+
+    Parameters
+    ----------
+    source : BufferedReader
+        The connection.
+    before : bytes
+        The last bytes of the head that were read before.
+    received : int
+        Number of bytes that were read before, for the error's text.
     """
-    head = RequestHead()
-    received = 0
     try:
-        for block in read_blocks(first_line, source):
-            received += len(block)
-            head.feed(block)
-            if head.is_complete:
-                return head
-    except httptools.HttpParserError as error:
-        raise RequestFault(RefusalReason.BAD_FRAMING, str(error)) from error
+        arrived = source.peek()
     except TimeoutError as error:
-        detail = "no data arrived in time within the head"
+        part = "head" if received else "request line"
+        detail = f"no data arrived in time within the {part}"
         raise RequestFault(RefusalReason.INCOMPLETE_REQUEST, detail) from error
-    detail = f"the connection ended after {received} bytes of the head"
-    raise RequestFault(RefusalReason.INCOMPLETE_REQUEST, detail)
-
-
-def read_blocks(line, source):
-    """Yield received lines in blocks, each up to an empty line.
-
-    Notes
-    -----
-    The head of a request is one block unless empty lines precede it, which servers
-    skip (RFC 9112, section 2.2).
-    """
-    while line:
-        lines = [line]
-        while lines[-1] not in LAST_LINES:
-            lines.append(source.readline())
-        yield b"".join(lines)
-        line = lines[-1] and source.readline()
+    skipped = 0 if before else len(arrived) - len(arrived.lstrip(LINE_ENDS))
+    end = EMPTY_LINE.search(before + arrived, skipped)
+    return source.read(len(arrived) if end is None else end.end() - len(before))
--- a/packages/hingesill-node/hingesill_node/datapath/responses.py
+++ b/packages/hingesill-node/hingesill_node/datapath/responses.py
@@ -10,10 +10,12 @@
 import eventlet
 import httptools
 
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.datapath.waits import WaitTimeout, receive
 
 __all__ = ["EndpointResponse", "MalformedResponse", "IncompleteResponse"]
 
+NO_FIELDS = HeaderFields()
 RECEIVE_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 64 * 1024
 # Bytes after a head that hold no body, such as extensions of chunks and trailers.
@@ -57,7 +59,7 @@
         The status code; 0 until the head is read.
     reason : str
         The reason phrase.
-    headers : list of tuple of str
+    headers : HeaderFields
         Names and values as received.
     length : int or None
         Length of the body, if the head has it.
@@ -83,8 +85,9 @@
     def _begin(self):
         self.status = 0
         self.reason = ""
-        self.headers = []
+        self.headers = NO_FIELDS
         self.length = None
+        self._pairs = []
         self.complete = False
         self._framed = False
         self._mismatched = False
@@ -105,10 +108,10 @@
 
     def on_header(self, name, value):
         """Add a header."""
-        if self._unsolicited:
-            return
+        if self._unsolicited or self._head_done:
+            return  # Trailers are not passed on.
         text = value.decode("latin-1")
-        self.headers.append((name.decode("latin-1"), text))
+        self._pairs.append((name.decode("latin-1"), text))
         lowered = name.lower()
         if lowered == b"content-length":
             self.length = int(text)
@@ -120,6 +123,7 @@
         """Check the complete head and whether a body follows."""
         if self._unsolicited:
             return
+        self.headers, self._pairs = HeaderFields(self._pairs), []
         self.status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
         if self.status < FIRST_FINAL_STATUS:
@@ -149,16 +153,15 @@
 
     def get(self, name):
         """Return the first value of a header, or None."""
-        lowered = name.lower()
-        for known, value in self.headers:
-            if known.lower() == lowered:
-                return value
-        return None
+        return self.headers.get(name)
 
     def get_all(self, name):
         """Return the values of a header in the order received."""
-        lowered = name.lower()
-        return [value for known, value in self.headers if known.lower() == lowered]
+        return self.headers.get_all(name)
+
+    def release(self):
+        """Free the parser, which refers to this object; nothing more is read."""
+        self._parser = None
 
     @property
     def idle_seconds(self):
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -16,6 +16,7 @@
 )
 from hingesill_node.datapath.requestfaultlog import RequestFaultLog
 from hingesill_node.listeners import open_listener, pop_early_listener
+from hingesill_node.resources import ServerLimits
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["CallerServer", "listen", "start_server"]
@@ -23,6 +24,7 @@
 MAX_CONNECTIONS = 10_000
 KEEP_ALIVE_SECONDS = 60
 SOCKET_TIMEOUT_SECONDS = 30
+DEFAULT_LIMITS = ServerLimits()
 # Pause after an error such as a lack of file descriptors.
 ACCEPT_PAUSE_SECONDS = 0.05
 
@@ -40,6 +42,8 @@
         Name of the address, for logs and counters.
     counters : Counters
         Counts requests that do not reach the application, and ended connections.
+    limits : ServerLimits
+        Limits on connections and requests.
 
     Attributes
     ----------
@@ -49,7 +53,7 @@
         Whether a connection may read more than one request at a time.
     """
 
-    def __init__(self, sock, application, listener, counters):
+    def __init__(self, sock, application, listener, counters, limits=DEFAULT_LIMITS):
         super().__init__(
             sock,
             sock.getsockname(),
@@ -62,6 +66,7 @@
         )
         self.is_accepting = True
         self.reads_ahead = True
+        self.limits = limits
         self._counters = counters
         self._fault_log = RequestFaultLog(listener)
         self._connection_log = ConnectionLog(listener, counters)
@@ -170,7 +175,7 @@
     )
 
 
-def start_server(sock, application, listener, counters):
+def start_server(sock, application, listener, counters, limits=DEFAULT_LIMITS):
     """Serve an application on a listening socket in green threads.
 
     Returns
@@ -178,6 +183,6 @@
     CallerServer
         The server; see there for parameters.
     """
-    server = CallerServer(sock, application, listener, counters)
+    server = CallerServer(sock, application, listener, counters, limits)
     server.start()
     return server
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
@@ -16,6 +16,7 @@
 )
 from hingesill_node.datapath import sends as sends_module
 from hingesill_node.datapath.exchange import Exchange
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.datapath.messages import Body, CallerRequest, LiveSend
 from hingesill_node.datapath.requesttimeline import describe_status
 from hingesill_node.datapath.responses import EndpointResponse
@@ -200,7 +201,7 @@
     def test_send_status_is_described_with_its_retry_after(self):
         response = EndpointResponse(None, "GET")
         self.assertEqual(describe_status(SendStatus.REFUSED, response), "refused")
-        response.headers = [("retry-after", "3")]
+        response.headers = HeaderFields([("retry-after", "3")])
         described = describe_status(SendStatus.REFUSED, response)
         self.assertEqual(described, "refused retry-after 3")
         self.assertEqual(describe_status(SendStatus.LOST, None), "lost")
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_headers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_headers.py
@@ -5,6 +5,7 @@
 from msgspec.structs import asdict
 
 from hingesill_core.routing.availability import INVALID_BACKOFF, NO_BACKOFF
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.datapath.headers import RETRY_AFTER, read_backoff
 from hingesill_node.datapath.responses import EndpointResponse
 from hingesill_node.datapath.wire import OwnFormat
@@ -18,7 +19,8 @@
     response = EndpointResponse(None, "GET")
     response.status = 503
     names = asdict(wire.endpoint_headers)
-    response.headers = [(names[name], value) for name, value in headers.items()]
+    pairs = ((names[name], value) for name, value in headers.items())
+    response.headers = HeaderFields(pairs)
     return wire.read_signals(response, 0.0, 0)
 
 
@@ -40,7 +42,7 @@
     def read(self, *values, status=503):
         response = EndpointResponse(None, "GET")
         response.status = status
-        response.headers = [("retry-after", value) for value in values]
+        response.headers = HeaderFields(("retry-after", value) for value in values)
         return read_backoff(response, RETRY_AFTER)
 
     def test_seconds_and_fractions(self):
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
@@ -24,6 +24,7 @@
     SendStatus,
     Ticket,
 )
+from hingesill_node.datapath.headerfields import HeaderFields
 from hingesill_node.datapath.hedges import QueryingHedge
 from hingesill_node.datapath.messages import Body, CallerRequest
 from hingesill_node.datapath.responses import EndpointResponse
@@ -78,7 +79,7 @@
     def __init__(self, status, headers):
         self.response = EndpointResponse(None, "GET")
         self.response.status = status
-        self.response.headers = headers
+        self.response.headers = HeaderFields(headers)
         self.response.complete = True
 
     def set_time_limit(self, seconds):
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -67,14 +67,26 @@
     added = wire.build_request_headers(
         request.request_id, live.send.endpoint, remaining, request.ticket.organisation
     )
-    write_request(live.connection, request, [*request.headers, *added])
+    write_request(live.connection, request, request.headers, added)
 
 
-def write_request(connection, request, headers):
-    """Write a request with the given headers; see `send_request` for errors."""
+def write_request(connection, request, fields, added):
+    """Write a request; see `send_request` for errors.
+
+    Parameters
+    ----------
+    connection : EndpointConnection
+        The connection.
+    request : CallerRequest
+        The request.
+    fields : HeaderFields
+        The headers that are passed on.
+    added : iterable of tuple of str
+        The headers that the node adds.
+    """
     connection.set_time_limit(WRITE_TIMEOUT_SECONDS)
     connection.collect()
-    write_head(connection, request, headers)
+    write_head(connection, request, fields, added)
     body = request.body
     if body.whole is not None:
         if body.whole:
@@ -86,10 +98,11 @@
     stream_body(connection, body)
 
 
-def write_head(connection, request, headers):
+def write_head(connection, request, fields, added):
     """Write the request line and the headers to the connection's buffer."""
     connection.begin(request.method, request.target)
-    for name, value in headers:
+    connection.put_fields(fields)
+    for name, value in added:
         connection.putheader(name, value)
     body = request.body
     if body.length is None:
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -31,6 +31,7 @@
 from hingesill_node.listeners import split_address
 from hingesill_node.quotas.exchange import QuotaExchange
 from hingesill_node.ratelimits.exchange import LimitExchange
+from hingesill_node.resources import compute_limits
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["DirectoryControl", "NoAnnouncements"]
@@ -136,7 +137,8 @@
             runners.merge_report,
             lambda: follower.is_confirmed,
         )
-        start_server(listener, application, "control", self.counters)
+        limits = compute_limits(self.settings)
+        start_server(listener, application, "control", self.counters, limits)
         self.follower.start()
         eventlet.spawn(self.registration.run)
         self.profiles = ProfileStore(
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -22,6 +22,7 @@
 from hingesill_node.lifecycle import Lifecycle
 from hingesill_node.organisations import build_figures
 from hingesill_node.reload import Reloader
+from hingesill_node.resources import compute_limits
 from hingesill_node.telemetry.counters import Counters
 from hingesill_node.telemetry.events import Event, log_event
 
@@ -121,6 +122,7 @@
         self.runners.enable_load_queries(wire or OwnFormat(), self.counters)
         self.wire = wire or OwnFormat()
         self._forward_servers = []
+        self.limits = compute_limits(settings)
         self.lifecycle = Lifecycle(self.blackboard, settings, self.control)
         self.application = Application(
             self.blackboard,
@@ -164,14 +166,14 @@
         error = self._start_forwarding() or self.control.start(self.runners)
         if error:
             return report_bind_error(error)
-        start_server(admin, self._build_admin(), "admin", self.counters)
+        self._serve(admin, self._build_admin(), "admin")
         signal.signal(signal.SIGTERM, self.lifecycle.request_stop)
         signal.signal(signal.SIGINT, self.lifecycle.request_stop)
         reloader = Reloader(self.settings, self.load, self.control.apply)
         signal.signal(signal.SIGHUP, reloader.request_reload)
         eventlet.spawn(reloader.run)
         self._wait_for_configuration()
-        server = start_server(callers, self.application, "callers", self.counters)
+        server = self._serve(callers, self.application, "callers")
         freeze_start_objects()
         log_event(
             Event.NODE_STARTED,
@@ -184,6 +186,10 @@
         self.control.stop()
         return 0 if is_clean else EXIT_STOP_BOUND
 
+    def _serve(self, sock, application, listener):
+        """Serve an application on a listening socket; return the CallerServer."""
+        return start_server(sock, application, listener, self.counters, self.limits)
+
     def _start_forwarding(self):
         """Accept forwarded requests, and forward own ones; return an error message."""
         if not self.settings.forward_port:
@@ -202,7 +208,7 @@
             self.runners.clock,
         )
         entry = ForwardEntry(self.application, forwarder.peers.is_member)
-        server = start_server(listener, entry, "forwarded", self.counters)
+        server = self._serve(listener, entry, "forwarded")
         self._forward_servers.append(server)
         return ""
 
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -276,6 +276,16 @@
     ] = (
         64 * 1024 * 1024
     )
+    max_head_bytes: Annotated[
+        int,
+        Meta(
+            ge=1024,
+            le=1024 * 1024,
+            description="Maximum size in bytes of the head of a request.",
+        ),
+    ] = (
+        64 * 1024
+    )
     balancer_lag_s: Annotated[
         float,
         Meta(
