Callers that always send give way to other connections

What callers saw: beside 200 connections that did not stop sending (pipelined requests with unread answers, tiny chunks, extensions of chunks), an ordinary request got no answer at all while these sent, nor did the readiness check.

Cause: a green thread gives way only where it waits. A socket that always has input never makes it wait, and neither does a request that was read with an earlier one.

Change: reading a request gives way after 2 ms (Turn). Of the requests that were read with an earlier one, 8 start before each other green thread has run, and of those with a head over 4 kB, whose processing takes some ms, one (TurnGate). The accept loop gives way after 16 connections. Extensions and trailers of more than 64 KiB in a row are refused (bad-framing), as those of endpoints' answers are.

Ruled out: threads for parsing (they share the interpreter lock); closing such connections (a fast caller of a long body always has input, too).

--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -19,12 +19,17 @@
 from hingesill_node.datapath.refusals import REASON_PHRASES, STATUSES
 from hingesill_node.datapath.requestinput import RequestInput
 from hingesill_node.datapath.requests import RequestFault, parse_head, receive_head
+from hingesill_node.datapath.turns import TurnGate
 
 __all__ = ["CallerProtocol"]
 
 # Maximum time for a caller to receive the last answer and to close its connection.
 CLOSING_SECONDS = 10.0
 DISCARD_BYTES = 16 * 1024
+# Heads that take much longer to process than those of ordinary requests.
+LARGE_HEAD_BYTES = 4 * 1024
+LARGE_HEAD_GATE = TurnGate(1)
+PIPELINED_GATE = TurnGate(8)
 # Some callers send an empty line after a body.
 LINE_ENDS = b"\r\n"
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n"
@@ -221,6 +226,8 @@
         try:
             data = receive_head(self.rfile, self.server.limits.head_bytes)
             self.state.end = ConnectionEnd.ANSWERED if data else ConnectionEnd.CALLER
+            if len(data) > LARGE_HEAD_BYTES:
+                LARGE_HEAD_GATE.pass_through()
             return parse_head(data) if data else None
         except RequestFault as fault:
             self._refuse_head(fault)
@@ -231,8 +238,12 @@
     def _wait_for_request(self):
         """Return whether the next request has begun, or the caller has closed."""
         if self._peek_buffered():
+            PIPELINED_GATE.pass_through()
+            self._stream.turn.begin()
             return True
-        return self.state.wait_for_input(self.server.keepalive)
+        has_begun = self.state.wait_for_input(self.server.keepalive)
+        self._stream.turn.begin()
+        return has_begun
 
     def _peek_buffered(self):
         """Return the bytes that were read but not used."""
--- a/packages/hingesill-node/hingesill_node/datapath/callerstream.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerstream.py
@@ -4,6 +4,8 @@
 import socket
 from io import RawIOBase
 
+from hingesill_node.datapath.turns import Turn
+
 __all__ = ["CallerStream"]
 
 # The end of a head, or of a chunked body; both may contain it earlier, too.
@@ -25,6 +27,8 @@
     reads_ahead : bool
         Whether a read may return bytes beyond the end of the current request. A request
         that was read has to be answered.
+    turn : Turn
+        Turn of the green thread that reads.
     is_paused : bool
         Whether reads return nothing, so that a buffered reader shows what it holds.
     """
@@ -32,6 +36,7 @@
     def __init__(self, sock):
         self.reads_ahead = True
         self.is_paused = False
+        self.turn = Turn()
         self._sock = sock
         self._body_bytes = 0
         self._last_bytes = b""
@@ -54,6 +59,7 @@
         """
         if self.is_paused:
             return None
+        self.turn.pause_if_over()
         size = len(buffer) if self.reads_ahead else self._limit(len(buffer))
         count = self._sock.recv_into(buffer, size)
         self._body_bytes = max(0, self._body_bytes - count)
--- a/packages/hingesill-node/hingesill_node/datapath/requestinput.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requestinput.py
@@ -16,6 +16,8 @@
 
 # Makes the parser expect chunks, whatever the method and headers of the request.
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+# Bytes in a row that hold no body, such as extensions of chunks and trailers.
+MAX_FRAMING_BYTES = 64 * 1024
 # A chunked body ends with an empty line; it may contain these bytes earlier, too.
 EMPTY_LINE = b"\n\r\n"
 
@@ -51,6 +53,7 @@
         self._parser = httptools.HttpRequestParser(self._decoded)
         self._parser.feed_data(CHUNKED_HEAD)
         self._last_bytes = b""
+        self._framing_bytes = 0
 
     @property
     def is_complete(self):
@@ -80,10 +83,16 @@
             raise RequestFault(RefusalReason.INCOMPLETE_REQUEST, detail)
         data = self._source.read(self._find_possible_end(received))
         self._last_bytes = (self._last_bytes + data)[-2:]
+        decoded = len(self._decoded.data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             raise RequestFault(RefusalReason.BAD_FRAMING, str(error)) from error
+        has_body = len(self._decoded.data) > decoded
+        self._framing_bytes = 0 if has_body else self._framing_bytes + len(data)
+        if self._framing_bytes > MAX_FRAMING_BYTES:
+            detail = "an extension of a chunk, or the trailers, are too long"
+            raise RequestFault(RefusalReason.BAD_FRAMING, detail)
 
     def _find_possible_end(self, received):
         """Return the number of bytes up to the first place where a body may end."""
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -1,6 +1,7 @@
 """The WSGI server for the addresses of a node, based on that of eventlet."""
 
 from contextlib import suppress
+from itertools import count
 
 import eventlet
 from eventlet import wsgi
@@ -25,6 +26,8 @@
 KEEP_ALIVE_SECONDS = 60
 SOCKET_TIMEOUT_SECONDS = 30
 DEFAULT_LIMITS = ServerLimits()
+# Connections that are accepted before other green threads run.
+ACCEPTS_PER_TURN = 16
 # Pause after an error such as a lack of file descriptors.
 ACCEPT_PAUSE_SECONDS = 0.05
 
@@ -80,7 +83,9 @@
 
     def _accept(self):
         """Accept connections until the thread is killed or the socket is closed."""
-        while True:
+        for number in count(1):
+            if number % ACCEPTS_PER_TURN == 0:
+                eventlet.sleep(0)
             try:
                 accepted = self.socket.accept()
             except OSError as error:
--- /dev/null
+++ b/packages/hingesill-node/hingesill_node/datapath/turns.py
@@ -0,0 +1,52 @@
+"""Turns of green threads whose clients leave them nothing to wait for."""
+
+import time
+
+import eventlet
+from eventlet import hubs
+from eventlet.semaphore import Semaphore
+
+__all__ = ["Turn", "TurnGate"]
+
+TURN_SECONDS = 0.002
+
+
+class Turn:
+    """Time for which a green thread runs before others do.
+
+    Notes
+    -----
+    A socket that always has input never makes its green thread wait.
+    """
+
+    def __init__(self):
+        self._began_at = time.monotonic()
+
+    def begin(self):
+        """Begin a turn, after a wait."""
+        self._began_at = time.monotonic()
+
+    def pause_if_over(self):
+        """Let other green threads run if the turn has lasted for long."""
+        if time.monotonic() - self._began_at >= TURN_SECONDS:
+            eventlet.sleep(0)
+            self.begin()
+
+
+class TurnGate:
+    """Limits how many requests of a kind start while other green threads wait.
+
+    Parameters
+    ----------
+    requests : int
+        Number of requests that may start before each other green thread that is ready
+        has run.
+    """
+
+    def __init__(self, requests):
+        self._semaphore = Semaphore(requests)
+
+    def pass_through(self):
+        """Wait until a request of the kind may start."""
+        self._semaphore.acquire()
+        hubs.get_hub().schedule_call_global(0, self._semaphore.release)
