Sockets: unread bytes are limited on each connection

What callers saw: a process ended for lack of memory beside clients that send without end, although it keeps nothing of what they send: bytes that have arrived but are not read count as memory of the machine.

Cause: no receive buffer was set, so the kernel lets the queue of each connection grow, to megabytes on loopback.

Change: the listening sockets have a receive buffer of 16 KiB, which accepted connections inherit, and connections to endpoints one of 64 KiB. The readers empty it many times within one request, so that a longer one only arrives in more parts.

Ruled out: reading less often (the queue is the kernel's); dropping connections with long queues (a caller of a long body fills any queue).

--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -18,6 +18,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.25
 IDLE_SECONDS = 5.0
 IDLE_MARGIN_SECONDS = 1.5
+# Bytes of an answer that an endpoint may send before they are read.
+RECEIVE_BUFFER_BYTES = 64 * 1024
 
 
 class ConnectFailed(Exception):
@@ -50,13 +52,20 @@
 
     def open(self):
         """Connect, or raise ConnectFailed on a failure or timeout."""
+        family = socket.AF_INET6 if ":" in self.host else socket.AF_INET
+        sock = green_socket.socket(family, socket.SOCK_STREAM)
         try:
-            self.sock = green_socket.create_connection(
-                (self.host, self.port), timeout=self.connect_timeout
-            )
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.settimeout(self.connect_timeout)
+            sock.connect((self.host, self.port))
         except (OSError, OverflowError) as error:  # OverflowError: no such port.
+            sock.close()
             raise ConnectFailed(f"{self.address}: {error}") from error
-        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except BaseException:
+            sock.close()
+            raise
+        self.sock = sock
 
     def collect(self):
         """Buffer all data passed to ``send`` until ``flush``."""
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connections.py
@@ -11,6 +11,9 @@
     def close(self):
         self.closed = True
 
+    def release_response(self):
+        pass
+
 
 class PoolTests(unittest.TestCase):
     def setUp(self):
--- a/packages/hingesill-node/hingesill_node/listeners.py
+++ b/packages/hingesill-node/hingesill_node/listeners.py
@@ -16,6 +16,9 @@
 
 # Maximum number of connections that wait to be accepted.
 BACKLOG = 1024
+# Bytes that a client may send before they are read; the kernel adds as much for its own
+# bookkeeping. The default of the kernel grows to megabytes for each connection.
+RECEIVE_BUFFER_BYTES = 16 * 1024
 EARLY_LISTENERS = {}
 
 
@@ -47,6 +50,8 @@
     if reuse_port:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    # Accepted connections inherit it.
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     try:
         sock.bind((host, port))
         sock.listen(BACKLOG)
--- a/packages/hingesill-node/hingesill_node/tests/test_listeners.py
+++ b/packages/hingesill-node/hingesill_node/tests/test_listeners.py
@@ -4,7 +4,11 @@
 import unittest
 
 from hingesill_node.datapath.server import listen
-from hingesill_node.listeners import open_early_listener, pop_early_listener
+from hingesill_node.listeners import (
+    RECEIVE_BUFFER_BYTES,
+    open_early_listener,
+    pop_early_listener,
+)
 
 
 def find_free_address():
@@ -41,3 +45,20 @@
             self.assertIsNone(pop_early_listener(address))
             with self.assertRaises(OSError):
                 listen(address, False)
+
+
+class ReceiveBufferTests(unittest.TestCase):
+    """Guards against unread bytes of clients that take up the memory of the VM."""
+
+    def test_a_client_that_is_not_read(self):
+        server = listen("127.0.0.1:0", False)
+        self.addCleanup(server.close)
+        with socket.create_connection(server.getsockname()) as client:
+            accepted, _ = server.accept()
+            self.addCleanup(accepted.close)
+            client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            client.settimeout(0.2)
+            with self.assertRaises(TimeoutError):
+                client.sendall(b"x" * 8_000_000)
+            received = len(accepted.fd.recv(8_000_000, socket.MSG_PEEK))
+        self.assertLessEqual(received, 2 * RECEIVE_BUFFER_BYTES)
