Connections: limited by the memory and descriptors of the VM, with room for new ones

What callers saw: beside more connections than the process has descriptors, nothing was answered: ordinary requests, readiness checks, and the node could open no connection to endpoints, other nodes or the store.

Cause: each address accepted up to 10,000 connections, whatever the limits of the process, and kept each of them until its idle timeout.

Change: compute_limits derives the number of connections of each address from the settings memory_mb and max_fds (the platform's limits; the VM's if not set); a third of the descriptors is left for endpoints, the store and other nodes. At the limit, ConnectionTable closes a few: those whose caller has received its last answer, then idle ones, those that are sending a request (503 connection-limit, not-run), and those that have taken nothing of their answer for a second, each kind by age. Connections whose request is with an endpoint are never closed; if there is no other, the new one gets 503 connection-limit with Retry-After. Ends evicted and refused in hingesill_connections, events 6010 and 6011.

A caller inside the limits meets them only while clients hold 1,600 connections to its node (300 MB, 4,100 descriptors); connections without a request may be closed at any time, as at an idle timeout. The rule of connections' ends stays: no request that was read to its end loses its answer, unless its caller has stopped taking it.

Ruled out: to stop accepting (ordinary callers would wait in the accept queue until their time is up); closing the oldest connection whatever it does (answers would be lost); a shorter idle timeout (it cannot tell clients apart).

--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -34,6 +34,7 @@
     BAD_FRAMING = "bad-framing"
     INCOMPLETE_REQUEST = "incomplete-request"
     BAD_HEADER = "bad-header"
+    CONNECTION_LIMIT = "connection-limit"
     HEAD_TOO_LARGE = "head-too-large"
     BODY_TOO_LARGE = "body-too-large"
     CALLER_GONE = "caller-gone"
--- a/packages/hingesill-node/hingesill_node/datapath/calleroutput.py
+++ b/packages/hingesill-node/hingesill_node/datapath/calleroutput.py
@@ -12,14 +12,17 @@
     ----------
     sock : GreenSocket
         Socket of the connection; its timeout applies to each wait.
+    state : ConnectionState
+        Told while the caller takes nothing.
 
     Notes
     -----
     Unlike a buffered file, it takes no memory while there is no answer.
     """
 
-    def __init__(self, sock):
+    def __init__(self, sock, state):
         self._sock = sock
+        self._state = state
         self._parts = []
 
     def write(self, data):
@@ -46,12 +49,21 @@
             try:
                 data = data[self._sock.fd.send(data) :]
             except (BlockingIOError, InterruptedError):
-                hubs.trampoline(
-                    self._sock.fileno(),
-                    write=True,
-                    timeout=self._sock.gettimeout(),
-                    timeout_exc=TimeoutError,
-                )
+                self._wait()
+
+    def _wait(self):
+        """Wait until the caller has taken a part of the answer."""
+        self._state.restart_clock()
+        self._state.is_writing = True
+        try:
+            hubs.trampoline(
+                self._sock.fileno(),
+                write=True,
+                timeout=self._sock.gettimeout(),
+                timeout_exc=TimeoutError,
+            )
+        finally:
+            self._state.is_writing = False
 
     def close(self):
         """Send what is left."""
--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -16,12 +16,12 @@
 from hingesill_node.datapath.connectionstate import ConnectionEnd, ConnectionPhase
 from hingesill_node.datapath.environment import RequestEnvironment
 from hingesill_node.datapath.headers import HeaderNames
-from hingesill_node.datapath.refusals import REASON_PHRASES, STATUSES
+from hingesill_node.datapath.refusals import DEFAULT_STATUS, REASON_PHRASES, STATUSES
 from hingesill_node.datapath.requestinput import RequestInput
 from hingesill_node.datapath.requests import RequestFault, parse_head, receive_head
 from hingesill_node.datapath.turns import TurnGate
 
-__all__ = ["CallerProtocol"]
+__all__ = ["CallerProtocol", "build_head_refusal"]
 
 # Maximum time for a caller to receive the last answer and to close its connection.
 CLOSING_SECONDS = 10.0
@@ -38,8 +38,10 @@
     "HTTP/1.1 {status} {phrase}\r\n"
     f"{HeaderNames.OUTCOME}: {Outcome.NOT_RUN.value}\r\n"
     f"{HeaderNames.REASON}: {{reason}}\r\n"
-    "Connection: close\r\nContent-Length: 0\r\n\r\n"
+    "{again}Connection: close\r\nContent-Length: 0\r\n\r\n"
 )
+# Seconds after which connections that take up all places have made room.
+RETRY_LINE = "Retry-After: 1\r\n"
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -78,9 +80,9 @@
         self.connection = self.request
         with suppress(OSError):
             self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, True)
-        self._stream = CallerStream(self.connection)
+        self._stream = CallerStream(self.connection, self.state)
         self.rfile = BufferedReader(self._stream)
-        self.wfile = CallerOutput(self.connection)
+        self.wfile = CallerOutput(self.connection, self.state)
 
     def handle(self):
         """Serve requests until the connection is to be closed."""
@@ -221,6 +223,7 @@
         if not self._wait_for_request():
             return None
         self.state.phase = ConnectionPhase.SERVING
+        self.state.restart_clock()
         self.connection.settimeout(self.server.socket_timeout)
         self._stream.reads_ahead = self.server.reads_ahead
         try:
@@ -256,14 +259,20 @@
     def _refuse_head(self, fault):
         """Refuse a request whose head was not accepted; the connection is closed."""
         self.state.end = ConnectionEnd.ANSWERED
-        self.counters.add("refusals", "", fault.reason.value)
-        self.counters.add("requests", "", Outcome.NOT_RUN.value)
         self.fault_log.write("head", fault, self.client_address[0])
-        status = STATUSES[fault.reason]
-        text = HEAD_REFUSAL.format(
-            status=status, phrase=REASON_PHRASES[status], reason=fault.reason.value
-        )
         # The caller is gone unless it has only closed its sending side.
         with suppress(OSError):
-            self.wfile.write(text.encode())
+            self.wfile.write(build_head_refusal(fault.reason, self.counters))
             self.wfile.flush()
+
+
+def build_head_refusal(reason, counters):
+    """Return the refusal of a request that was not read to its end, and count it."""
+    counters.add("refusals", "", reason.value)
+    counters.add("requests", "", Outcome.NOT_RUN.value)
+    status = STATUSES.get(reason, DEFAULT_STATUS)
+    again = RETRY_LINE if status == DEFAULT_STATUS else ""
+    text = HEAD_REFUSAL.format(
+        status=status, phrase=REASON_PHRASES[status], reason=reason.value, again=again
+    )
+    return text.encode()
--- a/packages/hingesill-node/hingesill_node/datapath/callerstream.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerstream.py
@@ -4,6 +4,8 @@
 import socket
 from io import RawIOBase
 
+from hingesill_core.reasons import RefusalReason
+from hingesill_node.datapath.requests import RequestFault
 from hingesill_node.datapath.turns import Turn
 
 __all__ = ["CallerStream"]
@@ -21,6 +23,8 @@
     ----------
     sock : GreenSocket
         Socket of the connection; its timeout applies to each read.
+    state : ConnectionState
+        Told when a read waits for the caller.
 
     Attributes
     ----------
@@ -33,11 +37,12 @@
         Whether reads return nothing, so that a buffered reader shows what it holds.
     """
 
-    def __init__(self, sock):
+    def __init__(self, sock, state):
         self.reads_ahead = True
         self.is_paused = False
         self.turn = Turn()
         self._sock = sock
+        self._state = state
         self._body_bytes = 0
         self._last_bytes = b""
 
@@ -55,18 +60,30 @@
         Raises
         ------
         OSError
-            If the socket's timeout passed.
+            If the socket's timeout passed; RequestFault if the connection is closed to
+            make room for others.
         """
         if self.is_paused:
             return None
         self.turn.pause_if_over()
-        size = len(buffer) if self.reads_ahead else self._limit(len(buffer))
-        count = self._sock.recv_into(buffer, size)
+        self._state.is_receiving = True
+        try:
+            count = self._receive_into(buffer)
+        finally:
+            self._state.is_receiving = False
+        if self._state.is_evicted:
+            detail = "the connection was closed to make room for others"
+            raise RequestFault(RefusalReason.CONNECTION_LIMIT, detail)
         self._body_bytes = max(0, self._body_bytes - count)
         received = bytes(memoryview(buffer)[max(0, count - MAX_SPLIT_BYTES) : count])
         self._last_bytes = (self._last_bytes + received)[-MAX_SPLIT_BYTES:]
         return count
 
+    def _receive_into(self, buffer):
+        """Wait for bytes of the caller; return their number."""
+        size = len(buffer) if self.reads_ahead else self._limit(len(buffer))
+        return self._sock.recv_into(buffer, size)
+
     def _limit(self, size):
         """Return the number of bytes to read, none of them beyond the request."""
         if self._body_bytes:
--- a/packages/hingesill-node/hingesill_node/datapath/connectionlog.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionlog.py
@@ -13,6 +13,8 @@
 LOGGED_ENDS = {
     ConnectionEnd.UNREAD: Event.CONNECTION_UNREAD,
     ConnectionEnd.CUT: Event.ANSWER_CUT,
+    ConnectionEnd.EVICTED: Event.CONNECTION_EVICTED,
+    ConnectionEnd.REFUSED: Event.CONNECTION_REFUSED,
 }
 
 
@@ -35,12 +37,13 @@
         self._rate = LogRate(MAX_LOG_LINES_PER_SECOND, clock)
 
     def record(self, state):
-        """Count an ended connection, and log it if a request or an answer was lost."""
+        """Count an ended connection, and log it if its caller may miss something."""
         self.counters.add("connections", self.listener, state.end.value)
         event = LOGGED_ENDS.get(state.end)
         if event is not None and self._rate.admit():
             log_event(
                 event,
+                phase=state.phase.value,
                 listener=self.listener,
                 caller=state.address[0],
                 port=state.address[1],
--- a/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
@@ -6,7 +6,8 @@
 import sys
 import termios
 import time
-from enum import Enum
+from contextlib import suppress
+from enum import Enum, IntEnum
 from fcntl import ioctl
 
 import eventlet
@@ -14,12 +15,16 @@
 
 from hingesill_node.datapath.waits import Wake, wait_any
 
-__all__ = ["ConnectionEnd", "ConnectionPhase", "ConnectionState"]
+__all__ = ["ConnectionEnd", "ConnectionPhase", "ConnectionState", "EvictionRank"]
 
 # Intervals of checks whether a caller has received an answer while its pipelined
 # requests lie unread, so that the socket is always readable; each is twice the last.
 MIN_CHECK_INTERVAL_SECONDS = 0.01
 MAX_CHECK_INTERVAL_SECONDS = 0.25
+# The end of the sending side counts as a byte until the caller acknowledges it.
+END_BYTES = 1
+# Time without progress after which the writing of an answer counts as stalled.
+STALL_SECONDS = 1.0
 PEER_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 DEAD_EVENTS = select.POLLHUP | select.POLLERR
 
@@ -51,10 +56,25 @@
     UNREAD = "unread"
     # Closed by the node before the caller had received its answer.
     CUT = "cut"
+    # Closed by the node to make room for others, or at once as there was none.
+    EVICTED = "evicted"
+    REFUSED = "refused"
     # Open when the process ended.
     PROCESS_END = "process-end"
 
 
+class EvictionRank(IntEnum):
+    """Order in which connections are closed to make room for others."""
+
+    # The caller has received its last answer and only has to close.
+    RECEIVED = 0
+    IDLE = 1
+    # A request has not arrived to its end.
+    RECEIVING = 2
+    # The caller has taken nothing of its answer for `STALL_SECONDS`.
+    STALLED = 3
+
+
 class ConnectionState:
     """One caller's connection, from its acceptance to its end.
 
@@ -75,6 +95,13 @@
         How it ends, as far as is known.
     unsent : int
         Bytes that the caller had not acknowledged at the end.
+    since : float
+        Monotonic seconds at which the connection was accepted, or at which it last
+        began to wait, to receive a request, to write or to close.
+    is_receiving, is_writing : bool
+        Whether its green thread waits for the caller to send, or to take an answer.
+    is_evicted : bool
+        Whether it is closed to make room for others.
     """
 
     def __init__(self, sock, address, clock=time.monotonic):
@@ -83,6 +110,10 @@
         self.phase = ConnectionPhase.WAITING
         self.end = ConnectionEnd.CALLER
         self.unsent = 0
+        self.is_receiving = False
+        self.is_writing = False
+        self.is_evicted = False
+        self.since = clock()
         self._clock = clock
         self._wake = None
         self._is_broken = False
@@ -97,6 +128,7 @@
             connection is to be closed without another read.
         """
         wake = self._wake = Wake()
+        self.since = self._clock()
         try:
             if wait_any([self.sock], seconds, wake) is not None:
                 return True
@@ -113,6 +145,41 @@
         if wake is not None and not self.has_input():
             hubs.get_hub().schedule_call_global(0, wake.switch)
 
+    def restart_clock(self):
+        """Set ``since`` to the present."""
+        self.since = self._clock()
+
+    def find_eviction_rank(self):
+        """Return the EvictionRank, or None if the connection must not be closed."""
+        if self.is_evicted:
+            return None
+        if self.phase is ConnectionPhase.WAITING:
+            return None if self._wake is None else EvictionRank.IDLE
+        if self.is_receiving:
+            return EvictionRank.RECEIVING
+        is_closing = self.phase is ConnectionPhase.CLOSING
+        if is_closing and self._count_unsent() <= END_BYTES:
+            return EvictionRank.RECEIVED
+        has_stalled = self._clock() - self.since >= STALL_SECONDS
+        if (is_closing or self.is_writing) and has_stalled:
+            return EvictionRank.STALLED
+        return None
+
+    def evict(self):
+        """Close the connection soon; return whether it will be closed."""
+        if self.phase is ConnectionPhase.WAITING:
+            if self.has_input():
+                return False
+            self.is_evicted = True
+            self.end_wait()
+            return True
+        self.is_evicted = True
+        # Wakes the green thread; a request that is refused still gets its answer.
+        how = socket.SHUT_RD if self.is_receiving else socket.SHUT_RDWR
+        with suppress(OSError):
+            self.sock.fd.shutdown(how)
+        return True
+
     def has_input(self):
         """Return whether received bytes are unread; does not wait."""
         try:
@@ -142,10 +209,13 @@
         not read: a request that is read has to be answered.
         """
         self.phase = ConnectionPhase.CLOSING
+        self.since = self._clock()
         try:
             self._finish(until, discard)
         finally:
             self.sock.close()
+            if self.is_evicted:
+                self.end = ConnectionEnd.EVICTED
 
     def reset(self):
         """Close the connection so that the caller sees a reset."""
@@ -182,7 +252,7 @@
         while (seconds := until - self._clock()) > 0:
             events = self._poll()
             has_input = self.has_input()
-            if self._is_broken or events & select.POLLERR:
+            if self._is_broken or self.is_evicted or events & select.POLLERR:
                 return
             if events and not self._count_unsent():
                 return
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -1,5 +1,6 @@
 """The WSGI server for the addresses of a node, based on that of eventlet."""
 
+import socket
 from contextlib import suppress
 from itertools import count
 
@@ -8,13 +9,15 @@
 from eventlet.greenio import GreenSocket
 from eventlet.hubs import notify_opened
 
-from hingesill_node.datapath.callerprotocol import CallerProtocol
+from hingesill_core.reasons import RefusalReason
+from hingesill_node.datapath.callerprotocol import CallerProtocol, build_head_refusal
 from hingesill_node.datapath.connectionlog import ConnectionLog
 from hingesill_node.datapath.connectionstate import (
     ConnectionEnd,
     ConnectionPhase,
     ConnectionState,
 )
+from hingesill_node.datapath.connectiontable import ConnectionTable
 from hingesill_node.datapath.requestfaultlog import RequestFaultLog
 from hingesill_node.listeners import open_listener, pop_early_listener
 from hingesill_node.resources import ServerLimits
@@ -22,12 +25,13 @@
 
 __all__ = ["CallerServer", "listen", "start_server"]
 
-MAX_CONNECTIONS = 10_000
 KEEP_ALIVE_SECONDS = 60
 SOCKET_TIMEOUT_SECONDS = 30
 DEFAULT_LIMITS = ServerLimits()
 # Connections that are accepted before other green threads run.
 ACCEPTS_PER_TURN = 16
+# Bytes of a refused connection that are dropped.
+REFUSED_BYTES = 16 * 1024
 # Pause after an error such as a lack of file descriptors.
 ACCEPT_PAUSE_SECONDS = 0.05
 
@@ -73,8 +77,7 @@
         self._counters = counters
         self._fault_log = RequestFaultLog(listener)
         self._connection_log = ConnectionLog(listener, counters)
-        self._states = set()
-        self._pool = eventlet.GreenPool(MAX_CONNECTIONS)
+        self._connections = ConnectionTable(limits.connections)
         self._thread = None
 
     def start(self):
@@ -97,10 +100,25 @@
             self._add(*accepted)
 
     def _add(self, sock, address):
-        """Serve a connection in a green thread."""
+        """Serve a connection in a green thread, or refuse it if there is no room."""
         state = ConnectionState(sock, address)
-        self._states.add(state)
-        self._pool.spawn_n(self._serve, state)
+        if not self._connections.has_room():
+            self._refuse(state)
+            return
+        self._connections.add(state)
+        eventlet.spawn_n(self._serve, state)
+
+    def _refuse(self, state):
+        """Refuse a connection without reading its request, and close it."""
+        refusal = build_head_refusal(RefusalReason.CONNECTION_LIMIT, self._counters)
+        with suppress(OSError):
+            # A socket that is closed with unread bytes is reset.
+            state.sock.fd.recv(REFUSED_BYTES, socket.MSG_DONTWAIT)
+        with suppress(OSError):
+            state.sock.fd.send(refusal)
+        state.sock.close()
+        state.end = ConnectionEnd.REFUSED
+        self._connection_log.record(state)
 
     def _serve(self, state):
         try:
@@ -110,7 +128,7 @@
             log_event(Event.REQUEST_FAULT, error=repr(error))
         finally:
             state.sock.close()
-            self._states.discard(state)
+            self._connections.discard(state)
             self._connection_log.record(state)
 
     def begin_stop(self):
@@ -132,26 +150,24 @@
 
     def close_idle(self):
         """Close the connections from which no request has arrived."""
-        for state in list(self._states):
+        for state in self._connections:
             state.end_wait()
 
     def count_owed(self):
         """Return the number of connections that still receive an answer."""
-        waiting = ConnectionPhase.WAITING
-        return sum(state.phase is not waiting for state in self._states)
+        return self._connections.count_owed()
 
     def count_serving(self):
         """Return the number of connections with a request that is not answered."""
-        serving = ConnectionPhase.SERVING
-        return sum(state.phase is serving for state in self._states)
+        return self._connections.count(ConnectionPhase.SERVING)
 
     def has_connections(self):
         """Return whether a connection is open."""
-        return bool(self._states)
+        return len(self._connections) > 0
 
     def record_process_end(self):
         """Count and log the connections that are still open."""
-        self._connection_log.record_process_end(self._states)
+        self._connection_log.record_process_end(list(self._connections))
 
     def kill(self):
         """Close the address and the connections that wait for a request."""
--- a/packages/hingesill-node/hingesill_node/datapath/tests/callerservice.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/callerservice.py
@@ -19,6 +19,7 @@
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.datapath.transport import BodyFailed, read_chunk
 from hingesill_node.quotas.tests.fakequotas import FakeQuotas, build_gate
+from hingesill_node.resources import ServerLimits
 from hingesill_node.telemetry.counters import Counters
 from hingesill_node.telemetry.events import Event
 
@@ -101,7 +102,10 @@
     one is answered after all that an earlier one sent has been handled.
     """
 
-    def __init__(self, case, build_application=AcceptingApplication):
+    def __init__(
+        self, case, build_application=AcceptingApplication, limits=ServerLimits()
+    ):
+        self.limits = limits
         handler = logging.NullHandler()
         logging.getLogger("hingesill").addHandler(handler)
         case.addCleanup(logging.getLogger("hingesill").removeHandler, handler)
@@ -132,7 +136,7 @@
 
     def _start(self, case, application, listener):
         sock = listen("127.0.0.1:0", False)
-        server = start_server(sock, application, listener, self.counters)
+        server = start_server(sock, application, listener, self.counters, self.limits)
         self.servers[listener] = server
         case.addCleanup(sock.close)
         case.addCleanup(server.kill)
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -137,7 +137,7 @@
             runners.merge_report,
             lambda: follower.is_confirmed,
         )
-        limits = compute_limits(self.settings)
+        limits = compute_limits(self.settings)["control"]
         start_server(listener, application, "control", self.counters, limits)
         self.follower.start()
         eventlet.spawn(self.registration.run)
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -188,7 +188,8 @@
 
     def _serve(self, sock, application, listener):
         """Serve an application on a listening socket; return the CallerServer."""
-        return start_server(sock, application, listener, self.counters, self.limits)
+        limits = self.limits[listener]
+        return start_server(sock, application, listener, self.counters, limits)
 
     def _start_forwarding(self):
         """Accept forwarded requests, and forward own ones; return an error message."""
--- a/packages/hingesill-node/hingesill_node/resources.py
+++ b/packages/hingesill-node/hingesill_node/resources.py
@@ -1,22 +1,95 @@
-"""Limits of what clients may use, derived from the settings."""
+"""Limits of what clients may use, derived from the memory and descriptors of the VM."""
+
+import os
+import resource
 
 from msgspec import Struct
 
 __all__ = ["ServerLimits", "compute_limits"]
 
+# Descriptors that are left to files.
+FILE_DESCRIPTORS = 200
+# Memory of a connection that sends nothing, with the bytes that may lie unread.
+CONNECTION_BYTES = 48 * 1024
+MIN_CONNECTIONS = 4
+MAX_CONNECTIONS = 10_000
+MEBIBYTE = 1024 * 1024
+
+
+class Share(Struct, frozen=True):
+    """Parts of the VM that the connections to one address may take.
+
+    Parameters
+    ----------
+    descriptors, memory : float
+        Parts of the descriptors without those of files, and of the memory.
+    """
+
+    descriptors: float
+    memory: float
+
+
+# A third of the descriptors, and more than half of the memory, are left for endpoints,
+# the store and other work.
+SHARES = {
+    "callers": Share(0.45, 0.25),
+    "forwarded": Share(0.08, 0.05),
+    "control": Share(0.12, 0.06),
+    "admin": Share(0.02, 0.01),
+}
+
 
 class ServerLimits(Struct, frozen=True):
     """Limits of one listening address.
 
     Parameters
     ----------
+    connections : int
+        Maximum number of open connections.
     head_bytes : int
         Maximum size of a request's head, including empty lines before it.
     """
 
+    connections: int = MAX_CONNECTIONS
     head_bytes: int = 64 * 1024
 
 
 def compute_limits(settings):
-    """Return the ServerLimits for validated settings."""
-    return ServerLimits(settings.max_head_bytes)
+    """Return the ServerLimits of each address for validated settings."""
+    memory = settings.memory_mb * MEBIBYTE or read_memory_bytes()
+    descriptors = settings.max_fds or read_descriptor_limit()
+    return {
+        address: ServerLimits(
+            compute_connections(share, memory, descriptors), settings.max_head_bytes
+        )
+        for address, share in SHARES.items()
+    }
+
+
+def compute_connections(share, memory, descriptors):
+    """Return the number of connections that fit into a Share of the VM.
+
+    Parameters
+    ----------
+    share : Share
+        The address's share.
+    memory : int
+        Memory of the process in bytes.
+    descriptors : int
+        Descriptors of the process.
+    """
+    by_memory = share.memory * memory / CONNECTION_BYTES
+    by_descriptors = share.descriptors * (descriptors - FILE_DESCRIPTORS)
+    fitting = int(min(by_memory, by_descriptors, MAX_CONNECTIONS))
+    return max(MIN_CONNECTIONS, fitting)
+
+
+def read_memory_bytes():
+    """Return the memory of the VM in bytes."""
+    return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+
+
+def read_descriptor_limit():
+    """Return how many descriptors the process may open."""
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return MAX_CONNECTIONS * 4 if soft == resource.RLIM_INFINITY else soft
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -276,6 +276,24 @@
     ] = (
         64 * 1024 * 1024
     )
+    memory_mb: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=1024 * 1024,
+            description="Memory in MiB that the process may use, from which the "
+            "limits of connections are computed; 0 for the memory of the VM.",
+        ),
+    ] = 0
+    max_fds: Annotated[
+        int,
+        Meta(
+            ge=0,
+            le=10_000_000,
+            description="Open file descriptors that the process may use, from which "
+            "the limits of connections are computed; 0 for the limit of the process.",
+        ),
+    ] = 0
     max_head_bytes: Annotated[
         int,
         Meta(
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -162,6 +162,16 @@
         logging.WARNING,
         "a connection ended before the caller had received the answer",
     )
+    CONNECTION_EVICTED = (
+        6010,
+        logging.WARNING,
+        "a connection was closed to make room for others",
+    )
+    CONNECTION_REFUSED = (
+        6011,
+        logging.WARNING,
+        "a connection was refused because too many are open",
+    )
     OVER_QUOTA = (7001, logging.WARNING, "an organisation is over its quota")
     WITHIN_QUOTA = (7002, logging.INFO, "an organisation is within its quota again")
     COORDINATOR_LOST = (
