Requests: a limit on the memory of all together, with unread answers

What callers saw: beside many unfinished requests of legal size, a process that grew beyond the memory of its VM, however small a single request is.

Cause: what a connection may hold was bounded, what all hold together was not.

Change: RequestMemory counts the bytes of requests while they arrive and until they are answered, and answers that callers do not take, on all connections of a node. It is limited to a quarter of memory_mb. The control and admin addresses have a small limit of their own, so that readiness does not depend on callers. The gauge is hingesill_request_bytes.

Ruled out: a smaller bound for each connection (single requests inside the limits would be refused in calm); refusing only (what hostile callers hold would keep others out).

--- a/packages/hingesill-core/hingesill_core/reasons.py
+++ b/packages/hingesill-core/hingesill_core/reasons.py
@@ -35,6 +35,7 @@
     INCOMPLETE_REQUEST = "incomplete-request"
     BAD_HEADER = "bad-header"
     CONNECTION_LIMIT = "connection-limit"
+    MEMORY_LIMIT = "memory-limit"
     HEAD_TOO_LARGE = "head-too-large"
     BODY_TOO_LARGE = "body-too-large"
     CALLER_GONE = "caller-gone"
--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -20,7 +20,7 @@
     filter_headers,
 )
 from hingesill_node.datapath.messages import Body, CallerRequest
-from hingesill_node.datapath.refusals import is_valid_request_id
+from hingesill_node.datapath.refusals import build_fault_refusal, is_valid_request_id
 from hingesill_node.datapath.requests import RequestFault
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.quotas.requesttokens import NO_TOKENS, RequestTokens
@@ -206,7 +206,7 @@
             body = self._read_body(environ)
         except RequestFault as fault:
             log_body_fault(environ, request_id, fault)
-            return Refusal(fault.reason, Outcome.NOT_RUN)
+            return build_fault_refusal(fault)
         finally:
             if not isinstance(body, Body):
                 tokens.close()
--- a/packages/hingesill-node/hingesill_node/datapath/calleroutput.py
+++ b/packages/hingesill-node/hingesill_node/datapath/calleroutput.py
@@ -2,6 +2,8 @@
 
 from eventlet import hubs
 
+from hingesill_node.datapath.requestmemory import COPIES
+
 __all__ = ["CallerOutput"]
 
 
@@ -14,15 +16,18 @@
         Socket of the connection; its timeout applies to each wait.
     state : ConnectionState
         Told while the caller takes nothing.
+    holding : Holding
+        Counts the bytes that the caller does not take.
 
     Notes
     -----
     Unlike a buffered file, it takes no memory while there is no answer.
     """
 
-    def __init__(self, sock, state):
+    def __init__(self, sock, state, holding):
         self._sock = sock
         self._state = state
+        self._holding = holding
         self._parts = []
 
     def write(self, data):
@@ -49,12 +54,14 @@
             try:
                 data = data[self._sock.fd.send(data) :]
             except (BlockingIOError, InterruptedError):
-                self._wait()
+                self._wait(len(data))
 
-    def _wait(self):
-        """Wait until the caller has taken a part of the answer."""
+    def _wait(self, size):
+        """Wait until the caller has taken a part of the bytes that are left."""
         self._state.restart_clock()
         self._state.is_writing = True
+        # The answer and its parts, which are joined to be sent.
+        self._holding.set_answer(COPIES * size)
         try:
             hubs.trampoline(
                 self._sock.fileno(),
@@ -64,6 +71,7 @@
             )
         finally:
             self._state.is_writing = False
+            self._holding.set_answer(0)
 
     def close(self):
         """Send what is left."""
--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -9,15 +9,16 @@
 from eventlet import wsgi
 from eventlet.wsgi import BROKEN_SOCK
 
-from hingesill_core.reasons import Outcome
+from hingesill_core.reasons import Outcome, RefusalReason
 from hingesill_node.datapath.application import PROTOCOL_KEY
 from hingesill_node.datapath.calleroutput import CallerOutput
-from hingesill_node.datapath.callerstream import CallerStream
+from hingesill_node.datapath.callerstream import EVICTED, CallerStream
 from hingesill_node.datapath.connectionstate import ConnectionEnd, ConnectionPhase
 from hingesill_node.datapath.environment import RequestEnvironment
 from hingesill_node.datapath.headers import HeaderNames
 from hingesill_node.datapath.refusals import DEFAULT_STATUS, REASON_PHRASES, STATUSES
 from hingesill_node.datapath.requestinput import RequestInput
+from hingesill_node.datapath.requestmemory import Holding
 from hingesill_node.datapath.requests import RequestFault, parse_head, receive_head
 from hingesill_node.datapath.turns import TurnGate
 
@@ -38,8 +39,9 @@
     "HTTP/1.1 {status} {phrase}\r\n"
     f"{HeaderNames.OUTCOME}: {Outcome.NOT_RUN.value}\r\n"
     f"{HeaderNames.REASON}: {{reason}}\r\n"
-    "{again}Connection: close\r\nContent-Length: 0\r\n\r\n"
+    "{again}{close}Content-Length: 0\r\n\r\n"
 )
+CLOSE_LINE = "Connection: close\r\n"
 # Seconds after which connections that take up all places have made room.
 RETRY_LINE = "Retry-After: 1\r\n"
 
@@ -80,9 +82,10 @@
         self.connection = self.request
         with suppress(OSError):
             self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_QUICKACK, True)
-        self._stream = CallerStream(self.connection, self.state)
+        self._holding = Holding(self.server.memory)
+        self._stream = CallerStream(self.connection, self.state, self._holding)
         self.rfile = BufferedReader(self._stream)
-        self.wfile = CallerOutput(self.connection, self.state)
+        self.wfile = CallerOutput(self.connection, self.state, self._holding)
 
     def handle(self):
         """Serve requests until the connection is to be closed."""
@@ -90,7 +93,10 @@
         while not self.close_connection:
             self.state.phase = ConnectionPhase.WAITING
             self.request_input = None
-            self.handle_one_request()
+            try:
+                self.handle_one_request()
+            finally:
+                self._holding.release()
 
     def handle_one_request(self):
         """Serve the next request, or refuse it if its head is not accepted."""
@@ -231,7 +237,10 @@
             self.state.end = ConnectionEnd.ANSWERED if data else ConnectionEnd.CALLER
             if len(data) > LARGE_HEAD_BYTES:
                 LARGE_HEAD_GATE.pass_through()
-            return parse_head(data) if data else None
+            head = parse_head(data) if data else None
+            if head is not None and self.state.is_evicted:
+                return self._refuse_evicted(head)
+            return head
         except RequestFault as fault:
             self._refuse_head(fault)
         except OSError:
@@ -241,13 +250,22 @@
     def _wait_for_request(self):
         """Return whether the next request has begun, or the caller has closed."""
         if self._peek_buffered():
-            PIPELINED_GATE.pass_through()
-            self._stream.turn.begin()
+            self._wait_for_turn()
             return True
         has_begun = self.state.wait_for_input(self.server.keepalive)
         self._stream.turn.begin()
         return has_begun
 
+    def _wait_for_turn(self):
+        """Let other connections have their turn before a pipelined request."""
+        self.state.restart_clock()
+        self.state.is_pipelining = True
+        try:
+            PIPELINED_GATE.pass_through()
+        finally:
+            self.state.is_pipelining = False
+        self._stream.turn.begin()
+
     def _peek_buffered(self):
         """Return the bytes that were read but not used."""
         self._stream.is_paused = True
@@ -256,23 +274,48 @@
         finally:
             self._stream.is_paused = False
 
-    def _refuse_head(self, fault):
-        """Refuse a request whose head was not accepted; the connection is closed."""
+    def _refuse_evicted(self, head):
+        """Refuse a pipelined request; keep the connection for those that follow."""
+        has_body = head.fields.get("Content-Length") or head.fields.get(
+            "Transfer-Encoding"
+        )
+        is_last = bool(has_body) or not self._peek_buffered()
+        self._refuse_head(
+            RequestFault(RefusalReason.CONNECTION_LIMIT, EVICTED), is_last
+        )
+        self.close_connection = is_last
+
+    def _refuse_head(self, fault, is_last=True):
+        """Refuse a request that is not served; the connection is closed by default."""
         self.state.end = ConnectionEnd.ANSWERED
         self.fault_log.write("head", fault, self.client_address[0])
         # The caller is gone unless it has only closed its sending side.
         with suppress(OSError):
-            self.wfile.write(build_head_refusal(fault.reason, self.counters))
+            self.wfile.write(build_head_refusal(fault.reason, self.counters, is_last))
             self.wfile.flush()
 
 
-def build_head_refusal(reason, counters):
-    """Return the refusal of a request that was not read to its end, and count it."""
+def build_head_refusal(reason, counters, is_last=True):
+    """Return the refusal of a request that is not served, and count it.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        Its reason.
+    counters : Counters
+        Counts ``refusals`` and ``requests``.
+    is_last : bool
+        Whether the connection is closed after it.
+    """
     counters.add("refusals", "", reason.value)
     counters.add("requests", "", Outcome.NOT_RUN.value)
     status = STATUSES.get(reason, DEFAULT_STATUS)
     again = RETRY_LINE if status == DEFAULT_STATUS else ""
     text = HEAD_REFUSAL.format(
-        status=status, phrase=REASON_PHRASES[status], reason=reason.value, again=again
+        status=status,
+        phrase=REASON_PHRASES[status],
+        reason=reason.value,
+        again=again,
+        close=CLOSE_LINE if is_last else "",
     )
     return text.encode()
--- a/packages/hingesill-node/hingesill_node/datapath/callerstream.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerstream.py
@@ -8,7 +8,9 @@
 from hingesill_node.datapath.requests import RequestFault
 from hingesill_node.datapath.turns import Turn
 
-__all__ = ["CallerStream"]
+__all__ = ["EVICTED", "CallerStream"]
+
+EVICTED = "the connection was closed to make room for others"
 
 # The end of a head, or of a chunked body; both may contain it earlier, too.
 EMPTY_LINE = re.compile(rb"\n\r?\n")
@@ -25,6 +27,8 @@
         Socket of the connection; its timeout applies to each read.
     state : ConnectionState
         Told when a read waits for the caller.
+    holding : Holding
+        Counts the bytes of the current request.
 
     Attributes
     ----------
@@ -37,12 +41,13 @@
         Whether reads return nothing, so that a buffered reader shows what it holds.
     """
 
-    def __init__(self, sock, state):
+    def __init__(self, sock, state, holding):
         self.reads_ahead = True
         self.is_paused = False
         self.turn = Turn()
         self._sock = sock
         self._state = state
+        self._holding = holding
         self._body_bytes = 0
         self._last_bytes = b""
 
@@ -61,7 +66,7 @@
         ------
         OSError
             If the socket's timeout passed; RequestFault if the connection is closed to
-            make room for others.
+            make room for others, or requests take too much memory.
         """
         if self.is_paused:
             return None
@@ -72,8 +77,8 @@
         finally:
             self._state.is_receiving = False
         if self._state.is_evicted:
-            detail = "the connection was closed to make room for others"
-            raise RequestFault(RefusalReason.CONNECTION_LIMIT, detail)
+            raise RequestFault(RefusalReason.CONNECTION_LIMIT, EVICTED)
+        self._holding.add_received(count)
         self._body_bytes = max(0, self._body_bytes - count)
         received = bytes(memoryview(buffer)[max(0, count - MAX_SPLIT_BYTES) : count])
         self._last_bytes = (self._last_bytes + received)[-MAX_SPLIT_BYTES:]
--- a/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
@@ -71,8 +71,10 @@
     IDLE = 1
     # A request has not arrived to its end.
     RECEIVING = 2
+    # A pipelined request waits until other connections have had their turn.
+    PIPELINING = 3
     # The caller has taken nothing of its answer for `STALL_SECONDS`.
-    STALLED = 3
+    STALLED = 4
 
 
 class ConnectionState:
@@ -100,6 +102,8 @@
         began to wait, to receive a request, to write or to close.
     is_receiving, is_writing : bool
         Whether its green thread waits for the caller to send, or to take an answer.
+    is_pipelining : bool
+        Whether a pipelined request waits for its turn.
     is_evicted : bool
         Whether it is closed to make room for others.
     """
@@ -112,6 +116,7 @@
         self.unsent = 0
         self.is_receiving = False
         self.is_writing = False
+        self.is_pipelining = False
         self.is_evicted = False
         self.since = clock()
         self._clock = clock
@@ -153,6 +158,8 @@
         """Return the EvictionRank, or None if the connection must not be closed."""
         if self.is_evicted:
             return None
+        if self.is_pipelining:
+            return EvictionRank.PIPELINING
         if self.phase is ConnectionPhase.WAITING:
             return None if self._wake is None else EvictionRank.IDLE
         if self.is_receiving:
@@ -166,7 +173,15 @@
         return None
 
     def evict(self):
-        """Close the connection soon; return whether it will be closed."""
+        """Close the connection soon; return whether it will be closed.
+
+        Notes
+        -----
+        Pipelined requests that were read are refused, each with an answer.
+        """
+        if self.is_pipelining:
+            self.is_evicted = True
+            return True
         if self.phase is ConnectionPhase.WAITING:
             if self.has_input():
                 return False
--- a/packages/hingesill-node/hingesill_node/datapath/connectiontable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectiontable.py
@@ -2,12 +2,13 @@
 
 from heapq import nsmallest
 
-from hingesill_node.datapath.connectionstate import ConnectionPhase
+from hingesill_node.datapath.connectionstate import ConnectionPhase, EvictionRank
 
 __all__ = ["ConnectionTable"]
 
 # Share of the connections that are closed at once, as each search looks at all of them.
 CLOSED_SHARE = 1 / 32
+HOLDING_RANKS = frozenset({EvictionRank.RECEIVING, EvictionRank.STALLED})
 
 
 class ConnectionTable:
@@ -54,8 +55,13 @@
             open_count -= self._make_room()
         return open_count < self.limit and len(self._states) < self.limit + self._batch
 
-    def _make_room(self):
-        """Close a few connections; return their number.
+    def free_memory(self):
+        """Close a few connections that hold parts of requests or unread answers."""
+        if not self._evicted:
+            self._make_room(HOLDING_RANKS)
+
+    def _make_room(self, ranks=frozenset(EvictionRank)):
+        """Close a few connections of some ranks; return their number.
 
         Notes
         -----
@@ -66,7 +72,7 @@
         ranked = (
             (rank, state.since, id(state), state)
             for state in self._states
-            if (rank := state.find_eviction_rank()) is not None
+            if (rank := state.find_eviction_rank()) in ranks
         )
         for *_, state in nsmallest(self._batch, ranked):
             evicted += state.evict()
--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -6,9 +6,15 @@
 from msgspec import Struct
 
 from hingesill_core.reasons import Outcome, RefusalReason
+from hingesill_core.routing.messages import Refusal
 from hingesill_node.datapath.headers import HeaderNames
 
-__all__ = ["RefusalAnswer", "build_refusal_answer", "is_valid_request_id"]
+__all__ = [
+    "RefusalAnswer",
+    "build_fault_refusal",
+    "build_refusal_answer",
+    "is_valid_request_id",
+]
 
 MAX_REQUEST_ID_LENGTH = 128
 REASON_PHRASES = {
@@ -46,6 +52,10 @@
 UNKNOWN_STATUS = 502
 # Required in each response with status 401 (RFC 9110, section 15.5.2).
 CHALLENGE = ("WWW-Authenticate", "Bearer")
+# Reasons for which a request is refused before it was read to its end, because of the
+# limits of the VM, and the seconds after which connections have made room.
+LIMIT_REASONS = frozenset({RefusalReason.CONNECTION_LIMIT, RefusalReason.MEMORY_LIMIT})
+LIMIT_RETRY_SECONDS = 1.0
 # Reasons for which the end of the request is not known, or not read. With any other
 # one, requests that were read with the refused one are answered.
 CLOSING_REASONS = frozenset(
@@ -54,6 +64,7 @@
         RefusalReason.INCOMPLETE_REQUEST,
         RefusalReason.BODY_TOO_LARGE,
         RefusalReason.HEAD_TOO_LARGE,
+        *LIMIT_REASONS,
     }
 )
 
@@ -103,6 +114,12 @@
     return RefusalAnswer(f"{status} {REASON_PHRASES[status]}", headers, body, closes)
 
 
+def build_fault_refusal(fault):
+    """Return the Refusal of a request that was not run because of a RequestFault."""
+    seconds = LIMIT_RETRY_SECONDS if fault.reason in LIMIT_REASONS else None
+    return Refusal(fault.reason, Outcome.NOT_RUN, retry_after=seconds)
+
+
 def choose_status(refusal):
     """Return the status of a refusal, which claims no more than is certain."""
     status = STATUSES.get(refusal.reason, DEFAULT_STATUS)
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -1,5 +1,6 @@
 """The WSGI server for the addresses of a node, based on that of eventlet."""
 
+import math
 import socket
 from contextlib import suppress
 from itertools import count
@@ -19,6 +20,7 @@
 )
 from hingesill_node.datapath.connectiontable import ConnectionTable
 from hingesill_node.datapath.requestfaultlog import RequestFaultLog
+from hingesill_node.datapath.requestmemory import RequestMemory
 from hingesill_node.listeners import open_listener, pop_early_listener
 from hingesill_node.resources import ServerLimits
 from hingesill_node.telemetry.events import Event, log_event
@@ -51,6 +53,8 @@
         Counts requests that do not reach the application, and ended connections.
     limits : ServerLimits
         Limits on connections and requests.
+    memory : RequestMemory or None
+        Memory of the requests on all addresses; without a limit if None.
 
     Attributes
     ----------
@@ -60,7 +64,15 @@
         Whether a connection may read more than one request at a time.
     """
 
-    def __init__(self, sock, application, listener, counters, limits=DEFAULT_LIMITS):
+    def __init__(
+        self,
+        sock,
+        application,
+        listener,
+        counters,
+        limits=DEFAULT_LIMITS,
+        memory=None,
+    ):
         super().__init__(
             sock,
             sock.getsockname(),
@@ -78,6 +90,8 @@
         self._fault_log = RequestFaultLog(listener)
         self._connection_log = ConnectionLog(listener, counters)
         self._connections = ConnectionTable(limits.connections)
+        self.memory = memory or RequestMemory(math.inf)
+        self.memory.add_table(self._connections)
         self._thread = None
 
     def start(self):
@@ -196,7 +210,9 @@
     )
 
 
-def start_server(sock, application, listener, counters, limits=DEFAULT_LIMITS):
+def start_server(
+    sock, application, listener, counters, limits=DEFAULT_LIMITS, memory=None
+):
     """Serve an application on a listening socket in green threads.
 
     Returns
@@ -204,6 +220,6 @@
     CallerServer
         The server; see there for parameters.
     """
-    server = CallerServer(sock, application, listener, counters, limits)
+    server = CallerServer(sock, application, listener, counters, limits, memory)
     server.start()
     return server
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
@@ -5,8 +5,9 @@
 from unittest import mock
 
 import eventlet
+from eventlet.event import Event as GreenEvent
 
-from hingesill_node.datapath import connectionstate
+from hingesill_node.datapath import callerprotocol, connectionstate
 from hingesill_node.datapath.tests.callerservice import (
     GET,
     POST_HEAD,
@@ -108,6 +109,20 @@
         self.assertIn(b" 404 ", idle.recv(65536))
         self.wait_for_ends("evicted", 1)
 
+    def test_pipelined_requests_are_all_answered(self):
+        with mock.patch.object(callerprotocol, "PIPELINED_GATE") as gate:
+            waits = GreenEvent()
+            gate.pass_through = waits.wait
+            first, *_ = [self.connect(UNROUTED * 4) for _ in range(CONNECTIONS)]
+            served = self.connect(UNROUTED)
+            waits.send()
+            self.assertIn(b" 404 ", served.recv(65536))
+            received = read_to_end(first)
+        self.assertEqual(received.count(b"HTTP/1.1 404 "), 1)
+        self.assertEqual(received.count(b"HTTP/1.1 503 "), 3)
+        self.assertEqual(received.count(b"Connection: close"), 1)
+        self.assertEqual(self.count_refusals(), 3)
+
     def test_callers_that_take_nothing_of_their_answer(self):
         self.service.application.size = 30_000_000
         self.gate.send()
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -19,6 +19,7 @@
 from hingesill_node.crashes.crashgossip import CrashGossip
 from hingesill_node.crashes.quarantinestore import QuarantineStore
 from hingesill_node.datagramport import DatagramPort
+from hingesill_node.datapath.requestmemory import RequestMemory
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.discovery.follower import Follower
 from hingesill_node.discovery.introductions import IntroductionExchange
@@ -31,7 +32,7 @@
 from hingesill_node.listeners import split_address
 from hingesill_node.quotas.exchange import QuotaExchange
 from hingesill_node.ratelimits.exchange import LimitExchange
-from hingesill_node.resources import compute_limits
+from hingesill_node.resources import compute_control_bytes, compute_limits
 from hingesill_node.telemetry.events import Event, log_event
 
 __all__ = ["DirectoryControl", "NoAnnouncements"]
@@ -138,7 +139,8 @@
             lambda: follower.is_confirmed,
         )
         limits = compute_limits(self.settings)["control"]
-        start_server(listener, application, "control", self.counters, limits)
+        memory = RequestMemory(compute_control_bytes(self.settings))
+        start_server(listener, application, "control", self.counters, limits, memory)
         self.follower.start()
         eventlet.spawn(self.registration.run)
         self.profiles = ProfileStore(
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -16,13 +16,18 @@
 from hingesill_node.datapath.application import Application
 from hingesill_node.datapath.forwardentry import ForwardEntry
 from hingesill_node.datapath.forwarding import Forwarder
+from hingesill_node.datapath.requestmemory import RequestMemory
 from hingesill_node.datapath.runnertable import RunnerTable
 from hingesill_node.datapath.server import listen, start_server
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.lifecycle import Lifecycle
 from hingesill_node.organisations import build_figures
 from hingesill_node.reload import Reloader
-from hingesill_node.resources import compute_limits
+from hingesill_node.resources import (
+    compute_control_bytes,
+    compute_limits,
+    compute_request_bytes,
+)
 from hingesill_node.telemetry.counters import Counters
 from hingesill_node.telemetry.events import Event, log_event
 
@@ -123,6 +128,7 @@
         self.wire = wire or OwnFormat()
         self._forward_servers = []
         self.limits = compute_limits(settings)
+        self.memory = RequestMemory(compute_request_bytes(settings))
         self.lifecycle = Lifecycle(self.blackboard, settings, self.control)
         self.application = Application(
             self.blackboard,
@@ -144,6 +150,7 @@
         now = self.runners.clock()
         return {
             "in_flight": self.blackboard.in_flight,
+            "request_bytes": self.memory.used,
             "held": self.runners.count_queued(),
             "limited_endpoints": self.runners.limits.count_limited(),
             "resting_endpoints": availabilities.count_backing_off(now),
@@ -166,14 +173,16 @@
         error = self._start_forwarding() or self.control.start(self.runners)
         if error:
             return report_bind_error(error)
-        self._serve(admin, self._build_admin(), "admin")
+        # Callers that use up the memory of requests do not end the readiness checks.
+        memory = RequestMemory(compute_control_bytes(self.settings))
+        self._serve(admin, self._build_admin(), "admin", memory)
         signal.signal(signal.SIGTERM, self.lifecycle.request_stop)
         signal.signal(signal.SIGINT, self.lifecycle.request_stop)
         reloader = Reloader(self.settings, self.load, self.control.apply)
         signal.signal(signal.SIGHUP, reloader.request_reload)
         eventlet.spawn(reloader.run)
         self._wait_for_configuration()
-        server = self._serve(callers, self.application, "callers")
+        server = self._serve(callers, self.application, "callers", self.memory)
         freeze_start_objects()
         log_event(
             Event.NODE_STARTED,
@@ -186,10 +195,10 @@
         self.control.stop()
         return 0 if is_clean else EXIT_STOP_BOUND
 
-    def _serve(self, sock, application, listener):
+    def _serve(self, sock, application, listener, memory):
         """Serve an application on a listening socket; return the CallerServer."""
         limits = self.limits[listener]
-        return start_server(sock, application, listener, self.counters, limits)
+        return start_server(sock, application, listener, self.counters, limits, memory)
 
     def _start_forwarding(self):
         """Accept forwarded requests, and forward own ones; return an error message."""
@@ -209,7 +218,7 @@
             self.runners.clock,
         )
         entry = ForwardEntry(self.application, forwarder.peers.is_member)
-        server = self._serve(listener, entry, "forwarded")
+        server = self._serve(listener, entry, "forwarded", self.memory)
         self._forward_servers.append(server)
         return ""
 
--- a/packages/hingesill-node/hingesill_node/resources.py
+++ b/packages/hingesill-node/hingesill_node/resources.py
@@ -5,13 +5,22 @@
 
 from msgspec import Struct
 
-__all__ = ["ServerLimits", "compute_limits"]
+__all__ = [
+    "ServerLimits",
+    "compute_control_bytes",
+    "compute_limits",
+    "compute_request_bytes",
+]
 
 # Descriptors that are left to files.
 FILE_DESCRIPTORS = 200
 # Memory of a connection that sends nothing, with the bytes that may lie unread.
 CONNECTION_BYTES = 48 * 1024
 MIN_CONNECTIONS = 4
+# Part of the memory for requests and unread answers, all together.
+REQUEST_MEMORY_SHARE = 0.25
+# Part of the memory for requests on the control address, and on the admin address.
+CONTROL_MEMORY_SHARE = 0.05
 MAX_CONNECTIONS = 10_000
 MEBIBYTE = 1024 * 1024
 
@@ -56,7 +65,7 @@
 
 def compute_limits(settings):
     """Return the ServerLimits of each address for validated settings."""
-    memory = settings.memory_mb * MEBIBYTE or read_memory_bytes()
+    memory = find_memory_bytes(settings)
     descriptors = settings.max_fds or read_descriptor_limit()
     return {
         address: ServerLimits(
@@ -84,8 +93,20 @@
     return max(MIN_CONNECTIONS, fitting)
 
 
-def read_memory_bytes():
-    """Return the memory of the VM in bytes."""
+def compute_request_bytes(settings):
+    """Return the bytes that requests and unread answers may take, all together."""
+    return int(REQUEST_MEMORY_SHARE * find_memory_bytes(settings))
+
+
+def compute_control_bytes(settings):
+    """Return the bytes that requests on the control or the admin address may take."""
+    return int(CONTROL_MEMORY_SHARE * find_memory_bytes(settings))
+
+
+def find_memory_bytes(settings):
+    """Return the bytes of memory that the process may use."""
+    if settings.memory_mb:
+        return settings.memory_mb * MEBIBYTE
     return os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
 
 
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -33,6 +33,7 @@
 
 GAUGE_TEXTS = {
     "in_flight": "Requests in flight.",
+    "request_bytes": "Memory of requests and of answers that callers do not take.",
     "held": "Requests held in the node's queues.",
     "quarantined": "Requests held back as endpoints ended under them, or on trial.",
     "limited_endpoints": "Endpoints that name a limit now.",
