Requests: dropped bytes take no memory, and small requests are served at the limit

Cause: (1) what is read after a refusal, only to be dropped, counted as memory of a request and was given back never. (2) At the limit all requests were refused alike, while large ones that wait for endpoints hold the memory.

Change: dropped bytes are not counted. A request of up to 8 KiB is served at the limit too; the limit of connections bounds what such requests take.

Ruled out: evicting requests that wait for an endpoint (they are owed an answer).

--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -218,6 +218,7 @@
         self._discard(until, lambda: self.request_input.read(DISCARD_BYTES))
 
     def _discard(self, until, read):
+        self._stream.is_discarded = True
         with suppress(OSError, ValueError):
             while (seconds := until - time.monotonic()) > 0:
                 self.connection.settimeout(seconds)
--- a/packages/hingesill-node/hingesill_node/datapath/callerstream.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerstream.py
@@ -35,6 +35,8 @@
     reads_ahead : bool
         Whether a read may return bytes beyond the end of the current request. A request
         that was read has to be answered.
+    is_discarded : bool
+        Whether what is read is dropped, and takes no memory.
     turn : Turn
         Turn of the green thread that reads.
     is_paused : bool
@@ -44,6 +46,7 @@
     def __init__(self, sock, state, holding):
         self.reads_ahead = True
         self.is_paused = False
+        self.is_discarded = False
         self.turn = Turn()
         self._sock = sock
         self._state = state
@@ -78,7 +81,8 @@
             self._state.is_receiving = False
         if self._state.is_evicted:
             raise RequestFault(RefusalReason.CONNECTION_LIMIT, EVICTED)
-        self._holding.add_received(count)
+        if not self.is_discarded:
+            self._holding.add_received(count)
         self._body_bytes = max(0, self._body_bytes - count)
         received = bytes(memoryview(buffer)[max(0, count - MAX_SPLIT_BYTES) : count])
         self._last_bytes = (self._last_bytes + received)[-MAX_SPLIT_BYTES:]
--- a/packages/hingesill-node/hingesill_node/datapath/requestmemory.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requestmemory.py
@@ -14,6 +14,9 @@
 COPIES = 2
 # Bytes of one request that are kept at most; what follows is passed on at once.
 MAX_KEPT_BYTES = 128 * 1024
+# Requests of this size are served beyond the limit too; the limit of connections bounds
+# what they take.
+SMALL_BYTES = 8 * 1024
 
 
 class RequestMemory:
@@ -70,14 +73,15 @@
         Raises
         ------
         RequestFault
-            If all requests together take more than the limit.
+            If all requests together take more than the limit, and this one is not
+            small.
         """
         kept = min(count, MAX_KEPT_BYTES - self._received)
         if kept <= 0:
             return
         self._received += kept
         self._memory.change(COPIES * kept)
-        if self._memory.is_exceeded():
+        if self._received > SMALL_BYTES and self._memory.is_exceeded():
             detail = f"requests take {self._memory.used} bytes in all"
             raise RequestFault(RefusalReason.MEMORY_LIMIT, detail)
 
