Turns: what all callers that always send take together is bounded

What callers saw: beside 1,000 connections that did not stop sending (empty lines, tiny chunks, bodies, bodies of refused requests), an ordinary request got no answer within 3 s; with 200 it did.

Cause: each of them had a turn of 2 ms before any other green thread ran again, so that the turns of all took seconds.

Change: of the green threads whose turn is over, one goes on before all others that are ready have run. The wait for it counts as receiving, so that such a connection can make room for others.

Ruled out: shorter turns (the sum still grows with the connections); pauses while a body is dropped (callers of long bodies would get an early answer late).

--- a/packages/hingesill-node/hingesill_node/datapath/callerstream.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerstream.py
@@ -73,7 +73,6 @@
         """
         if self.is_paused:
             return None
-        self.turn.pause_if_over()
         self._state.is_receiving = True
         try:
             count = self._receive_into(buffer)
@@ -90,6 +89,7 @@
 
     def _receive_into(self, buffer):
         """Wait for bytes of the caller; return their number."""
+        self.turn.pause_if_over()
         size = len(buffer) if self.reads_ahead else self._limit(len(buffer))
         return self._sock.recv_into(buffer, size)
 
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_turns.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_turns.py
@@ -15,6 +15,9 @@
 )
 from hingesill_node.datapath.turns import Turn, TurnGate
 
+CONNECTIONS = 20
+ROUNDS = 20
+
 
 class TurnTests(WholeRequestCase):
     """Guards against connections that keep all other green threads waiting."""
@@ -41,13 +44,26 @@
         reads = len(body) // (8 * 1024)
         self.assertGreater(self.count_steps(CHUNKED_HEAD + body), reads)
 
+    def test_many_bodies_that_have_arrived(self):
+        body = CHUNKED_HEAD + b"1\r\na\r\n" * 5_000
+        socks = [self.service.connect() for _ in range(CONNECTIONS)]
+        for sock in socks:
+            sock.sendall(body)
+        with (
+            patch.object(turns, "TURN_SECONDS", 0.0),
+            patch.object(Turn, "begin", autospec=True) as begin,
+        ):
+            for _ in range(ROUNDS):
+                eventlet.sleep(0)
+        self.assertLess(begin.call_count, 2 * CONNECTIONS + ROUNDS)
+
     def test_a_turn_is_short_after_a_wait(self):
         with patch.object(turns, "TURN_SECONDS", 3600.0):
             turn = Turn()
             turn.begin()
-            with patch.object(eventlet, "sleep") as sleep:
+            with patch.object(turns, "CONTINUATION_GATE") as gate:
                 turn.pause_if_over()
-            sleep.assert_not_called()
+            gate.pass_through.assert_not_called()
 
 
 class TurnGateTests(WholeRequestCase):
--- a/packages/hingesill-node/hingesill_node/datapath/turns.py
+++ b/packages/hingesill-node/hingesill_node/datapath/turns.py
@@ -2,7 +2,6 @@
 
 import time
 
-import eventlet
 from eventlet import hubs
 from eventlet.semaphore import Semaphore
 
@@ -11,12 +10,36 @@
 TURN_SECONDS = 0.002
 
 
+class TurnGate:
+    """Limits how many requests of a kind start while other green threads wait.
+
+    Parameters
+    ----------
+    requests : int
+        Number of requests that may start before each other green thread that is ready
+        has run.
+    """
+
+    def __init__(self, requests):
+        self._semaphore = Semaphore(requests)
+
+    def pass_through(self):
+        """Wait until a request of the kind may start."""
+        self._semaphore.acquire()
+        hubs.get_hub().schedule_call_global(0, self._semaphore.release)
+
+
+CONTINUATION_GATE = TurnGate(1)
+
+
 class Turn:
     """Time for which a green thread runs before others do.
 
     Notes
     -----
-    A socket that always has input never makes its green thread wait.
+    A socket that always has input never makes its green thread wait. Of all green
+    threads whose turn is over, one goes on before the others that are ready have run,
+    so that what many of them take together is bounded, too.
     """
 
     def __init__(self):
@@ -29,24 +52,5 @@
     def pause_if_over(self):
         """Let other green threads run if the turn has lasted for long."""
         if time.monotonic() - self._began_at >= TURN_SECONDS:
-            eventlet.sleep(0)
+            CONTINUATION_GATE.pass_through()
             self.begin()
-
-
-class TurnGate:
-    """Limits how many requests of a kind start while other green threads wait.
-
-    Parameters
-    ----------
-    requests : int
-        Number of requests that may start before each other green thread that is ready
-        has run.
-    """
-
-    def __init__(self, requests):
-        self._semaphore = Semaphore(requests)
-
-    def pass_through(self):
-        """Wait until a request of the kind may start."""
-        self._semaphore.acquire()
-        hubs.get_hub().schedule_call_global(0, self._semaphore.release)
