Turns: a request that arrives in parts does not wait behind those that always send

Beside many clients that always send, a request whose body arrives in parts would wait behind all of them before each part.

Cause: a turn was counted from the beginning of the request, waits for the caller included, so that it was over at each part after 2 ms.

Change: a read that has waited begins a new turn, and no other connection is preferred while there is nothing to read. What is dropped after a refusal begins none.

--- a/packages/hingesill-node/hingesill_node/datapath/callerstream.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerstream.py
@@ -2,6 +2,7 @@
 
 import re
 import socket
+import time
 from io import RawIOBase
 
 from hingesill_core.reasons import RefusalReason
@@ -89,9 +90,14 @@
 
     def _receive_into(self, buffer):
         """Wait for bytes of the caller; return their number."""
-        self.turn.pause_if_over()
+        if self.turn.is_over() and self._state.has_input():
+            self.turn.pause()
+        began_at = time.monotonic()
         size = len(buffer) if self.reads_ahead else self._limit(len(buffer))
-        return self._sock.recv_into(buffer, size)
+        count = self._sock.recv_into(buffer, size)
+        if not self.is_discarded:
+            self.turn.end_read(began_at)
+        return count
 
     def _limit(self, size):
         """Return the number of bytes to read, none of them beyond the request."""
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_turns.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_turns.py
@@ -7,8 +7,10 @@
 from hingesill_node.datapath import callerprotocol, turns
 from hingesill_node.datapath.requestinput import MAX_FRAMING_BYTES
 from hingesill_node.datapath.tests.callerservice import (
+    BODY,
     CHUNKED_HEAD,
     GET,
+    POST_HEAD,
     CallerService,
     WholeRequestCase,
     close_all,
@@ -63,9 +65,7 @@
         with patch.object(turns, "TURN_SECONDS", 3600.0):
             turn = Turn()
             turn.begin()
-            with patch.object(turns, "CONTINUATION_GATE") as gate:
-                turn.pause_if_over()
-            gate.pass_through.assert_not_called()
+            self.assertFalse(turn.is_over())
 
 
 class TurnGateTests(WholeRequestCase):
@@ -114,3 +114,20 @@
         body = b"1;" + b"a" * 1000 + b"\r\na\r\n0\r\n" + b"a: b\r\n" * 100 + b"\r\n"
         _, accepted = self.send(body)
         self.assertEqual([request[3] for request in accepted], [b"a"])
+
+
+class WaitTests(WholeRequestCase):
+    """Guards against callers that wait behind those that always send."""
+
+    def test_a_turn_begins_anew_after_a_wait(self):
+        with (
+            patch.object(turns, "TURN_SECONDS", 0.01),
+            patch.object(turns, "CONTINUATION_GATE") as gate,
+        ):
+            sock = self.service.connect()
+            self.addCleanup(close_all, [sock])
+            for part in (POST_HEAD, BODY[:5], BODY[5:]):
+                sock.sendall(part)
+                eventlet.sleep(0.03)
+            self.assertIn(b" 200 ", sock.recv(65536))
+        gate.pass_through.assert_not_called()
--- a/packages/hingesill-node/hingesill_node/datapath/turns.py
+++ b/packages/hingesill-node/hingesill_node/datapath/turns.py
@@ -49,8 +49,23 @@
         """Begin a turn, after a wait."""
         self._began_at = time.monotonic()
 
-    def pause_if_over(self):
-        """Let other green threads run if the turn has lasted for long."""
-        if time.monotonic() - self._began_at >= TURN_SECONDS:
-            CONTINUATION_GATE.pass_through()
-            self.begin()
+    def is_over(self):
+        """Return whether the turn has lasted for long."""
+        return time.monotonic() - self._began_at >= TURN_SECONDS
+
+    def pause(self):
+        """Let other green threads run."""
+        CONTINUATION_GATE.pass_through()
+        self.begin()
+
+    def end_read(self, began_at):
+        """Begin a new turn if a read has lasted so long that it must have waited.
+
+        Parameters
+        ----------
+        began_at : float
+            Monotonic seconds at which it began.
+        """
+        now = time.monotonic()
+        if now - began_at >= TURN_SECONDS:
+            self._began_at = now
