Connections: a body that is passed on while it arrives is not given up

What callers saw: nothing yet; found by reading. At the limit of connections, or of the memory, a long body could be cut off while an endpoint received it: an unknown outcome for a caller inside the limits, and a token used.

Cause: a connection that waits for its caller to send counted as one whose request no endpoint has, also while its body was passed on.

Change: from the beginning of the exchange on, a connection makes no room for others, and its bytes do not count as memory, until its answer is sent. The endpoints' places bound how many there are.

Ruled out: refusing such requests with an unknown outcome (true, but of no use).

--- a/packages/hingesill-node/hingesill_node/datapath/application.py
+++ b/packages/hingesill-node/hingesill_node/datapath/application.py
@@ -96,6 +96,7 @@
         request = self._build_request(environ, request_id)
         if isinstance(request, Refusal):
             return self._refuse(environ, start_response, request, request_id, "")
+        environ[PROTOCOL_KEY].begin_exchange()
         try:
             return self._exchange(environ, start_response, request)
         finally:
--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -92,6 +92,7 @@
         self.close_connection = False
         while not self.close_connection:
             self.state.phase = ConnectionPhase.WAITING
+            self.state.is_passed_on = False
             self.request_input = None
             try:
                 self.handle_one_request()
@@ -166,6 +167,10 @@
             has_chunks,
         )
 
+    def begin_exchange(self):
+        """Record that the request goes to an endpoint, and is not given up any more."""
+        self.state.is_passed_on = True
+
     def has_next_input(self):
         """Return whether bytes after the current answer have to be read.
 
--- a/packages/hingesill-node/hingesill_node/datapath/callerstream.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerstream.py
@@ -81,7 +81,7 @@
             self._state.is_receiving = False
         if self._state.is_evicted:
             raise RequestFault(RefusalReason.CONNECTION_LIMIT, EVICTED)
-        if not self.is_discarded:
+        if not (self.is_discarded or self._state.is_passed_on):
             self._holding.add_received(count)
         self._body_bytes = max(0, self._body_bytes - count)
         received = bytes(memoryview(buffer)[max(0, count - MAX_SPLIT_BYTES) : count])
--- a/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
@@ -104,6 +104,8 @@
         Whether its green thread waits for the caller to send, or to take an answer.
     is_pipelining : bool
         Whether a pipelined request waits for its turn.
+    is_passed_on : bool
+        Whether its request is with an endpoint, or its body on the way there.
     is_evicted : bool
         Whether it is closed to make room for others.
     """
@@ -117,6 +119,7 @@
         self.is_receiving = False
         self.is_writing = False
         self.is_pipelining = False
+        self.is_passed_on = False
         self.is_evicted = False
         self.since = clock()
         self._clock = clock
@@ -162,9 +165,9 @@
             return EvictionRank.PIPELINING
         if self.phase is ConnectionPhase.WAITING:
             return None if self._wake is None else EvictionRank.IDLE
-        if self.is_receiving:
-            return EvictionRank.RECEIVING
         is_closing = self.phase is ConnectionPhase.CLOSING
+        if self.is_receiving and (is_closing or not self.is_passed_on):
+            return EvictionRank.RECEIVING
         if is_closing and self._count_unsent() <= END_BYTES:
             return EvictionRank.RECEIVED
         has_stalled = self._clock() - self.since >= STALL_SECONDS
