Connections: an answer that was taken while the node paused has not stalled

What callers saw: nothing yet; found by reading. After a pause of the node (a suspended or slow VM) at the limit of connections, answers could be cut whose callers read them.

Cause: an answer counted as stalled if its green thread had waited for a second. The node's own pause causes that, too.

Change: it counts only if the socket takes nothing at that moment, either.

Ruled out: a longer time (a pause can be longer).

Result: test_an_answer_that_was_taken_while_the_node_paused; without the look at the socket it fails (the rank is STALLED).

--- a/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connectionstate.py
@@ -170,11 +170,21 @@
             return EvictionRank.RECEIVING
         if is_closing and self._count_unsent() <= END_BYTES:
             return EvictionRank.RECEIVED
-        has_stalled = self._clock() - self.since >= STALL_SECONDS
-        if (is_closing or self.is_writing) and has_stalled:
+        if (is_closing or self.is_writing) and self._has_stalled():
             return EvictionRank.STALLED
         return None
 
+    def _has_stalled(self):
+        """Return whether the caller has taken nothing of its answer for long.
+
+        Notes
+        -----
+        After a pause of the node itself, the caller may have taken all that was sent.
+        """
+        if self._clock() - self.since < STALL_SECONDS:
+            return False
+        return not (self.is_writing and self._poll(select.POLLOUT))
+
     def evict(self):
         """Close the connection soon; return whether it will be closed.
 
@@ -280,10 +290,10 @@
             else:
                 wait_any([self.sock], seconds)
 
-    def _poll(self):
-        """Return the events that tell of the caller's side, as a mask."""
+    def _poll(self, events=PEER_EVENTS):
+        """Return events of the socket that have occurred, as a mask."""
         poll = select.poll()
-        poll.register(self.sock.fileno(), PEER_EVENTS)
+        poll.register(self.sock.fileno(), events)
         return next((events for _, events in poll.poll(0)), 0)
 
     def _count_unsent(self):
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
@@ -1,6 +1,8 @@
 """Tests of connections that make room for others, and of those that are refused."""
 
+import select
 import socket
+import time
 import unittest
 from unittest import mock
 
@@ -149,6 +151,18 @@
             self.check_served()
         self.wait_for_ends("evicted", 1)
 
+    def test_an_answer_that_was_taken_while_the_node_paused(self):
+        self.service.application.size = 30_000_000
+        self.gate.send()
+        sock = self.connect(GET)
+        (state,) = self.service.servers["callers"]._connections
+        with mock.patch.object(connectionstate, "STALL_SECONDS", 0.0):
+            rank = state.find_eviction_rank()
+            self.assertIs(rank, connectionstate.EvictionRank.STALLED)
+            while sock.fd.recv(65536) and not state._poll(select.POLLOUT):
+                time.sleep(0.001)  # No other green thread runs.
+            self.assertIsNone(state.find_eviction_rank())
+
 
 class StreamedBodyTests(ConnectionLimitCase):
     """Guards against requests that are refused while an endpoint receives them."""
