Forwarding: another node's refusal of an unread request is no endpoint's answer

What callers saw: nothing yet; found by reading. A node that was refused at the limit of connections or memory of the next one, or whose forwarded head was not accepted, passed that on as an endpoint's answer and asked no third node.

Cause: refusals before a request is read to its end lack the header that marks a node's own refusals, on the address for forwarded requests too.

Change: they have it there. With connection-limit and memory-limit the next node is asked, as none has run the request. One constant holds the seconds of Retry-After.

Ruled out: the header on all addresses (it is between nodes).

Result: test_a_node_without_room and test_refusals_are_marked_for_other_nodes_only; the first fails without the change of forwarding (an empty answer in place of the next node's).

--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -15,8 +15,13 @@
 from hingesill_node.datapath.callerstream import EVICTED, CallerStream
 from hingesill_node.datapath.connectionstate import ConnectionEnd, ConnectionPhase
 from hingesill_node.datapath.environment import RequestEnvironment
-from hingesill_node.datapath.headers import HeaderNames
-from hingesill_node.datapath.refusals import DEFAULT_STATUS, REASON_PHRASES, STATUSES
+from hingesill_node.datapath.headers import ForwardHeaders, HeaderNames
+from hingesill_node.datapath.refusals import (
+    DEFAULT_STATUS,
+    LIMIT_RETRY_SECONDS,
+    REASON_PHRASES,
+    STATUSES,
+)
 from hingesill_node.datapath.requestinput import RequestInput
 from hingesill_node.datapath.requestmemory import Holding
 from hingesill_node.datapath.requests import RequestFault, parse_head, receive_head
@@ -39,11 +44,11 @@
     "HTTP/1.1 {status} {phrase}\r\n"
     f"{HeaderNames.OUTCOME}: {Outcome.NOT_RUN.value}\r\n"
     f"{HeaderNames.REASON}: {{reason}}\r\n"
-    "{again}{close}Content-Length: 0\r\n\r\n"
+    "{result}{again}{close}Content-Length: 0\r\n\r\n"
 )
+RESULT_LINE = f"{ForwardHeaders.RESULT}: {Outcome.NOT_RUN.value} {{}}\r\n"
 CLOSE_LINE = "Connection: close\r\n"
-# Seconds after which connections that take up all places have made room.
-RETRY_LINE = "Retry-After: 1\r\n"
+RETRY_LINE = f"Retry-After: {LIMIT_RETRY_SECONDS}\r\n"
 
 
 class CallerProtocol(wsgi.HttpProtocol):
@@ -297,22 +302,24 @@
         self.fault_log.write("head", fault, self.client_address[0])
         # The caller is gone unless it has only closed its sending side.
         with suppress(OSError):
-            self.wfile.write(build_head_refusal(fault.reason, self.counters, is_last))
+            self.wfile.write(build_head_refusal(fault.reason, self.server, is_last))
             self.wfile.flush()
 
 
-def build_head_refusal(reason, counters, is_last=True):
+def build_head_refusal(reason, server, is_last=True):
     """Return the refusal of a request that is not served, and count it.
 
     Parameters
     ----------
     reason : RefusalReason
         Its reason.
-    counters : Counters
-        Counts ``refusals`` and ``requests``.
+    server : CallerServer
+        Counts it, and knows whether the request was forwarded by another node, which
+        must not take the refusal for an endpoint's answer.
     is_last : bool
         Whether the connection is closed after it.
     """
+    counters = server.counters
     counters.add("refusals", "", reason.value)
     counters.add("requests", "", Outcome.NOT_RUN.value)
     status = STATUSES.get(reason, DEFAULT_STATUS)
@@ -321,6 +328,7 @@
         status=status,
         phrase=REASON_PHRASES[status],
         reason=reason.value,
+        result=RESULT_LINE.format(reason.value) if server.is_forwarded else "",
         again=again,
         close=CLOSE_LINE if is_last else "",
     )
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -19,6 +19,7 @@
     filter_headers,
 )
 from hingesill_node.datapath.messages import Answer
+from hingesill_node.datapath.refusals import LIMIT_REASONS
 from hingesill_node.datapath.requesttimeline import StepKind
 from hingesill_node.datapath.transport import (
     TRANSPORT_ERRORS,
@@ -50,6 +51,7 @@
         RefusalReason.NO_ROUTE.value,
         RefusalReason.NODE_STOPPING.value,
         RefusalReason.UNKNOWN_NODE.value,
+        *(reason.value for reason in LIMIT_REASONS),
     }
 )
 
--- a/packages/hingesill-node/hingesill_node/datapath/refusals.py
+++ b/packages/hingesill-node/hingesill_node/datapath/refusals.py
@@ -55,7 +55,7 @@
 # Reasons for which a request is refused before it was read to its end, because of the
 # limits of the VM, and the seconds after which connections have made room.
 LIMIT_REASONS = frozenset({RefusalReason.CONNECTION_LIMIT, RefusalReason.MEMORY_LIMIT})
-LIMIT_RETRY_SECONDS = 1.0
+LIMIT_RETRY_SECONDS = 1
 # Reasons for which the end of the request is not known, or not read. With any other
 # one, requests that were read with the refused one are answered.
 CLOSING_REASONS = frozenset(
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -25,11 +25,13 @@
 from hingesill_node.resources import ServerLimits
 from hingesill_node.telemetry.events import Event, log_event
 
-__all__ = ["CallerServer", "listen", "start_server"]
+__all__ = ["FORWARDED", "CallerServer", "listen", "start_server"]
 
 KEEP_ALIVE_SECONDS = 60
 SOCKET_TIMEOUT_SECONDS = 30
 DEFAULT_LIMITS = ServerLimits()
+# Name of the address for requests that other nodes forward.
+FORWARDED = "forwarded"
 # Connections that are accepted before other green threads run.
 ACCEPTS_PER_TURN = 16
 # Bytes of a refused connection that are dropped.
@@ -60,6 +62,8 @@
     ----------
     is_accepting : bool
         Whether the address is open.
+    is_forwarded : bool
+        Whether its requests are forwarded by other nodes.
     reads_ahead : bool
         Whether a connection may read more than one request at a time.
     """
@@ -86,7 +90,8 @@
         self.is_accepting = True
         self.reads_ahead = True
         self.limits = limits
-        self._counters = counters
+        self.is_forwarded = listener == FORWARDED
+        self.counters = counters
         self._fault_log = RequestFaultLog(listener)
         self._connection_log = ConnectionLog(listener, counters)
         self._connections = ConnectionTable(limits.connections)
@@ -124,7 +129,7 @@
 
     def _refuse(self, state):
         """Refuse a connection without reading its request, and close it."""
-        refusal = build_head_refusal(RefusalReason.CONNECTION_LIMIT, self._counters)
+        refusal = build_head_refusal(RefusalReason.CONNECTION_LIMIT, self)
         with suppress(OSError):
             # A socket that is closed with unread bytes is reset.
             state.sock.fd.recv(REFUSED_BYTES, socket.MSG_DONTWAIT)
@@ -136,7 +141,7 @@
 
     def _serve(self, state):
         try:
-            CallerProtocol(state, self._counters, self._fault_log, self)
+            CallerProtocol(state, self.counters, self._fault_log, self)
         except Exception as error:
             state.end = ConnectionEnd.CUT
             log_event(Event.REQUEST_FAULT, error=repr(error))
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
@@ -18,6 +18,7 @@
     AcceptingApplication,
     CallerService,
     close_all,
+    end_by_half_close,
     read_to_end,
 )
 from hingesill_node.datapath.tests.test_connection_ends import GatedApplication
@@ -213,6 +214,17 @@
         self.check_served()
 
 
+class ForwardedRefusalTests(ConnectionLimitCase):
+    """Guards against refusals that another node takes for an endpoint's answer."""
+
+    def test_refusals_are_marked_for_other_nodes_only(self):
+        for listener, is_marked in (("callers", False), ("forwarded", True)):
+            for data in (b"\x00\r\n\r\n", GET[:50]):
+                received = self.service.send(data, end_by_half_close, listener)
+                marked = b"\r\nHingesill-Forward-Refusal: not-run " in received
+                self.assertEqual(marked, is_marked, received)
+
+
 class LimitTests(unittest.TestCase):
     """Tests of the connections that the memory and the descriptors allow."""
 
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_forwarding.py
@@ -2,11 +2,14 @@
 
 import unittest
 from contextlib import suppress
+from types import SimpleNamespace
 
 import eventlet
 
 from hingesill_core.discovery.records import NodeRecord
+from hingesill_core.reasons import RefusalReason
 from hingesill_core.routing.messages import Refusal, Ticket
+from hingesill_node.datapath.callerprotocol import build_head_refusal
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.forwarding import Forwarder
 from hingesill_node.datapath.messages import Body, CallerRequest
@@ -41,6 +44,16 @@
             sock.sendall(b"Content-Length: 4\r\n\r\nlate")
 
 
+class FullNode(LateNode):
+    """Another node that refuses connections, as too many are open."""
+
+    def answer(self, sock, address):
+        self.received += bool(sock.recv(65536))
+        server = SimpleNamespace(is_forwarded=True, counters=Counters())
+        sock.sendall(build_head_refusal(RefusalReason.CONNECTION_LIMIT, server))
+        sock.close()
+
+
 class LateNodeTests(unittest.TestCase):
     """Guards against requests given up while an endpoint works for another node."""
 
@@ -71,6 +84,14 @@
         self.check_served([node], tokens=5.0)
         self.assertEqual(node.received, 1)
 
+    def test_a_node_without_room(self):
+        """Guards against refusals of another node that count as endpoints' answers."""
+        full, late = FullNode(self, "n2", 0.0), LateNode(self, "n3", 0.0)
+        self.check_served([full, late], tokens=5.0)
+        result = self.forward([full], tokens=5.0)
+        self.assertIsNone(result)
+        self.assertGreater(full.received, 0)
+
     def test_a_retry_through_another_node(self):
         nodes = [LateNode(self, f"n{n}", 2 * LIMIT_SECONDS) for n in (2, 3)]
         self.forward(nodes, tokens=5.0)
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -18,7 +18,7 @@
 from hingesill_node.datapath.forwarding import Forwarder
 from hingesill_node.datapath.requestmemory import RequestMemory
 from hingesill_node.datapath.runnertable import RunnerTable
-from hingesill_node.datapath.server import listen, start_server
+from hingesill_node.datapath.server import FORWARDED, listen, start_server
 from hingesill_node.datapath.wire import OwnFormat
 from hingesill_node.lifecycle import Lifecycle
 from hingesill_node.organisations import build_figures
@@ -218,7 +218,7 @@
             self.runners.clock,
         )
         entry = ForwardEntry(self.application, forwarder.peers.is_member)
-        server = self._serve(listener, entry, "forwarded", self.memory)
+        server = self._serve(listener, entry, FORWARDED, self.memory)
         self._forward_servers.append(server)
         return ""
 
