Limits on clients: each has a setting, and refusals by them an event of their own

Cause: two limits were constants (unread bytes, extensions and trailers), and refusals by a limit were logged as incomplete or malformed requests (6007).

Change: setting receive_buffer_bytes (16,384 as before), from which the memory of a connection is computed, and which an early listener gets, too; extensions and trailers are limited by max_head_bytes (65,536 as before).

Ruled out: a setting for the buffers of connections to endpoints (not a limit on clients).

Result: the tests of these modules; test_an_early_listener_gets_the_size_in_the_settings.

--- a/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
+++ b/packages/hingesill-node/hingesill_node/datapath/callerprotocol.py
@@ -14,7 +14,6 @@
 from hingesill_node.datapath.calleroutput import CallerOutput
 from hingesill_node.datapath.callerstream import EVICTED, CallerStream
 from hingesill_node.datapath.connectionstate import ConnectionEnd, ConnectionPhase
-from hingesill_node.datapath.environment import RequestEnvironment
 from hingesill_node.datapath.headers import ForwardHeaders, HeaderNames
 from hingesill_node.datapath.refusals import (
     DEFAULT_STATUS,
@@ -22,6 +21,7 @@
     REASON_PHRASES,
     STATUSES,
 )
+from hingesill_node.datapath.requestenvironment import RequestEnvironment
 from hingesill_node.datapath.requestinput import RequestInput
 from hingesill_node.datapath.requestmemory import Holding
 from hingesill_node.datapath.requests import RequestFault, parse_head, receive_head
@@ -170,6 +170,7 @@
             self.wfile if is_expected else None,
             CONTINUE_LINE if is_expected else None,
             has_chunks,
+            max_framing_bytes=self.server.limits.head_bytes,
         )
 
     def begin_exchange(self):
--- a/packages/hingesill-node/hingesill_node/datapath/requestfaultlog.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requestfaultlog.py
@@ -1,7 +1,8 @@
-"""Log of requests that are refused because they are incomplete or malformed."""
+"""Log of requests that are refused before they are read to their end."""
 
 import time
 
+from hingesill_core.reasons import RefusalReason
 from hingesill_node.telemetry.events import Event, log_event
 from hingesill_node.telemetry.lograte import LogRate
 
@@ -9,6 +10,11 @@
 
 # Leaves most of the node's log lines to other events.
 MAX_LOG_LINES_PER_SECOND = 50
+LOGGED_REASONS = {
+    RefusalReason.CONNECTION_LIMIT: Event.REQUEST_BEYOND_LIMIT,
+    RefusalReason.MEMORY_LIMIT: Event.REQUEST_BEYOND_LIMIT,
+    RefusalReason.HEAD_TOO_LARGE: Event.REQUEST_BEYOND_LIMIT,
+}
 
 
 class RequestFaultLog:
@@ -42,7 +48,7 @@
         """
         if self._rate.admit():
             log_event(
-                Event.REQUEST_NOT_WHOLE,
+                LOGGED_REASONS.get(fault.reason, Event.REQUEST_NOT_WHOLE),
                 part=part,
                 listener=self.listener,
                 caller=caller,
--- a/packages/hingesill-node/hingesill_node/datapath/requestinput.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requestinput.py
@@ -16,8 +16,6 @@
 
 # Makes the parser expect chunks, whatever the method and headers of the request.
 CHUNKED_HEAD = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-# Bytes in a row that hold no body, such as extensions of chunks and trailers.
-MAX_FRAMING_BYTES = 64 * 1024
 # A chunked body ends with an empty line; it may contain these bytes earlier, too.
 EMPTY_LINE = b"\n\r\n"
 
@@ -45,15 +43,19 @@
     ----------
     source : BufferedReader
         The connection; bytes after the body are left in it.
+    max_framing_bytes : int
+        Maximum number of bytes in a row that hold no body, such as extensions of chunks
+        and trailers.
     """
 
-    def __init__(self, source):
+    def __init__(self, source, max_framing_bytes):
         self._source = source
         self._decoded = DecodedChunks()
         self._parser = httptools.HttpRequestParser(self._decoded)
         self._parser.feed_data(CHUNKED_HEAD)
         self._last_bytes = b""
         self._framing_bytes = 0
+        self._max_framing_bytes = max_framing_bytes
 
     @property
     def is_complete(self):
@@ -90,7 +92,7 @@
             raise RequestFault(RefusalReason.BAD_FRAMING, str(error)) from error
         has_body = len(self._decoded.data) > decoded
         self._framing_bytes = 0 if has_body else self._framing_bytes + len(data)
-        if self._framing_bytes > MAX_FRAMING_BYTES:
+        if self._framing_bytes > self._max_framing_bytes:
             detail = "an extension of a chunk, or the trailers, are too long"
             raise RequestFault(RefusalReason.BAD_FRAMING, detail)
 
@@ -103,11 +105,19 @@
 
 
 class RequestInput(wsgi.Input):
-    """Replaces the input stream of eventlet's server; see there for parameters."""
+    """Replaces the input stream of eventlet's server; see there for parameters.
 
-    def __init__(self, rfile, *arguments, **options):
-        super().__init__(rfile, *arguments, **options)
-        self._chunks = ChunkedBody(rfile) if self.chunked_input else None
+    Parameters
+    ----------
+    max_framing_bytes : int
+        See `ChunkedBody`.
+    """
+
+    def __init__(self, rfile, *arguments, max_framing_bytes):
+        super().__init__(rfile, *arguments)
+        self._chunks = None
+        if self.chunked_input:
+            self._chunks = ChunkedBody(rfile, max_framing_bytes)
 
     @property
     def is_whole(self):
--- a/packages/hingesill-node/hingesill_node/datapath/server.py
+++ b/packages/hingesill-node/hingesill_node/datapath/server.py
@@ -21,7 +21,11 @@
 from hingesill_node.datapath.connectiontable import ConnectionTable
 from hingesill_node.datapath.requestfaultlog import RequestFaultLog
 from hingesill_node.datapath.requestmemory import RequestMemory
-from hingesill_node.listeners import open_listener, pop_early_listener
+from hingesill_node.listeners import (
+    RECEIVE_BUFFER_BYTES,
+    open_listener,
+    pop_early_listener,
+)
 from hingesill_node.resources import ServerLimits
 from hingesill_node.telemetry.events import Event, log_event
 
@@ -195,7 +199,7 @@
         self.close_idle()
 
 
-def listen(address, reuse_port):
+def listen(address, reuse_port, receive_buffer_bytes=RECEIVE_BUFFER_BYTES):
     """Return a listening green socket, from a socket opened early if there is one.
 
     Parameters
@@ -204,15 +208,17 @@
         ``IP:PORT``; port 0 selects a free port.
     reuse_port : bool
         Whether several nodes of a VM share the port.
+    receive_buffer_bytes : int
+        Bytes that may lie unread on each connection that is accepted.
 
     Raises
     ------
     OSError
         If listening on the address fails.
     """
-    return GreenSocket(
-        pop_early_listener(address) or open_listener(address, reuse_port)
-    )
+    sock = pop_early_listener(address) or open_listener(address, reuse_port)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+    return GreenSocket(sock)
 
 
 def start_server(
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connectiontable.py
@@ -22,6 +22,7 @@
     read_to_end,
 )
 from hingesill_node.datapath.tests.test_connection_ends import GatedApplication
+from hingesill_node.listeners import RECEIVE_BUFFER_BYTES
 from hingesill_node.resources import MEBIBYTE, SHARES, ServerLimits, compute_connections
 
 CONNECTIONS = 3
@@ -231,7 +232,9 @@
     def test_all_addresses_leave_a_part_of_the_vm(self):
         for memory, descriptors in ((300, 4100), (200, 4100), (552, 10_092)):
             counts = {
-                name: compute_connections(share, memory * MEBIBYTE, descriptors)
+                name: compute_connections(
+                    share, memory * MEBIBYTE, descriptors, RECEIVE_BUFFER_BYTES
+                )
                 for name, share in SHARES.items()
             }
             self.assertGreater(counts["callers"], 1000)
@@ -240,4 +243,4 @@
 
     def test_some_connections_always_fit(self):
         for share in SHARES.values():
-            self.assertGreater(compute_connections(share, MEBIBYTE, 0), 0)
+            self.assertGreater(compute_connections(share, MEBIBYTE, 0, 1), 0)
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_turns.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_turns.py
@@ -5,7 +5,6 @@
 import eventlet
 
 from hingesill_node.datapath import callerprotocol, turns
-from hingesill_node.datapath.requestinput import MAX_FRAMING_BYTES
 from hingesill_node.datapath.tests.callerservice import (
     BODY,
     CHUNKED_HEAD,
@@ -17,6 +16,7 @@
     end_by_half_close,
 )
 from hingesill_node.datapath.turns import Turn, TurnGate
+from hingesill_node.resources import ServerLimits
 
 CONNECTIONS = 20
 ROUNDS = 20
@@ -102,7 +102,7 @@
         return received, service.accepted
 
     def test_extensions_and_trailers(self):
-        size = MAX_FRAMING_BYTES + 8 * 1024
+        size = ServerLimits().head_bytes + 8 * 1024
         extension = b"1;" + b"a" * size
         trailers = b"1\r\na\r\n0\r\n" + b"a: b\r\n" * (size // 6)
         for body in (extension, trailers):
--- a/packages/hingesill-node/hingesill_node/discovery/control.py
+++ b/packages/hingesill-node/hingesill_node/discovery/control.py
@@ -128,7 +128,8 @@
     def start(self, runners):
         """See `node.Control`."""
         try:
-            listener = listen(self.address, False)
+            unread = self.settings.receive_buffer_bytes
+            listener = listen(self.address, False, unread)
         except OSError as error:
             return f"control_address {self.address}: {error.strerror}"
         follower = self.follower
--- a/packages/hingesill-node/hingesill_node/node.py
+++ b/packages/hingesill-node/hingesill_node/node.py
@@ -206,7 +206,7 @@
             return ""
         address = f"{split_host(self.control.address)}:{self.settings.forward_port}"
         try:
-            listener = listen(address, False)
+            listener = self._listen_on(address)
         except OSError as error:
             return f"forward_port {address}: {error.strerror}"
         forwarder = self.runners.forwarder = Forwarder(
@@ -237,14 +237,18 @@
             lambda: self.read_figures(),
         )
 
+    def _listen_on(self, address, reuse_port=False):
+        """Return a listening socket; see `listen`."""
+        return listen(address, reuse_port, self.settings.receive_buffer_bytes)
+
     def _listen(self):
         """Return the two listening sockets, or an error message."""
         try:
-            callers = listen(self.settings.address, self.settings.reuse_port)
+            callers = self._listen_on(self.settings.address, self.settings.reuse_port)
         except OSError as error:
             return f"address {self.settings.address}: {error.strerror}"
         try:
-            return callers, listen(self.settings.admin_address, False)
+            return callers, self._listen_on(self.settings.admin_address)
         except OSError as error:
             return f"admin_address {self.settings.admin_address}: {error.strerror}"
 
--- a/packages/hingesill-node/hingesill_node/resources.py
+++ b/packages/hingesill-node/hingesill_node/resources.py
@@ -14,8 +14,10 @@
 
 # Descriptors that are left to files.
 FILE_DESCRIPTORS = 200
-# Memory of a connection that sends nothing, with the bytes that may lie unread.
-CONNECTION_BYTES = 48 * 1024
+# Memory of a connection that sends nothing.
+CONNECTION_BYTES = 16 * 1024
+# The kernel takes as much again for unread bytes as they are.
+UNREAD_COPIES = 2
 MIN_CONNECTIONS = 4
 # Part of the memory for requests and unread answers, all together.
 REQUEST_MEMORY_SHARE = 0.25
@@ -67,15 +69,17 @@
     """Return the ServerLimits of each address for validated settings."""
     memory = find_memory_bytes(settings)
     descriptors = settings.max_fds or read_descriptor_limit()
+    unread = settings.receive_buffer_bytes
     return {
         address: ServerLimits(
-            compute_connections(share, memory, descriptors), settings.max_head_bytes
+            compute_connections(share, memory, descriptors, unread),
+            settings.max_head_bytes,
         )
         for address, share in SHARES.items()
     }
 
 
-def compute_connections(share, memory, descriptors):
+def compute_connections(share, memory, descriptors, unread):
     """Return the number of connections that fit into a Share of the VM.
 
     Parameters
@@ -86,8 +90,11 @@
         Memory of the process in bytes.
     descriptors : int
         Descriptors of the process.
+    unread : int
+        Bytes that may lie unread on a connection.
     """
-    by_memory = share.memory * memory / CONNECTION_BYTES
+    connection = CONNECTION_BYTES + UNREAD_COPIES * unread
+    by_memory = share.memory * memory / connection
     by_descriptors = share.descriptors * (descriptors - FILE_DESCRIPTORS)
     fitting = int(min(by_memory, by_descriptors, MAX_CONNECTIONS))
     return max(MIN_CONNECTIONS, fitting)
--- a/packages/hingesill-node/hingesill_node/settings.py
+++ b/packages/hingesill-node/hingesill_node/settings.py
@@ -10,6 +10,7 @@
 from hingesill_core.findings import Findings
 from hingesill_core.validation import build_model
 from hingesill_node.discovery.source import SOURCES
+from hingesill_node.listeners import RECEIVE_BUFFER_BYTES
 
 __all__ = ["Settings", "build_settings", "make_suffix"]
 
@@ -294,12 +295,22 @@
             "the limits of connections are computed; 0 for the limit of the process.",
         ),
     ] = 0
+    receive_buffer_bytes: Annotated[
+        int,
+        Meta(
+            ge=4096,
+            le=64 * 1024 * 1024,
+            description="Bytes that may lie unread on each connection of a client or "
+            "another node; it sends more only when these are read.",
+        ),
+    ] = RECEIVE_BUFFER_BYTES
     max_head_bytes: Annotated[
         int,
         Meta(
             ge=1024,
             le=1024 * 1024,
-            description="Maximum size in bytes of the head of a request.",
+            description="Maximum size in bytes of the head of a request, and of the "
+            "extensions and trailers of a chunked body.",
         ),
     ] = (
         64 * 1024
--- a/packages/hingesill-node/hingesill_node/telemetry/events.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/events.py
@@ -172,6 +172,11 @@
         logging.WARNING,
         "a connection was refused because too many are open",
     )
+    REQUEST_BEYOND_LIMIT = (
+        6012,
+        logging.WARNING,
+        "a request was refused because of a limit on clients",
+    )
     OVER_QUOTA = (7001, logging.WARNING, "an organisation is over its quota")
     WITHIN_QUOTA = (7002, logging.INFO, "an organisation is within its quota again")
     COORDINATOR_LOST = (
--- a/packages/hingesill-node/hingesill_node/tests/test_listeners.py
+++ b/packages/hingesill-node/hingesill_node/tests/test_listeners.py
@@ -62,3 +62,11 @@
                 client.sendall(b"x" * 8_000_000)
             received = len(accepted.fd.recv(8_000_000, socket.MSG_PEEK))
         self.assertLessEqual(received, 2 * RECEIVE_BUFFER_BYTES)
+
+    def test_an_early_listener_gets_the_size_in_the_settings(self):
+        address = find_free_address()
+        open_early_listener(address)
+        server = listen(address, False, 8 * 1024)
+        self.addCleanup(server.close)
+        size = server.fd.getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        self.assertEqual(size, 2 * 8 * 1024)
