Connections: an answer counts only for the send that it answers

Callers saw: a move was refused with 503, 429 or 421, the promise that it had not run, and ran. A caller that trusts the promise sends it again; with three sends the node did.

Cause: two sends of one request have the same id, and the retry took the connection that had carried the first send. A second copy of the refusal then counted as the retry's answer. On used connections, bytes without an id and with a status from 400 on counted as a refusal of the request in flight.

Change: a connection remembers the ids that it carried, and a request takes one that has not carried its id. An answer without an id counts only on a connection that has carried nothing else; a request without an id gets such a connection. Load queries skip answers that name a request. In the own dialect, endpoints may name requests in their answers; the connection of a refusal that names none is closed. A counter and a step of the log line show what was dropped.

Why it works: on such a connection only the send in flight can be named by an answer with its id. The endpoint's own refusals are all still read.

Ruled out: not believing refusals on used connections (loses true ones), closing after each refusal (opens connections to full endpoints), an id for each send (endpoints get the caller's).

--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -5,6 +5,7 @@
 """
 
 import socket
+import sys
 import time
 from collections import deque
 from http.client import HTTPConnection
@@ -18,6 +19,9 @@
 CONNECT_TIMEOUT_SECONDS = 0.25
 IDLE_SECONDS = 5.0
 IDLE_MARGIN_SECONDS = 1.5
+# Requests after which a connection is closed, as it remembers the id of each.
+MAX_REQUESTS = 2048
+ID_BYTES = 8
 # Bytes of an answer that an endpoint may send before they are read.
 RECEIVE_BUFFER_BYTES = 64 * 1024
 
@@ -45,8 +49,9 @@
         self.address = address
         self.connect_timeout = connect_timeout
         self.idle_until = 0.0
-        self.used = False
         self.method = ""
+        self.requests = 0
+        self._ids = bytearray()
         self._collected = None
         self._response = None
 
@@ -84,12 +89,42 @@
         if parts:
             self.sock.sendall(b"".join(parts))
 
-    def begin(self, method, target):
-        """Begin a request; the previous response must have been read completely."""
+    def begin(self, method, target, request_id=None):
+        """Begin a request; the previous response must have been read completely.
+
+        Parameters
+        ----------
+        method, target : str
+            Method and target of the request.
+        request_id : str or None
+            Its id; None for a request that endpoints do not run.
+        """
         self.method = method
+        self.requests += 1
+        if request_id is not None:
+            self._ids += digest_id(request_id)
         self.reset_state()
         self.putrequest(method, target, skip_host=True, skip_accept_encoding=True)
 
+    def has_carried(self, request_id):
+        """Return whether an earlier request had this id.
+
+        Notes
+        -----
+        It may return True for another id, which costs another connection at most.
+        """
+        return digest_id(request_id) in self._ids
+
+    @property
+    def is_first_request(self):
+        """Whether the connection has carried no request before the current one."""
+        return self.requests <= 1
+
+    @property
+    def can_carry_more(self):
+        """Whether the connection can remember further requests."""
+        return self.requests < MAX_REQUESTS
+
     def put_fields(self, fields):
         """Add all header fields of a message; see `HeaderFields`."""
         if len(fields):
@@ -125,6 +160,11 @@
         self._response.read_head()
         return self._response
 
+    @property
+    def skipped_answers(self):
+        """Number of responses that were dropped while the last one was read."""
+        return 0 if self._response is None else self._response.skipped
+
     def set_time_limit(self, seconds):
         """Set the timeout of each later read and write."""
         self.sock.settimeout(seconds)
@@ -140,6 +180,11 @@
         return True
 
 
+def digest_id(request_id):
+    """Return a few bytes that differ for different ids of requests."""
+    return hash(request_id).to_bytes(ID_BYTES, sys.byteorder, signed=True)
+
+
 class Pool:
     """Idle connections to one endpoint.
 
@@ -174,26 +219,42 @@
         self._closed = False
         self.open_count = 0
 
-    def acquire(self):
+    def acquire(self, request_id=None):
         """Return an open connection, or raise ConnectFailed.
 
+        Parameters
+        ----------
+        request_id : str or None
+            Id of a request that the connection must not have carried before.
+
         Notes
         -----
         The most recently used connection comes first. A connection that was idle for
         too long is closed: the endpoint may be about to close it, which would fail a
         request that must not be repeated.
+
+        An endpoint may answer a request twice. A connection that carries a request only
+        once has no answer to an earlier send of it.
         """
         now = self._clock()
-        while self._idle:
-            connection = self._idle.pop()
-            if connection.idle_until < now or connection.is_stale():
-                self.discard(connection)
-                continue
-            connection.used = True
-            return connection
-        return self._open()
-
-    def _open(self):
+        carried = []
+        try:
+            while self._idle:
+                connection = self._idle.pop()
+                if connection.idle_until < now or connection.is_stale():
+                    self.discard(connection)
+                elif request_id is None or not connection.has_carried(request_id):
+                    return connection
+                else:
+                    carried.append(connection)
+        finally:
+            self._idle.extend(reversed(carried))
+        return self.acquire_new()
+
+    def acquire_new(self):
+        """Return a connection that has carried nothing, or raise ConnectFailed."""
+        if self.open_count >= self.limit and self._idle:
+            self.discard(self._idle.popleft())
         if self.open_count >= self.limit:
             raise PoolFull(
                 f"{self.address}: limit of connections to the endpoint reached"
@@ -225,7 +286,7 @@
         if idle_seconds is not None:
             keep_seconds = max(0.0, idle_seconds - IDLE_MARGIN_SECONDS)
         connection.idle_until = self._clock() + keep_seconds
-        if self._closed:
+        if self._closed or not connection.can_carry_more:
             self.discard(connection)
         else:
             self._idle.append(connection)
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -370,15 +370,7 @@
         connection = live.connection
         connection.set_time_limit(READ_TIMEOUT_SECONDS)
         try:
-            now = self.clock()
-            result = read_result(
-                live,
-                now,
-                self.runner.count_in_flight(live.send.endpoint),
-                self.wire,
-                self.request.request_id,
-                self.ticket.deadline - now,
-            )
+            result = self._read_head(live)
             self.runner.record_head(live.send, result)
             if result.end is SendStatus.REFUSED:
                 keep = self._drain_short_body(live)
@@ -393,6 +385,25 @@
         except OSError:
             return self.sends.end(live, SendResult(SendStatus.LOST))
 
+    def _read_head(self, live):
+        """Return the SendResult in an answer's head; see `read_result`."""
+        now = self.clock()
+        try:
+            return read_result(
+                live,
+                now,
+                self.runner.count_in_flight(live.send.endpoint),
+                self.wire,
+                self.request.request_id,
+                self.ticket.deadline - now,
+            )
+        finally:
+            skipped = live.connection.skipped_answers
+            if skipped:
+                self.counters.add("skipped_answers", self.service, amount=skipped)
+                detail = f"{skipped} other answers"
+                self.add_step(StepKind.SKIPPED, live.send.endpoint, detail)
+
     def _save_fault_answer(self, answer):
         """Save an endpoint's fault for the caller, unless it would mislead.
 
@@ -410,6 +421,7 @@
         return (
             response.read_short(MAX_BUFFERED_BODY_BYTES) is not None
             and response.can_keep
+            and self.wire.may_reuse_after(response)
         )
 
     def _build_answer(self, live, result):
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -198,7 +198,7 @@
         exchange, ticket = self.exchange, self.exchange.ticket
         exchange.add_step(StepKind.FORWARDED, self.node.name)
         try:
-            self._connection = self.pool.acquire()
+            self._connection = self.pool.acquire(exchange.request.request_id)
         except ConnectFailed:
             return self._end_unsent("connect-failed")
         request = exchange.request
--- a/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/loadqueries.py
@@ -165,7 +165,7 @@
         connection.endheaders()
         sent_at = self.runner.clock()
         connection.flush()
-        response = connection.read_head(seconds=REPLY_TIMEOUT_SECONDS)
+        response = connection.read_head(self.wire.is_load_reply, REPLY_TIMEOUT_SECONDS)
         self.runner.dispatcher.reachability.record_heard(self.runner.clock())
         response.read_short(MAX_BODY_BYTES)
         if not self.wire.is_answer_of(response, endpoint):
@@ -186,7 +186,8 @@
             leaving=signals.leaving,
             sent_at=sent_at,
         )
-        return reply, response if response.can_keep else None
+        can_keep = response.can_keep and self.wire.may_reuse_after(response)
+        return reply, response if can_keep else None
 
     def _read_refusal(self, endpoint, response):
         """Return the LoadReply of an answer that does not name the endpoint.
--- a/packages/hingesill-node/hingesill_node/datapath/requesttimeline.py
+++ b/packages/hingesill-node/hingesill_node/datapath/requesttimeline.py
@@ -19,6 +19,7 @@
     SENT = "sent"
     HEDGED = "hedged"
     ENDED = "ended"
+    SKIPPED = "skipped"
     RETRIED = "retried"
     NOT_RETRIED = "not-retried"
     CALLER_GONE = "caller-gone"
--- a/packages/hingesill-node/hingesill_node/datapath/responses.py
+++ b/packages/hingesill-node/hingesill_node/datapath/responses.py
@@ -65,6 +65,8 @@
         Length of the body, if the head has it.
     complete : bool
         Whether the response was read completely.
+    skipped : int
+        Number of responses that were dropped, as they belong to no request or another.
     """
 
     def __init__(self, sock, method, is_own=None, seconds=None):
@@ -80,6 +82,7 @@
         self._head_done = False
         self._must_close = False
         self._unsolicited = False
+        self.skipped = 0
         self._begin()
 
     def _begin(self):
@@ -131,6 +134,7 @@
         if self._is_own is not None and not self._is_own(self):
             self._mismatched = True
             self._must_close = True
+            self.skipped += 1
             return
         self._head_done = True
         if self._method == "HEAD" or self.status in BODYLESS_STATUSES:
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -98,7 +98,7 @@
         live.connection = reply_connection
         self.live_sends.append(live)
         try:
-            connect(live)
+            connect(live, self.request, self.wire)
             if self._close_if_settled(live):
                 return live
             # The key may have been removed while the connection was opened.
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_exchange.py
@@ -31,7 +31,7 @@
     def __init__(self):
         self.discarded = []
 
-    def acquire(self):
+    def acquire(self, request_id=None):
         return "connection"
 
     def discard(self, connection):
@@ -50,7 +50,7 @@
     def collect(self):
         pass
 
-    def begin(self, method, target):
+    def begin(self, method, target, request_id):
         self.written.append(target)
         raise ConnectionResetError
 
@@ -65,7 +65,7 @@
         self.connection = RecordingConnection()
         self.returned = []
 
-    def acquire(self):
+    def acquire(self, request_id=None):
         dispatcher = self.runner.dispatcher
         now = self.runner.clock()
         dispatcher.service_availability.record(
@@ -163,7 +163,7 @@
     def setUp(self):
         self.runner = build_runner()
         self.pool = self.runner.pools["i1"] = BackoffPool(self.runner)
-        self.pool.acquire = lambda: self.pool.connection
+        self.pool.acquire = lambda request_id: self.pool.connection
         now = self.runner.clock()
         ticket = Ticket(ROUTE, now, now + 2.0, may_retry=False)
         request = CallerRequest("r1", "GET", "/a/", [], Body(b"", 0), ticket)
@@ -219,7 +219,7 @@
     def start(self, settle_before_connecting):
         """Start a send during which the exchange cancels all its sends."""
 
-        def connect(live):
+        def connect(live, *_):
             if settle_before_connecting:
                 self.exchange._cancel_all()
             live.connection = live.pool.acquire()
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_loadqueries.py
@@ -88,7 +88,7 @@
     collect = flush = endheaders = lambda self: None
     begin = putheader = lambda self, name, value: None
 
-    def read_head(self, seconds):
+    def read_head(self, is_own, seconds):
         return self.response
 
 
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_quotas.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_quotas.py
@@ -35,7 +35,7 @@
     born = 0
     address = "127.0.0.1:1"
 
-    def acquire(self):
+    def acquire(self, request_id=None):
         return "connection"
 
     def release(self, connection, idle_seconds=None):
@@ -229,7 +229,7 @@
         self.assertEqual(self.quotas.get_tokens("zenith"), 1)
 
     def test_the_key_moves_while_the_connection_opens(self):
-        def connect(live):
+        def connect(live, *_):
             live.connection = live.pool.acquire()
             self.keys.organisation = ZENITH
 
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_suspension.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_suspension.py
@@ -29,6 +29,7 @@
     """Idle connection in a pool."""
 
     idle_until = 0.0
+    can_carry_more = True
 
     def is_stale(self):
         return False
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -30,16 +30,34 @@
     return isinstance(error.__cause__ or error, (TimeoutError, WaitTimeout))
 
 
-def connect(live):
-    """Acquire a connection from the pool unless the send has one already.
+def connect(live, request, wire):
+    """Acquire a connection on which only an answer to this send can name the request.
+
+    Parameters
+    ----------
+    live : LiveSend
+        The send; the connection that it may have already is used if possible.
+    request : CallerRequest
+        The request to send.
+    wire : OwnFormat
+        The HTTP dialect.
 
     Raises
     ------
     ConnectFailed
         If no connection could be opened.
     """
-    if live.connection is None:
-        live.connection = live.pool.acquire()
+    connection, live.connection = live.connection, None
+    is_named = wire.is_named(request)
+    if connection is not None:
+        if is_named and not connection.has_carried(request.request_id):
+            live.connection = connection
+            return
+        live.pool.release(connection)
+    if is_named:
+        live.connection = live.pool.acquire(request.request_id)
+    else:
+        live.connection = live.pool.acquire_new()
 
 
 def send_request(live, request, now, wire):
@@ -100,7 +118,7 @@
 
 def write_head(connection, request, fields, added):
     """Write the request line and the headers to the connection's buffer."""
-    connection.begin(request.method, request.target)
+    connection.begin(request.method, request.target, request.request_id)
     connection.put_fields(fields)
     for name, value in added:
         connection.putheader(name, value)
@@ -171,8 +189,9 @@
     WaitTimeout
         If it did not arrive in time.
     """
+    is_first = live.connection.is_first_request
     response = live.response = live.connection.read_head(
-        lambda received: wire.is_own_answer(received, request_id), seconds
+        lambda received: wire.is_own_answer(received, request_id, is_first), seconds
     )
     signals = wire.read_signals(response, now, own_in_flight - 1)
     return SendResult(
--- a/packages/hingesill-node/hingesill_node/datapath/wire.py
+++ b/packages/hingesill-node/hingesill_node/datapath/wire.py
@@ -125,10 +125,41 @@
         """Return the headers that the node adds to an endpoint's response."""
         return [(HeaderNames.REQUEST_ID, request_id), (HeaderNames.OUTCOME, "answered")]
 
-    def is_own_answer(self, response, request_id):
-        """Return whether a response may belong to the request."""
+    def is_named(self, request):
+        """Return whether endpoints get the id of a request."""
         return True
 
+    def is_own_answer(self, response, request_id, is_first=True):
+        """Return whether a response may belong to the request.
+
+        Parameters
+        ----------
+        response : EndpointResponse
+            The response; endpoints may put the id of the request into it.
+        request_id : str
+            Id of the request.
+        is_first : bool
+            Whether the connection has carried no request before.
+        """
+        named = response.get(HeaderNames.REQUEST_ID)
+        return is_first or named is None or named == request_id
+
+    def is_load_reply(self, response):
+        """Return whether a response may belong to a load query."""
+        return response.get(HeaderNames.REQUEST_ID) is None
+
+    def may_reuse_after(self, response):
+        """Return whether the connection of a refusal may carry other requests.
+
+        Notes
+        -----
+        A second copy of a refusal that names no request could be taken for that of
+        another request.
+        """
+        if response.get(HeaderNames.REQUEST_ID) is not None:
+            return True
+        return response.get(HeaderNames.OUTCOME) is None
+
     def is_answer_of(self, response, endpoint):
         """Return whether a reply to a load query may be from the endpoint."""
         return True
--- a/packages/hingesill-node/hingesill_node/telemetry/counters.py
+++ b/packages/hingesill-node/hingesill_node/telemetry/counters.py
@@ -15,6 +15,7 @@
     "connections": "Connections that ended, by address and how they ended.",
     "retries": "Requests sent again, or not, by service and reason.",
     "sends": "Sends to endpoints by service.",
+    "skipped_answers": "Answers dropped: of no request, or an earlier one.",
     "forwards": "Requests forwarded to other nodes, by service and result.",
     "probes": "Probes sent by service.",
     "probes_left_out": "Probes not sent as the connections were used up.",
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -83,7 +83,7 @@
         faults = self.faults
         if faults.get("shed_above") is not None:
             if self.running > faults["shed_above"]:
-                return self.shed(start_response)
+                return self.shed(environ, start_response)
         if path == "/health":
             self.probes += 1
             self.probe_times.append(time.monotonic())
@@ -120,15 +120,21 @@
         self.slots = Semaphore(SLOTS)
         self.running = 0
 
-    def shed(self, start_response):
+    def shed(self, environ, start_response):
         """Refuse the request as not run."""
         self.refused += 1
-        headers = [("Hingesill-Outcome", "not-run"), *self.list_state_headers()]
+        headers = [("Hingesill-Outcome", "not-run"), *self.list_headers(environ)]
         if self.faults.get("rest_s"):
             headers.append(("Retry-After", str(self.faults["rest_s"])))
         start_response("503 Service Unavailable", headers)
         return [b"full\n"]
 
+    def list_headers(self, environ):
+        """Return the headers of the answer to a request, with its id if it has one."""
+        request_id = environ.get("HTTP_HINGESILL_REQUEST_ID")
+        named = [("Hingesill-Request-Id", request_id)] if request_id else []
+        return [*named, *self.list_state_headers()]
+
     def list_state_headers(self):
         """Return the headers that report load and state."""
         faults = self.faults
@@ -147,7 +153,7 @@
         faults = self.faults
         request_id = environ.get("HTTP_HINGESILL_REQUEST_ID", "")
         if faults.get("fail_fast"):
-            start_response("500 Internal Server Error", self.list_state_headers())
+            start_response("500 Internal Server Error", self.list_headers(environ))
             return [b"fault\n"]
         body = read_body(environ)
         arrived = time.monotonic()
@@ -160,7 +166,7 @@
             with self.slots:
                 if self.is_obsolete(environ, arrived):
                     self.cancelled += 1
-                    return self.shed(start_response)
+                    return self.shed(environ, start_response)
                 self.ran[request_id] += 1
                 organisation = environ.get("HTTP_HINGESILL_ORGANISATION", "")
                 authorization = environ.get("HTTP_AUTHORIZATION", "")
@@ -228,7 +234,7 @@
             }
         ).encode()
         content = content.ljust(faults.get("body_bytes", 0), b" ")
-        headers = [("Content-Type", "application/json"), *self.list_state_headers()]
+        headers = [("Content-Type", "application/json"), *self.list_headers(environ)]
         headers.append(("Content-Length", str(len(content))))
         start_response("200 OK", headers)
         if faults.get("short") or faults.get("reset_after"):
