Answers: an endpoint's tiny chunks do not keep the node from other work

Callers saw: one endpoint sent a body of one-byte chunks without end; with four callers of its service, callers of all other services got no answer within 5 s, and the node's ready address was silent. Reported as a machine that ran out of memory; that does not show here.

Cause: each chunk was kept and passed on by itself, and the thread that read a fast endpoint paused only after 1 MiB, which is 170,000 such chunks.

Change: what one read brings of a body is one part.

Why it works: between two runs of any other thread, endless answers and requests together take one turn, whatever a byte costs.

Ruled out: a limit on the number of chunks (legal), fewer bytes to a pause (the cost of a byte differs by a factor of a thousand), threads (share the interpreter lock).

--- a/packages/hingesill-node/hingesill_node/datapath/responses.py
+++ b/packages/hingesill-node/hingesill_node/datapath/responses.py
@@ -7,10 +7,10 @@
 import re
 import time
 
-import eventlet
 import httptools
 
 from hingesill_node.datapath.headerfields import HeaderFields
+from hingesill_node.datapath.turns import Turn
 from hingesill_node.datapath.waits import WaitTimeout, receive
 
 __all__ = ["EndpointResponse", "MalformedResponse", "IncompleteResponse"]
@@ -20,9 +20,9 @@
 MAX_HEAD_BYTES = 64 * 1024
 # Bytes after a head that hold no body, such as extensions of chunks and trailers.
 MAX_FRAMING_BYTES = 64 * 1024
-# Bytes after which other green threads run, as a fast endpoint leaves nothing to wait
-# for.
-BYTES_PER_TURN = 1024 * 1024
+# Bytes that are parsed before the end of a turn is checked. Very small chunks or header
+# lines cost many times more than the same bytes of one body.
+PARSED_BYTES = 4 * 1024
 FIRST_FINAL_STATUS = 200
 IDLE_TIMEOUT = re.compile(r"timeout=(\d{1,6})")
 BODYLESS_STATUSES = frozenset({204, 304})
@@ -74,10 +74,10 @@
         self._method = method
         self._is_own = is_own
         self._parser = httptools.HttpResponseParser(self)
-        self._chunks = []
+        self._body = bytearray()
         self._received = 0
         self._framing = 0
-        self._turn = 0
+        self._turn = Turn()
         self._until = None if seconds is None else time.monotonic() + seconds
         self._head_done = False
         self._must_close = False
@@ -144,7 +144,8 @@
     def on_body(self, body):
         """Add a part of the body."""
         if not self._mismatched and not self.complete:
-            self._chunks.append(body)
+            self._body += body
+            self._framing = 0
 
     def on_message_complete(self):
         """Complete the response, or drop an interim or mismatched one."""
@@ -194,28 +195,24 @@
                 raise MalformedResponse("the response head is too long")
 
     def _receive(self):
-        """Read once from the socket and parse the data."""
-        self._yield_turn()
+        """Read once from the socket and parse the data, in turn with other readers."""
+        began_at = time.monotonic()
         data = receive(self._sock, RECEIVE_BYTES, self._get_remaining())
+        self._turn.end_read(began_at)
         if not data:
             self._handle_eof()
             return
         self._received += len(data)
-        self._turn += len(data)
-        parts = len(self._chunks)
-        self._parse(data)
-        if self._head_done and not self.complete:
-            self._framing = (
-                self._framing + len(data) if parts == len(self._chunks) else 0
-            )
-            if self._framing > MAX_FRAMING_BYTES:
-                raise MalformedResponse("the framing of the body is too long")
+        for start in range(0, len(data), PARSED_BYTES):
+            self._parse(data[start : start + PARSED_BYTES])
+            if self._turn.is_over():
+                self._turn.pause()
+                self._check_open()
 
-    def _yield_turn(self):
-        """Let other green threads run if this one has not waited for long."""
-        if self._turn >= BYTES_PER_TURN:
-            self._turn = 0
-            eventlet.sleep(0)
+    def _check_open(self):
+        """Raise IncompleteResponse if the connection was closed during a pause."""
+        if self._parser is None:
+            raise IncompleteResponse("the connection was closed on this side")
 
     def _get_remaining(self):
         """Return the seconds until the response must be read, None if not limited.
@@ -234,12 +231,17 @@
 
     def _parse(self, data):
         """Parse received data."""
+        self._framing += len(data)
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             if not self.complete:
                 raise MalformedResponse(str(error)) from error
             self._must_close = True
+        if not self._head_done or self.complete:
+            self._framing = 0
+        elif self._framing > MAX_FRAMING_BYTES:
+            raise MalformedResponse("the framing of the body is too long")
 
     def _handle_eof(self):
         """Complete an unframed body at the end of the connection, or raise."""
@@ -251,7 +253,7 @@
         self.complete = True
 
     def read_body(self):
-        """Yield the parts of the body as they are received, without a limit in all.
+        """Yield what was received of the body at a time, without a limit in all.
 
         Raises
         ------
@@ -260,8 +262,9 @@
         """
         self._until = None
         while True:
-            chunks, self._chunks = self._chunks, []
-            yield from chunks
+            body, self._body = self._body, bytearray()
+            if body:
+                yield bytes(body)
             if self.complete:
                 return
             self._receive()
@@ -278,7 +281,7 @@
         The part of a longer body that was read is kept for `read_body`.
         """
         while not self.complete:
-            if sum(map(len, self._chunks)) > limit:
+            if len(self._body) > limit:
                 return None
             self._receive()
         return self.read_whole()
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_endless_answers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_endless_answers.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from contextlib import suppress
+from unittest.mock import patch
 
 import eventlet
 from msgspec.structs import replace
@@ -11,9 +12,15 @@
 from hingesill_core.reasons import Outcome
 from hingesill_core.routing.fleetview import FleetView
 from hingesill_core.routing.messages import Refusal, Ticket
+from hingesill_node.datapath import turns
 from hingesill_node.datapath.exchange import Exchange
 from hingesill_node.datapath.messages import Body, CallerRequest
-from hingesill_node.datapath.responses import EndpointResponse, MalformedResponse
+from hingesill_node.datapath.responses import (
+    PARSED_BYTES,
+    EndpointResponse,
+    IncompleteResponse,
+    MalformedResponse,
+)
 from hingesill_node.datapath.runner import ServiceRunner
 from hingesill_node.datapath.tests.test_loadqueries import (
     ROUTE,
@@ -28,6 +35,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 FILLER = b"x" * 16_000
+TINY_CHUNK = b"1\r\nx\r\n"
 MAX_RECEIVED_BYTES = 1_000_000
 BODY_LIMIT = 64 * 1024
 LIMIT_SECONDS = 0.3
@@ -125,6 +133,44 @@
                     break
         self.assertGreater(len(turns), 10)
 
+    def read_head(self, part):
+        """Return a response with its head read, whose body repeats a part."""
+        self.send(CHUNKED, b"", pause=0.01)
+        response = EndpointResponse(self.client, "GET")
+        response.read_head()
+        response._sock = AlwaysReadable(part)
+        return response
+
+    def test_small_chunks_are_passed_on_together(self):
+        """Guards against a write to the caller for each byte of an answer."""
+        response = self.read_head(TINY_CHUNK * 1_000)
+        parts = itertools.islice(response.read_body(), 5)
+        self.assertEqual([len(part) for part in parts], [1_000] * 5)
+
+    def test_other_green_threads_run_while_small_chunks_are_parsed(self):
+        """Guards against one read of very small chunks that stops all other work."""
+        response = self.read_head(TINY_CHUNK * 10_000)
+        runs = []
+
+        def count_runs():
+            while True:
+                runs.append(len(runs))
+                eventlet.sleep(0)
+
+        thread = eventlet.spawn(count_runs)
+        self.addCleanup(thread.kill)
+        with patch.object(turns, "TURN_SECONDS", 0.0):
+            response._receive()
+        self.assertGreaterEqual(len(runs), 60_000 // PARSED_BYTES)
+
+    def test_a_response_that_is_closed_while_others_run(self):
+        """Guards against parts of an answer that are read after its connection."""
+        response = self.read_head(TINY_CHUNK * 10_000)
+        eventlet.spawn(response.release)
+        with patch.object(turns, "TURN_SECONDS", 0.0):
+            with self.assertRaises(IncompleteResponse):
+                response._receive()
+
     def test_a_body_that_trickles_in(self):
         self.client.settimeout(1.0)
         self.send(HEAD + b"\r\n", b"x", pause=0.01)
@@ -133,12 +179,15 @@
 
 
 class AlwaysReadable:
-    """A socket whose reads return data at once."""
+    """A socket whose reads return the same data at once."""
 
     fd = property(lambda self: self)
 
+    def __init__(self, data=FILLER):
+        self._data = data
+
     def recv(self, size):
-        return FILLER
+        return self._data
 
 
 class StoppedAnswerTests(unittest.TestCase):
