Stops: what cannot be answered before the end is refused, not cut

Callers saw: requests whose head or body began before a stopping node closed its address, and that became whole 3 to 5.6 s after SIGTERM, of 6 s of grace, were passed on, ran, and got no answer; moves among them.

Cause: a connection with a begun request was served as at any other time. What sends requests did not know when the process ends.

Change: the end of a planned stop is on the blackboard and in each dispatcher. A request is sent only if its deadline, or a slow answer of its route, fits into the time that is left; others get 503 node-stopping at once, as not run: on arrival, while they wait, and before each send, retry or hop. The end of a long body that is whole too late is kept back.

Why it works: the decision is made again right before each write, from the end of the process, the deadline and the slowest of the recent answers. What was passed on in time is answered as before.

Ruled out: refusing everything from the signal on (most are answered in time), a fixed time before the end (routes differ), answering 504 before the end (says no more than a close).

--- a/packages/hingesill-core/hingesill_core/limits/latency.py
+++ b/packages/hingesill-core/hingesill_core/limits/latency.py
@@ -5,6 +5,8 @@
 __all__ = ["LatencyEstimate"]
 
 STEP_SHARE = 0.05
+# Share by which each faster answer lowers the slowest one.
+SLOWEST_DECAY = 0.005
 INITIAL_SECONDS = 0.005
 MIN_MEDIAN_SECONDS = 0.0001
 MIN_RETRY_AFTER_SECONDS = 0.05
@@ -21,12 +23,15 @@
     p10 : float
         Running 10th percentile, so that a request is refused only if even a fast
         answer would be too late.
+    slowest : float
+        Slowest of about the last hundred answers.
     answers : int
         Number of answers recorded.
     """
 
     median: float = INITIAL_SECONDS
     p10: float = INITIAL_SECONDS / 2
+    slowest: float = 0.0
     answers: int = 0
 
     def record(self, seconds, load=1.0):
@@ -43,6 +48,7 @@
         if self.answers == 1:
             self.median = seconds
             self.p10 = seconds / 2
+        self.slowest = max(seconds, self.slowest * (1 - SLOWEST_DECAY))
         self._follow_median(seconds / load)
         step = STEP_SHARE * self.median
         self.p10 += step * (0.1 if seconds > self.p10 else -0.9)
--- a/packages/hingesill-core/hingesill_core/routing/dispatcher.py
+++ b/packages/hingesill-core/hingesill_core/routing/dispatcher.py
@@ -22,6 +22,7 @@
     SendStatus,
 )
 from hingesill_core.routing.overload import suggest_return
+from hingesill_core.routing.plannedstop import PlannedStop
 from hingesill_core.routing.policies import POLICIES
 from hingesill_core.routing.reachability import Reachability
 from hingesill_core.routing.retryhandler import RetryHandler
@@ -83,6 +84,7 @@
         self.retrying = RetryHandler(self)
         self.service_availability = ServiceAvailability(self)
         self.reachability = Reachability()
+        self.planned_stop = PlannedStop(self)
         self.limits = limits or ServiceLimits(service.name, rng)
         self.limits.usable = self._accepts_work
         self.limited_requests = LimitedRequests(self)
@@ -179,7 +181,9 @@
             request is queued or that another node must serve it, or its final response.
         """
         self.last_submit_at = now
-        decision = self.divert(ticket, now)
+        decision = self.planned_stop.find_refusal(ticket, now)
+        if decision is None:
+            decision = self.divert(ticket, now)
         if decision is not None:
             return decision
         self.hedging.budget.earn()
@@ -382,6 +386,9 @@
 
     def _find_final_refusal(self, ticket, now):
         """Return the Refusal of a queued request that cannot be served, or None."""
+        refusal = self.planned_stop.find_refusal(ticket, now)
+        if refusal is not None:
+            return refusal
         if not self.has_eligible_endpoint(ticket.route, now):
             return self.refuse(ticket, RefusalReason.NO_ENDPOINT, now)
         if now + self.get_latency(ticket.route).p10 > ticket.deadline:
--- a/packages/hingesill-core/hingesill_core/routing/latebinding.py
+++ b/packages/hingesill-core/hingesill_core/routing/latebinding.py
@@ -418,6 +418,9 @@
     def _find_final_refusal(self, waiting, now):
         """Return the Refusal of a request whose wait has ended, or None."""
         ticket = waiting.ticket
+        refusal = self.dispatcher.planned_stop.find_refusal(ticket, now)
+        if refusal is not None:
+            return refusal
         if now >= waiting.until:
             reason = RefusalReason.DEADLINE_UNREACHABLE
             if self.dispatcher.service.early_refusal:
--- a/packages/hingesill-node/hingesill_node/blackboard.py
+++ b/packages/hingesill-node/hingesill_node/blackboard.py
@@ -80,6 +80,9 @@
         Observations that nodes share about the services; written by the control.
     phase : Phase
         Written by the `Lifecycle`.
+    stop_seconds : float or None
+        Seconds from the write of the field to the end of the process; None before a
+        planned stop. Written by the `Lifecycle`.
     in_flight : int
         Number of callers' requests without a final answer.
     """
@@ -93,6 +96,7 @@
     probe_share: ProbeShare | None = None
     profile: Profile = field(default_factory=Profile)
     phase: Phase = Phase.STARTING
+    stop_seconds: float | None = None
     in_flight: int = 0
     _watchers: dict = field(default_factory=lambda: defaultdict(list))
 
--- a/packages/hingesill-node/hingesill_node/datapath/exchange.py
+++ b/packages/hingesill-node/hingesill_node/datapath/exchange.py
@@ -229,13 +229,15 @@
 
         Notes
         -----
-        The request may have been quarantined, and its key removed or moved to another
-        organisation, while it waited for an endpoint or for a token.
+        The request may have been quarantined, its key removed or moved to another
+        organisation, and the end of a planned stop come near, while it waited for an
+        endpoint or for a token.
         """
         while True:
             refusal = (
                 self.guard.find_refusal(self.request, self.ticket.exposed)
                 or self.check_key()
+                or self.sends.find_stop_refusal()
             )
             if refusal is not None:
                 return refusal
--- a/packages/hingesill-node/hingesill_node/datapath/forwarding.py
+++ b/packages/hingesill-node/hingesill_node/datapath/forwarding.py
@@ -243,7 +243,10 @@
         ]
         if self._token is not None:
             added.append((ForwardHeaders.TOKEN, "1"))
-        write_request(self._connection, request, HeaderFields(passed), added)
+        is_too_late = self.exchange.sends.is_too_late
+        write_request(
+            self._connection, request, HeaderFields(passed), added, is_too_late
+        )
 
     def _wait(self):
         """Wait for the response.
--- a/packages/hingesill-node/hingesill_node/datapath/messages.py
+++ b/packages/hingesill-node/hingesill_node/datapath/messages.py
@@ -28,6 +28,8 @@
         Bytes of an unbuffered body that were read before the first send.
     fault : RequestFault or None
         What was wrong with an unbuffered body when it was read.
+    is_withheld : bool
+        Whether its end was not passed on, as the node stops.
     """
 
     whole: bytes | None
@@ -35,10 +37,13 @@
     source: object = None
     beginning: bytes = b""
     fault: object = None
+    is_withheld: bool = False
 
     @property
     def failure_reason(self):
         """Reason for which a request is refused whose body could not be read."""
+        if self.is_withheld:
+            return RefusalReason.NODE_STOPPING
         if self.fault is None:
             return RefusalReason.CALLER_GONE
         return self.fault.reason
--- a/packages/hingesill-node/hingesill_node/datapath/runnertable.py
+++ b/packages/hingesill-node/hingesill_node/datapath/runnertable.py
@@ -53,12 +53,14 @@
         self.availability_log = AvailabilityLog(clock)
         self.availabilities = AvailabilityRegistry(self.availability_log.record)
         self.forwarder = None
+        self.stops_at = None
         self._wire = None
         self._counters = None
         blackboard.watch("configuration", self.refresh)
         blackboard.watch("profile", self.refresh_profile)
         blackboard.watch("fleet", self.refresh)
         blackboard.watch("signs", self.refresh_drain_notices)
+        blackboard.watch("stop_seconds", self.refresh_stop)
 
     def get(self, name):
         """Return the runner of a declared service."""
@@ -79,6 +81,7 @@
                 self.availabilities,
                 self.forwarder,
             )
+            runner.dispatcher.planned_stop.ends_at = self.stops_at
             self.runners[name] = runner
             self._apply_drain_notices(runner)
             self._apply_profile(runner)
@@ -124,6 +127,12 @@
                 runner.configure(service, board.fleet)
                 self._apply_drain_notices(runner)
 
+    def refresh_stop(self):
+        """Apply the end of a planned stop to all runners."""
+        self.stops_at = self.clock() + self.blackboard.stop_seconds
+        for runner in self.runners.values():
+            runner.dispatcher.planned_stop.ends_at = self.stops_at
+
     def refresh_drain_notices(self):
         """Apply the current drain notices to all runners."""
         for runner in self.runners.values():
--- a/packages/hingesill-node/hingesill_node/datapath/sends.py
+++ b/packages/hingesill-node/hingesill_node/datapath/sends.py
@@ -70,6 +70,15 @@
         may_have_run = self.request.ticket.exposed or bool(self.list_in_flight())
         return Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
 
+    def find_stop_refusal(self):
+        """Return the Refusal of a request that a planned stop would cut, or None."""
+        planned_stop = self.runner.dispatcher.planned_stop
+        return planned_stop.find_refusal(self.request.ticket, self.clock())
+
+    def is_too_late(self):
+        """Return whether a body that is whole now must not be passed on to its end."""
+        return self.find_stop_refusal() is not None
+
     def start(self, send, reply_connection=None):
         """Send the request to the endpoint of a Send.
 
@@ -101,12 +110,14 @@
             connect(live, self.request, self.wire)
             if self._close_if_settled(live):
                 return live
-            # The key may have been removed while the connection was opened.
+            # The key may have been removed, or a planned stop come near its end, while
+            # the connection was opened.
             if (
                 not self.runner.dispatcher.service_availability.may_write(
                     send, self.clock()
                 )
                 or self.check_key() is not None
+                or self.is_too_late()
             ):
                 return self.end(live, SendResult(SendStatus.NOT_SENT), keep=True)
             is_permitted, live.token = self.request.tokens.use(
@@ -114,7 +125,7 @@
             )
             if not is_permitted:
                 return self.end(live, SendResult(SendStatus.NOT_SENT), keep=True)
-            send_request(live, self.request, self.clock(), self.wire)
+            send_request(live, self.request, self.clock(), self.wire, self.is_too_late)
             self._close_if_settled(live)
             return live
         except ConnectFailed as error:
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -60,7 +60,7 @@
         live.connection = live.pool.acquire_new()
 
 
-def send_request(live, request, now, wire):
+def send_request(live, request, now, wire, is_too_late):
     """Send a request on the connection of a send.
 
     Parameters
@@ -73,22 +73,24 @@
         Time in seconds, from which the remaining time is computed.
     wire : OwnFormat
         The HTTP dialect.
+    is_too_late : callable
+        Returns whether a body that was read to its end must not be passed on.
 
     Raises
     ------
     OSError
         If writing failed; the endpoint may have received a part of the request.
     BodyFailed
-        If the body could not be read from the caller.
+        If the body could not be read from the caller, or was whole too late.
     """
     remaining = request.ticket.deadline - now
     added = wire.build_request_headers(
         request.request_id, live.send.endpoint, remaining, request.ticket.organisation
     )
-    write_request(live.connection, request, request.headers, added)
+    write_request(live.connection, request, request.headers, added, is_too_late)
 
 
-def write_request(connection, request, fields, added):
+def write_request(connection, request, fields, added, is_too_late):
     """Write a request; see `send_request` for errors.
 
     Parameters
@@ -101,6 +103,8 @@
         The headers that are passed on.
     added : iterable of tuple of str
         The headers that the node adds.
+    is_too_late : callable
+        See `send_request`.
     """
     connection.set_time_limit(WRITE_TIMEOUT_SECONDS)
     connection.collect()
@@ -113,7 +117,7 @@
         return
     connection.flush()
     request.ticket.replayable = False
-    stream_body(connection, body)
+    stream_body(connection, body, is_too_late)
 
 
 def write_head(connection, request, fields, added):
@@ -130,24 +134,37 @@
     connection.endheaders()
 
 
-def stream_body(connection, body):
-    """Stream a long body; the socket buffers apply back-pressure to the caller."""
+def stream_body(connection, body, is_too_late):
+    """Stream a long body; the socket buffers apply back-pressure to the caller.
+
+    Notes
+    -----
+    The endpoint does not get the end of a body that is whole too late, so that it sees
+    an incomplete request.
+    """
     sent = 0
-    while True:
-        chunk = read_chunk(body)
-        if not chunk:
-            break
+    while chunk := read_chunk(body):
         sent += len(chunk)
+        if sent == body.length:
+            check_end(body, is_too_late)
         if body.length is None:
             connection.send(b"%x\r\n%s\r\n" % (len(chunk), chunk))
         else:
             connection.send(chunk)
     if body.length is None:
+        check_end(body, is_too_late)
         connection.send(b"0\r\n\r\n")
     elif sent < body.length:
         raise BodyFailed("the request body from the caller is incomplete")
 
 
+def check_end(body, is_too_late):
+    """Raise BodyFailed if the end of a body must not be passed on."""
+    if is_too_late():
+        body.is_withheld = True
+        raise BodyFailed("the node stops before an answer can be expected")
+
+
 def read_chunk(body):
     """Return the next chunk of a body, or raise BodyFailed."""
     try:
--- a/packages/hingesill-node/hingesill_node/lifecycle.py
+++ b/packages/hingesill-node/hingesill_node/lifecycle.py
@@ -88,6 +88,7 @@
             False if requests were still in flight at the timeout.
         """
         self.servers = servers
+        self.blackboard.write("stop_seconds", self._get_stop_end() - self.clock())
         self.blackboard.write("phase", Phase.STOPPING)
         for server in self.servers:
             server.begin_stop()
@@ -104,6 +105,11 @@
             server.record_process_end()
         return is_quiet
 
+    def _get_stop_end(self):
+        """Return the time at which the process ends in any case."""
+        bound = self.settings.balancer_lag_s + self.settings.stop_bound_s
+        return self.stop_requested_at + bound
+
     def _wait_until_quiet(self):
         """Wait until all connections have ended, or until the timeout.
 
@@ -117,9 +123,7 @@
         Connections without a request are closed from now on: a request that is taken
         late might not be answered before the timeout.
         """
-        settings = self.settings
-        bound = settings.balancer_lag_s + settings.stop_bound_s
-        deadline = self.stop_requested_at + bound
+        deadline = self._get_stop_end()
         quiet_since = self.clock()
         while self.clock() <= deadline:
             for server in self.servers:
