Known failures: one short entry each

Cause: the second line of KNOWN-RED.txt held six findings, as the script of the tests allowed three lines; those that are not tests of the suite could not have one of their own.

Change: entries that begin with "by hand:" or "not passed over:" are printed and tolerate nothing; three tests may still be tolerated, no more.

Ruled out: more tolerated tests.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,6 +1,8 @@
 """Run all tests; tolerate only the known failures, and print them.
 
-``KNOWN-RED.txt`` lists at most three tests, one per line: test, cause, issue.
+``KNOWN-RED.txt`` has one entry per line: test, cause, issue. At most three tests are
+tolerated; entries that begin with a mark of `LISTED_ONLY` are printed, but tolerate
+nothing.
 """
 
 import sys
@@ -13,15 +15,22 @@
 FOLDERS = ("packages/hingesill-core", "packages/hingesill-node")
 FOLDERS += ("packages/hingesill-cli", "platform", "tests")
 MAX_KNOWN_FAILURES = 3
+LISTED_ONLY = ("by hand:", "not passed over:")
 
 
-def read_known_failures():
-    """Return the lines of the known failures by the name of the test."""
+def read_entries():
+    """Return the lines of the known failures."""
     file = ROOT / "KNOWN-RED.txt"
     if not file.exists():
-        return {}
-    lines = [line.strip() for line in file.read_text().splitlines()]
-    return {line.split(",")[0].strip(): line for line in lines if line}
+        return []
+    lines = (line.strip() for line in file.read_text().splitlines())
+    return [line for line in lines if line]
+
+
+def list_known_failures(entries):
+    """Return the entries of tolerated tests by the name of the test."""
+    tolerated = (line for line in entries if not line.startswith(LISTED_ONLY))
+    return {line.split(",")[0].strip(): line for line in tolerated}
 
 
 def load_suite():
@@ -40,9 +49,10 @@
 
 def main():
     """Run the tests; return the exit code."""
-    known = read_known_failures()
+    entries = read_entries()
+    known = list_known_failures(entries)
     if len(known) > MAX_KNOWN_FAILURES:
-        print(f"KNOWN-RED.txt has more than {MAX_KNOWN_FAILURES} lines")
+        print(f"KNOWN-RED.txt has more than {MAX_KNOWN_FAILURES} tests")
         return 1
     suite = load_suite()
     # Tests of nodes in this process depend on timing: a full collection of the
@@ -55,6 +65,9 @@
     for name, line in known.items():
         state = "failed as known" if name in failed else "passed, take it off the list"
         print(f"known red: {line} [{state}]")
+    for line in entries:
+        if line.startswith(LISTED_ONLY):
+            print(f"known red: {line} [not a tolerated test]")
     if result.testsRun == 0:
         print("no test ran")
         return 1
