Stops: a long body that was answered before its end is passed on to it

Cause: the end of a long body that is whole too late was kept back, whatever the endpoint had sent meanwhile.

Change: it is kept back only if the endpoint has sent nothing. has_input was is_stale.

Why it works: what is there can be passed on, however little time is left.

Ruled out: passing on the end in any case; endpoints that run whole bodies only would begin.

--- a/bench/openloop.py
+++ b/bench/openloop.py
@@ -111,7 +111,7 @@
         idle = self.idle.get(address)
         while idle:
             connection = idle.pop()
-            if not connection.is_stale():
+            if not connection.has_input():
                 return connection
             connection.close()
         connection = EndpointConnection(address)
--- a/packages/hingesill-node/hingesill_node/datapath/connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/connections.py
@@ -169,8 +169,8 @@
         """Set the timeout of each later read and write."""
         self.sock.settimeout(seconds)
 
-    def is_stale(self):
-        """Return whether the endpoint closed it or sent unexpected data."""
+    def has_input(self):
+        """Return whether the endpoint has sent something, or closed the connection."""
         try:
             self.sock.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except (BlockingIOError, InterruptedError):
@@ -241,7 +241,7 @@
         try:
             while self._idle:
                 connection = self._idle.pop()
-                if connection.idle_until < now or connection.is_stale():
+                if connection.idle_until < now or connection.has_input():
                     self.discard(connection)
                 elif request_id is None or not connection.has_carried(request_id):
                     return connection
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_connections.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_connections.py
@@ -77,5 +77,5 @@
     def putrequest(self, *arguments, **options):
         pass
 
-    def is_stale(self):
+    def has_input(self):
         return False
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_planned_stop.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_planned_stop.py
@@ -46,9 +46,16 @@
 
 
 class HoldingEndpoint:
-    """An endpoint that runs whole requests, and answers them once its gate is open."""
+    """An endpoint that runs whole requests, and answers them once its gate is open.
+
+    Attributes
+    ----------
+    answers_early : bool
+        Whether it answers before it has read the body.
+    """
 
     def __init__(self, case):
+        self.answers_early = False
         self.ran = []
         self.arrived = GreenEvent()
         self.begun = GreenEvent()
@@ -63,6 +70,9 @@
         """Run a request; see PEP 3333."""
         if not self.arrived.ready():
             self.arrived.send()
+        if self.answers_early:
+            start_response("200 OK", [])
+            return [b"done"]
         read_body(environ)
         self.ran.append(environ["PATH_INFO"])
         if not self.begun.ready():
@@ -221,6 +231,15 @@
         self.node.stop()
         self.assertIn(" 200 ", read_answer(self.node.send(POST)))
 
+    def test_a_long_body_that_was_answered_before_its_end(self):
+        self.node.endpoint.answers_early = True
+        sock = self.node.send(LONG_HEAD + LONG_BODY[:-LAST_BYTES])
+        with eventlet.Timeout(TEST_SECONDS):
+            self.node.endpoint.arrived.wait()
+        self.node.stop()
+        sock.sendall(LONG_BODY[-LAST_BYTES:])
+        self.assertIn(" 200 ", read_answer(sock))
+
     def test_a_long_body_of_a_service_that_answers_quickly(self):
         self.node.record_answers(STOP_SECONDS / 10)
         self.node.endpoint.gate.send()
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_suspension.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_suspension.py
@@ -31,7 +31,7 @@
     idle_until = 0.0
     can_carry_more = True
 
-    def is_stale(self):
+    def has_input(self):
         return False
 
     def close(self):
--- a/packages/hingesill-node/hingesill_node/datapath/transport.py
+++ b/packages/hingesill-node/hingesill_node/datapath/transport.py
@@ -146,21 +146,26 @@
     while chunk := read_chunk(body):
         sent += len(chunk)
         if sent == body.length:
-            check_end(body, is_too_late)
+            check_end(connection, body, is_too_late)
         if body.length is None:
             connection.send(b"%x\r\n%s\r\n" % (len(chunk), chunk))
         else:
             connection.send(chunk)
     if body.length is None:
-        check_end(body, is_too_late)
+        check_end(connection, body, is_too_late)
         connection.send(b"0\r\n\r\n")
     elif sent < body.length:
         raise BodyFailed("the request body from the caller is incomplete")
 
 
-def check_end(body, is_too_late):
-    """Raise BodyFailed if the end of a body must not be passed on."""
-    if is_too_late():
+def check_end(connection, body, is_too_late):
+    """Raise BodyFailed if the end of a body must not be passed on.
+
+    Notes
+    -----
+    An endpoint may answer before it has read the body; its answer is passed on.
+    """
+    if is_too_late() and not connection.has_input():
         body.is_withheld = True
         raise BodyFailed("the node stops before an answer can be expected")
 
