Answers: header lines take about their size while they are read

The node could be ended by its limit.

Cause: each header line was kept as a tuple of two strings until the head was complete. Since answers are read in turns, so that many such heads are under way at a time.

Change: the lines are kept in one buffer, from which HeaderFields is made.

Why it works: a head takes at most its 64 KiB, 4 MiB for 60 callers.

Ruled out: fewer heads at a time, which lets slow heads hold up others.

--- a/packages/hingesill-node/hingesill_node/datapath/headerfields.py
+++ b/packages/hingesill-node/hingesill_node/datapath/headerfields.py
@@ -31,6 +31,19 @@
             f"{name}{SEPARATOR}{value}{LINE_END}" for name, value in pairs
         )
 
+    @classmethod
+    def decode(cls, lines):
+        """Return the fields of lines ``name: value``, each with a line feed.
+
+        Parameters
+        ----------
+        lines : bytes or bytearray
+            The lines; names have no colon.
+        """
+        fields = cls()
+        fields._text = lines.decode("latin-1")
+        return fields
+
     def __iter__(self):
         """Yield names and values in the order received."""
         for line in self._text.split(LINE_END):
--- a/packages/hingesill-node/hingesill_node/datapath/responses.py
+++ b/packages/hingesill-node/hingesill_node/datapath/responses.py
@@ -93,7 +93,7 @@
         self.reason = ""
         self.headers = NO_FIELDS
         self.length = None
-        self._pairs = []
+        self._lines = bytearray()
         self.complete = False
         self._framed = False
         self._mismatched = False
@@ -116,11 +116,10 @@
         """Add a header."""
         if self._unsolicited or self._head_done:
             return  # Trailers are not passed on.
-        text = value.decode("latin-1")
-        self._pairs.append((name.decode("latin-1"), text))
+        self._lines += b"%s: %s\n" % (name, value)
         lowered = name.lower()
         if lowered == b"content-length":
-            self.length = int(text)
+            self.length = int(value)
             self._framed = True
         elif lowered == b"transfer-encoding":
             self._framed = True
@@ -129,7 +128,7 @@
         """Check the complete head and whether a body follows."""
         if self._unsolicited:
             return
-        self.headers, self._pairs = HeaderFields(self._pairs), []
+        self.headers, self._lines = HeaderFields.decode(self._lines), bytearray()
         self.status = self._parser.get_status_code()
         self._keep_alive = self._parser.should_keep_alive()
         if self.status < FIRST_FINAL_STATUS:
--- a/packages/hingesill-node/hingesill_node/datapath/tests/test_endless_answers.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+import tracemalloc
 import unittest
 from contextlib import suppress
 from unittest.mock import patch
@@ -35,6 +36,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 FILLER = b"x" * 16_000
+HEADER_LINES = 10_000
 TINY_CHUNK = b"1\r\nx\r\n"
 MAX_RECEIVED_BYTES = 1_000_000
 BODY_LIMIT = 64 * 1024
@@ -95,6 +97,20 @@
             self.read(LIMIT_SECONDS)
 
 
+class HeadMemoryTests(EndlessResponseCase):
+    """Guards against heads of answers that cost many times their size."""
+
+    def test_short_header_lines(self):
+        self.send(HEAD + b"a:\r\n" * HEADER_LINES, b"", pause=0.01)
+        response = EndpointResponse(self.client, "GET")
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        while response._received < 4 * HEADER_LINES:
+            response._receive()
+        size, _ = tracemalloc.get_traced_memory()
+        self.assertLess(size, 3 * response._received)
+
+
 class EndlessBodyTests(EndlessResponseCase):
     """Guards against bodies without end that block the node or use up its memory."""
 
