--- a/packages/hingesill-node/hingesill_node/datapath/tests/surplusendpoint.py
+++ b/packages/hingesill-node/hingesill_node/datapath/tests/surplusendpoint.py
@@ -257,6 +257,8 @@
         The route of the requests.
     policy : str
         Routing policy of the service.
+    status : int
+        Status of the endpoint's refusals.
     """
 
     def __init__(
