Latency estimate: what its slowest answer is

Cause: read as a newcomer would: "about the last hundred answers" is not what it is.

Change: the docstring.

Ruled out: nothing.

Result: no code changed.

--- a/packages/hingesill-core/hingesill_core/limits/latency.py
+++ b/packages/hingesill-core/hingesill_core/limits/latency.py
@@ -24,7 +24,7 @@
         Running 10th percentile, so that a request is refused only if even a fast
         answer would be too late.
     slowest : float
-        Slowest of about the last hundred answers.
+        Slowest recent answer; a hundred faster ones lower it by two fifths.
     answers : int
         Number of answers recorded.
     """
