--- a/review/kit2/case.py
+++ b/review/kit2/case.py
@@ -121,7 +121,9 @@
         for node in self.nodes:
             await node.wait_ready()
 
-    async def send(self, node, method, path, body=b"", deadline_ms=2000, seconds=None):
+    async def send(
+        self, node, method, path, body=b"", deadline_ms=2000, seconds=None, fields=""
+    ):
         """Send one request to a node, record its answer and return the Attempt."""
         item = Attempt(node, path)
         self.attempts[item.id] = item
@@ -132,7 +134,7 @@
             head = (
                 f"{method} {path}{item.id} HTTP/1.1\r\nHost: a.example\r\n"
                 f"X-Attempt-Id: {item.id}\r\nX-Deadline-Ms: {deadline_ms}\r\n"
-                f"Content-Length: {len(body)}\r\n\r\n"
+                f"{fields}Content-Length: {len(body)}\r\n\r\n"
             )
             item.sent_at = time.monotonic()
             self.note(f"{item.id} sent to {node.name} {method} {path}", item.sent_at)
--- a/review/kit2/nodes.py
+++ b/review/kit2/nodes.py
@@ -23,6 +23,7 @@
     drain_ms=2000, grace_s=6, loss_slack_ms=200, config_apply_ms=2000,
     rollback_slack_ms=250, max_stretch_ms=5000, retry_budget_ratio=0.2,
     budget_window_s=10, budget_slack=56, recovery_s=15, probes_per_s=60,
+    quota_window_s=5, quota_overshoot=0.1, quota_slack=20,
 )  # fmt: skip
 
 
--- a/review/kit2/proxy.py
+++ b/review/kit2/proxy.py
@@ -13,6 +13,7 @@
         self.used_at = time.monotonic()
         self.is_silent = False
         self.task = None
+        self.writers = ()
 
 
 class Proxy:
@@ -30,6 +31,7 @@
         self.address = ""
         self.server = None
         self.is_cut = False
+        self.is_resetting = False
 
     async def start(self, host="127.0.0.1", port=0):
         """Listen on an address."""
@@ -49,11 +51,21 @@
         self.is_cut = True
         self.silence()
 
+    def reset(self):
+        """Reset all connections, and each new one at once."""
+        self.is_resetting = True
+        for link in self.links:
+            for writer in link.writers:
+                writer.transport.abort()
+
     def restore(self):
         """Pass new connections on again."""
-        self.is_cut = False
+        self.is_cut = self.is_resetting = False
 
     async def _serve(self, reader, writer):
+        if self.is_resetting:
+            writer.transport.abort()
+            return
         if self.is_cut:
             await reader.read()
             writer.close()
@@ -67,6 +79,7 @@
         link = Link()
         # The loop itself has only a weak reference to its tasks.
         link.task = asyncio.current_task()
+        link.writers = (writer, far_writer)
         self.links.add(link)
         await asyncio.gather(
             self._pass(link, reader, far_writer), self._pass(link, far_reader, writer)
--- a/review/kit2/store.py
+++ b/review/kit2/store.py
@@ -21,6 +21,11 @@
     ----------
     stale_seconds : float
         Age of what reads with ``serializable=1`` return.
+
+    Attributes
+    ----------
+    is_busy : bool
+        Whether it answers all calls with 503.
     """
 
     def __init__(self, stale_seconds=0.0):
@@ -32,6 +37,7 @@
         # Times, revisions and events of all changes.
         self.log = []
         self.changed = asyncio.Condition()
+        self.is_busy = False
         self.server = None
         self.address = ""
         self.calls = 0
@@ -54,6 +60,11 @@
         await self._notify()
         return time.monotonic()
 
+    async def end_leases(self):
+        """End all leases, as if they had run out."""
+        for lease in list(self.leases):
+            await self._end_lease(lease)
+
     async def _notify(self):
         async with self.changed:
             self.changed.notify_all()
@@ -124,6 +135,8 @@
             writer.close()
 
     async def _handle(self, path, query, body):
+        if self.is_busy:
+            return "503 Service Unavailable", {}
         name, _, tail = path.removeprefix("/api/kv-").partition("/")
         method = getattr(self, "_do_" + name.replace("-", "_"))
         return await method(query, body, tail)
@@ -152,6 +165,8 @@
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left = until - time.monotonic()
+            if self.is_busy:
+                return "503 Service Unavailable", {}
             if events or left <= 0:
                 return "200 OK", dict(events=events, store_revision=self.revision)
             async with self.changed:
