--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,8 +9,12 @@
 
 ROLLBACK_SLACK_SECONDS = 0.25
 PAUSE_SECONDS = 0.025
-# The backends of "crushpad" are 2 of 10, "a share .2 of the servers".
-SERVICES = {"plots": 4, "ledger": 4, "crushpad": 2}
+# The backends of one service that a route moves to are 2 of 10, "a share .2 of the
+# servers".
+SERVICES = {"ledger": 6, "crushpad": 2, "plots": 2}
+FOLLOWING = ("crushpad", "plots")
+CUT_SECONDS = 8.0
+REST_SECONDS = 5.0
 ZONES = ("saiq", "wadi-bani")
 
 
@@ -90,48 +94,60 @@
         sender, behind = self.nodes[:2]
         client = asyncio.ensure_future(self.send_all(sender))
         await asyncio.sleep(1.0)
-        if HAS_TROUBLE:
-            for backend in self.backends:
-                if backend.service == "crushpad":
-                    backend.cut_from = sender
-            self.note(f"{sender.name} loses its path to the backends of crushpad")
-            self.turn_away(behind)
-        await asyncio.sleep(0.05)
-        await self.declare(2, "crushpad")
-        await asyncio.sleep(8.0)
+        findings, service = [], "ledger"
+        for version, following in enumerate(FOLLOWING, 2):
+            if HAS_TROUBLE:
+                self.begin_cuts(sender, following, behind)
+            await asyncio.sleep(0.05)
+            await self.declare(version, following)
+            await asyncio.sleep(CUT_SECONDS)
+            findings += self.judge(version, service, following)
+            service = following
+            self.end_cuts(behind)
+            await asyncio.sleep(REST_SECONDS)
         client.cancel()
-        return self.judge(sender)
-
-    def turn_away(self, node):
-        """Have the store answer a node no more."""
-        number = self.nodes.index(node)
-        self.proxies[number].cut()
-        self.note(f"the store answers {node.name} no more")
-
-    def judge(self, sender):
-        """Return a finding on requests handled as only r1 allows."""
+        return findings
+
+    def begin_cuts(self, sender, service, behind):
+        """Cut one node from a service's backends and another one from the store."""
+        for backend in self.backends:
+            if backend.service == service:
+                backend.cut_from = sender
+        self.note(f"{sender.name} loses its path to the backends of {service}")
+        self.proxies[self.nodes.index(behind)].cut()
+        self.note(f"the store answers {behind.name} no more")
+
+    def end_cuts(self, behind):
+        """End both cuts."""
+        for backend in self.backends:
+            backend.cut_from = None
+        self.proxies[self.nodes.index(behind)].restore()
+        self.note("both cuts end")
+
+    def judge(self, version, service, following):
+        """Return a finding on requests handled as only the version before allows."""
         runs = [
             (at, backend, item)
             for item in self.attempts.values()
             for at, backend in item.runs
         ]
-        seen = [at for at, backend, _ in runs if backend.startswith("i-crushpad")]
+        seen = [at for at, backend, _ in runs if backend.startswith(f"i-{following}")]
         if not seen:
-            self.note("no backend saw the effect of r2")
+            self.note(f"no backend saw the effect of r{version}")
             return []
         first = min(seen)
         late = [
-            (item.sent_at - first, item.id)
+            item.sent_at - first
             for at, backend, item in runs
-            if backend.startswith("i-ledger")
+            if backend.startswith(f"i-{service}")
             and item.sent_at > first + ROLLBACK_SLACK_SECONDS
         ]
         if not late:
             return []
         return [
-            f"CONFIG broken: through {sender.name}, {len(late)} unsafe requests sent"
-            f" 0.25 to {max(late)[0]:.2f} s after a backend saw the effect of r2 were"
-            " run by the service of r1"
+            f"CONFIG broken: through one node, {len(late)} unsafe requests sent 0.25 to"
+            f" {max(late):.2f} s after a backend saw the effect of r{version} were run"
+            f" by {service}, which only r{version - 1} allows"
         ]
 
 
