--- a/review/5/case.py
+++ b/review/5/case.py
@@ -13,7 +13,7 @@
 # servers".
 SERVICES = {"ledger": 6, "crushpad": 2, "plots": 2}
 FOLLOWING = ("crushpad", "plots")
-CUT_SECONDS = 8.0
+CUT_SECONDS = 5.0
 REST_SECONDS = 5.0
 ZONES = ("saiq", "wadi-bani")
 
