--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,9 +16,9 @@
 SLOTS = 3
 # Share of the backends, share of their answers, and length: below the largest dose of
 # `answer_lost` with `how = "reset"` in the site file.
-SHARE, LOST, LOST_SECONDS = 0.6, 0.12, 4.0
-LOST_AT = tuple(range(8, 88, 5))
-LOAD_SECONDS = 90.0
+SHARE, LOST, LOST_SECONDS = 0.6, 0.15, 4.0
+LOST_AT = tuple(range(8, 98, 5))
+LOAD_SECONDS = 100.0
 PER_SECOND = 130.0
 # Work of most requests, and of the share that has more to read.
 WORK_SECONDS, LONG_WORK_SECONDS, LONG_SHARE = 0.1, 0.3, 0.4
